--- a/src/bench/harness.ts
+++ b/src/bench/harness.ts
@@ -60,6 +60,9 @@
 
   #configuration: Configuration;
 
+  /** Last sender of a load summary, by domain. */
+  readonly #schedulers = new Map<string, string>();
+
   constructor(options: HarnessOptions) {
     this.#options = options;
     this.#configuration = options.configuration;
@@ -112,6 +115,12 @@
     return worker;
   }
 
+  /** The host that acts as scheduler of a domain, or any host of it if none has been seen. */
+  schedulerOf(domain: string): string {
+    const any = this.hosts.find((host) => host.domain === domain)?.id ?? '';
+    return this.#schedulers.get(domain) ?? any;
+  }
+
   killHost(id: string): void {
     const host = this.host(id);
     if (host.phase !== 'down') {
@@ -308,7 +317,9 @@
     this.record.count('peerBatches');
     this.record.count('peerMessages', messages.length);
     messages.forEach((message) => {
-      if (message.type === 'slotCancel') {
+      if (message.type === 'loadSummary') {
+        this.#schedulers.set(message.domain, from.id);
+      } else if (message.type === 'slotCancel') {
         this.record.count('slotCancels');
       } else if (message.type === 'slotRelease' && message.outcome === 'unused') {
         this.record.count('unusedGrants');
