Add the decision code: submitter, scheduler and their composition

Cause: the thin path needs admission, slot scheduling and task starts that keep the invariants. Change: submission keys bound to an incarnation, submitter with revoke before retry, scheduler per domain with weighted fair queueing, worker health, admission, spill between domains, pause guard.

--- /dev/null
+++ b/src/core/slotQueues.ts
@@ -0,0 +1,75 @@
+/** All slot requests that wait at a scheduler, by kind and by sender. */
+import { LeafQueue, type QueuedRequest } from './leafQueue';
+
+/** All queues of a scheduler, and its requests by sender. */
+export class SlotQueues {
+  readonly #leaves = new Map<string, LeafQueue>();
+
+  readonly #byHost = new Map<string, Map<number, QueuedRequest>>();
+
+  leaves(): IterableIterator<LeafQueue> {
+    return this.#leaves.values();
+  }
+
+  leaf(key: string): LeafQueue | undefined {
+    return this.#leaves.get(key);
+  }
+
+  /** Adds a request; a repeated one replaces what is left of the first. */
+  add(request: QueuedRequest, team: string, kind: string): void {
+    this.cancel(request.host, request.requestId, Infinity);
+    let queue = this.#leaves.get(request.leaf);
+    if (!queue) {
+      queue = new LeafQueue(request.leaf, team, kind);
+      this.#leaves.set(request.leaf, queue);
+    }
+    queue.push(request);
+    const requests = this.#byHost.get(request.host) ?? new Map<number, QueuedRequest>();
+    requests.set(request.requestId, request);
+    this.#byHost.set(request.host, requests);
+  }
+
+  /** Takes `count` slots off a request after a grant. */
+  take(request: QueuedRequest, count: number): void {
+    this.#leaves.get(request.leaf)?.take(request, count);
+    if (request.count === 0) this.#byHost.get(request.host)?.delete(request.requestId);
+  }
+
+  /** Withdraws up to `count` slots of a request; returns how many were withdrawn. */
+  cancel(host: string, requestId: number, count: number): number {
+    const request = this.#byHost.get(host)?.get(requestId);
+    if (!request) return 0;
+    const before = request.count;
+    this.take(request, Math.min(count, before));
+    return before - request.count;
+  }
+
+  dropHost(host: string): void {
+    const requests = this.#byHost.get(host);
+    if (!requests) return;
+    [...requests.values()].forEach((request) => this.take(request, request.count));
+    this.#byHost.delete(host);
+  }
+
+  clear(): void {
+    this.#leaves.clear();
+    this.#byHost.clear();
+  }
+
+  tasks(): number {
+    let sum = 0;
+    this.#leaves.forEach((queue) => {
+      sum += queue.tasks;
+    });
+    return sum;
+  }
+
+  /** Tasks of one team that wait. */
+  tasksOfTeam(team: string): number {
+    let sum = 0;
+    this.#leaves.forEach((queue) => {
+      if (queue.team === team) sum += queue.tasks;
+    });
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/core/submissionKey.ts
@@ -0,0 +1,80 @@
+/**
+ * Submission keys. A key names the process incarnation that issued it, which is the only one that may
+ * ever start the tasks of that submission; a signature keeps damaged and invented keys out. Keys
+ * expire on the issuer's own monotonic clock, so that the memory for finished submissions is bounded.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { Err, Ok, type Result } from 'ts-results';
+import { Reason } from './job';
+
+const MAC_LENGTH = 16;
+const KEY_PATTERN =
+  /^([a-z0-9-]{1,64})\.([a-z0-9]{1,32})\.([a-z0-9]{1,13})\.([a-z0-9]{1,13})\.([\w-]{16})$/;
+
+/** The readable part of a key; anyone can read it, only the issuer can verify it. */
+export interface KeyParts {
+  readonly hostId: string;
+  readonly incarnation: string;
+  readonly counter: number;
+  /** On the issuer's monotonic clock. */
+  readonly expiresAtMs: number;
+}
+
+/** Reads a key without verifying it; null if it is malformed. */
+export function parseKey(key: string): KeyParts | null {
+  const match = KEY_PATTERN.exec(key);
+  if (!match) return null;
+  const [, hostId = '', incarnation = '', counter = '', expiry = ''] = match;
+  return {
+    hostId,
+    incarnation,
+    counter: parseInt(counter, 36),
+    expiresAtMs: parseInt(expiry, 36),
+  };
+}
+
+/** Issues and verifies the keys of one incarnation. */
+export class KeyIssuer {
+  readonly #hostId: string;
+
+  readonly #incarnation: string;
+
+  readonly #secret: string;
+
+  readonly #lifetimeMs: number;
+
+  #counter = 0;
+
+  constructor(hostId: string, incarnation: string, secret: string, lifetimeMs: number) {
+    this.#hostId = hostId;
+    this.#incarnation = incarnation;
+    this.#secret = secret;
+    this.#lifetimeMs = lifetimeMs;
+  }
+
+  issue(nowMs: number): string {
+    this.#counter += 1;
+    const expiry = Math.floor(nowMs + this.#lifetimeMs).toString(36);
+    const body = `${this.#hostId}.${this.#incarnation}.${this.#counter.toString(36)}.${expiry}`;
+    return `${body}.${this.#sign(body)}`;
+  }
+
+  /** Verifies that this incarnation issued the key and that it has not expired. */
+  verify(key: string, nowMs: number): Result<KeyParts, Reason> {
+    const parts = parseKey(key);
+    if (!parts) return Err(Reason.invalidKey);
+    if (parts.hostId !== this.#hostId || parts.incarnation !== this.#incarnation) {
+      return Err(Reason.issuerUnreachable);
+    }
+    const bodyLength = key.length - MAC_LENGTH - 1;
+    const expected = Buffer.from(this.#sign(key.slice(0, bodyLength)));
+    if (!timingSafeEqual(expected, Buffer.from(key.slice(bodyLength + 1)))) {
+      return Err(Reason.invalidKey);
+    }
+    return parts.expiresAtMs <= nowMs ? Err(Reason.keyExpired) : Ok(parts);
+  }
+
+  #sign(body: string): string {
+    return createHmac('sha256', this.#secret).update(body).digest('base64url').slice(0, MAC_LENGTH);
+  }
+}
--- /dev/null
+++ b/src/core/submitter.ts
@@ -0,0 +1,417 @@
+/**
+ * Submitter: owns the submissions whose keys this incarnation issued, from arrival to answer. Each
+ * call gets exactly one answer; an answer says "not run" only if no task has started or ever will.
+ */
+import { createHash } from 'node:crypto';
+import type { Configuration, KindPolicy } from '../configuration/policy';
+import type { CoreEvent } from './events';
+import { Deadlines, DueKind } from './deadlines';
+import { Outcome, Reason, TaskState, type JobAnswer, type JobSpec } from './job';
+import type { Grant, SlotMessage } from './messages';
+import type { CoreOptions } from './options';
+import type { Outbox } from './outbox';
+import { RetryBudget } from './retryBudget';
+import { Roles } from './roles';
+import { SlotRequester } from './slotRequester';
+import { Submission } from './submission';
+import type { KeyIssuer } from './submissionKey';
+import { SubmissionTable } from './submissionTable';
+import { TaskRunner } from './taskRunner';
+
+const HALF = 0.5;
+/** Refusals at half of the deadline are due this much earlier, so that ticks do not make them late. */
+const HALF_MARGIN_MS = 20;
+const CLAIMS_PERIOD_MS = 5000;
+const DEFAULT_RETRY_AFTER_MS = 1000;
+
+const FAILURE_REASONS: Partial<Record<TaskState, Reason>> = {
+  [TaskState.failed]: Reason.taskFailed,
+  [TaskState.stopped]: Reason.taskUnknown,
+  [TaskState.unknown]: Reason.taskUnknown,
+};
+
+function hashOf(job: JobSpec): string {
+  return createHash('sha256').update(JSON.stringify(job)).digest('base64');
+}
+
+/** What a submitter is built from. */
+export interface SubmitterParts {
+  readonly domain: string;
+  readonly options: CoreOptions;
+  readonly outbox: Outbox;
+  readonly issuer: KeyIssuer;
+}
+
+/** Submissions of one host. */
+export class Submitter {
+  readonly #options: CoreOptions;
+
+  readonly #outbox: Outbox;
+
+  readonly #issuer: KeyIssuer;
+
+  readonly #table: SubmissionTable;
+
+  readonly #deadlines = new Deadlines();
+
+  readonly #requester: SlotRequester;
+
+  readonly #runner: TaskRunner;
+
+  readonly #retries: RetryBudget;
+
+  /** Submissions with tasks that wait for the retry budget. */
+  readonly #delayed = new Set<Submission>();
+
+  #configuration: Configuration | null = null;
+
+  #roles = Roles.none();
+
+  #draining = false;
+
+  #nextClaimsMs = 0;
+
+  constructor({ domain, options, outbox, issuer }: SubmitterParts) {
+    this.#options = options;
+    this.#outbox = outbox;
+    this.#issuer = issuer;
+    this.#table = new SubmissionTable(options.answerBytesLimit);
+    this.#retries = new RetryBudget(options.retryFraction, options.retryBurst);
+    this.#requester = new SlotRequester(domain, options, outbox, this.#roles, {
+      start: (submission, grant, from, nowMs) => this.#start(submission, grant, from, nowMs),
+      refused: (submission, reason, retryAfterMs, nowMs) =>
+        this.#slotsRefused(submission, reason, retryAfterMs, nowMs),
+    });
+    this.#runner = new TaskRunner(options, outbox, {
+      succeeded: (submission) => this.#taskSucceeded(submission),
+      failed: (submission, state) => this.#taskFailed(submission, state),
+      notStarted: (submission, nowMs) => this.#taskNotStarted(submission, nowMs),
+      release: (grantId, from, outcome, runTimeMs) =>
+        this.#requester.release(grantId, from, outcome, runTimeMs),
+    });
+  }
+
+  pending(): number {
+    return this.#table.pending;
+  }
+
+  configure(configuration: Configuration): void {
+    this.#configuration = configuration;
+  }
+
+  drain(): void {
+    this.#draining = true;
+  }
+
+  setRoles(roles: Roles, nowMs: number): void {
+    const changed = roles.changedSince(this.#roles);
+    this.#roles = roles;
+    changed.forEach((domain) => this.#claim(domain));
+    this.#requester.setRoles(roles, changed, nowMs);
+  }
+
+  submit(event: Extract<CoreEvent, { type: 'submit' }>, nowMs: number): void {
+    const { callId, job } = event;
+    const policy = this.#configuration?.teams.get(job.team)?.kinds.get(job.kind);
+    const key = event.key ?? (policy?.idempotent ? this.#issuer.issue(nowMs) : null);
+    if (key === null) {
+      this.#refuseCall(callId, '', this.#reasonWithoutKey(job, policy));
+      return;
+    }
+    const verified = this.#issuer.verify(key, nowMs);
+    if (verified.err) {
+      this.#refuseCall(callId, key, verified.val);
+      return;
+    }
+    const known = this.#table.get(key);
+    if (known) {
+      this.#join(known, callId, hashOf(job));
+      return;
+    }
+    const refusal = this.#refusalOnArrival(job, policy);
+    if (refusal) {
+      this.#refuseCall(callId, key, refusal);
+      return;
+    }
+    this.#accept(callId, key, job, verified.val.expiresAtMs, nowMs);
+  }
+
+  /** Cancels; a key that was not used yet can't be used any more. */
+  cancel(callId: number, key: string, nowMs: number): void {
+    const verified = this.#issuer.verify(key, nowMs);
+    const known = this.#table.get(key);
+    if (known) {
+      known.callIds.add(callId);
+      if (known.answer) this.#answerCall(callId, known.answer);
+      else this.#finishEarly(known, Outcome.cancelled, Reason.cancelled);
+    } else if (verified.err) {
+      this.#refuseCall(callId, key, verified.val);
+    } else {
+      this.#bury(callId, key, verified.val.expiresAtMs, nowMs);
+    }
+  }
+
+  await(callId: number, key: string): void {
+    const known = this.#table.get(key);
+    if (!known) {
+      this.#answerCall(callId, {
+        outcome: Outcome.unknown,
+        key,
+        notRun: false,
+        reason: Reason.invalidKey,
+        tasks: [],
+      });
+    } else if (known.answer) {
+      this.#answerCall(callId, known.answer);
+    } else {
+      known.callIds.add(callId);
+    }
+  }
+
+  attemptResult(event: Extract<CoreEvent, { type: 'attemptResult' }>, nowMs: number): void {
+    this.#runner.result(event.attemptId, event.source, event.result, nowMs);
+  }
+
+  receive(message: SlotMessage, nowMs: number): void {
+    if (message.type === 'slotGrant') this.#requester.grant(message, nowMs);
+    else if (message.type === 'slotRefusal') this.#requester.refusal(message, nowMs);
+    else if (message.type === 'loadSummary') this.#requester.summary(message, nowMs);
+  }
+
+  /** After a pause of the process: what is overdue is refused before anything is started. */
+  resume(nowMs: number): void {
+    this.#expire(nowMs);
+    this.#requester.reissue(nowMs);
+  }
+
+  tick(nowMs: number): void {
+    this.#expire(nowMs);
+    this.#runner.tick(nowMs);
+    this.#placeDelayed(nowMs);
+    this.#requester.tick(nowMs);
+    if (nowMs < this.#nextClaimsMs) return;
+    this.#nextClaimsMs = nowMs + CLAIMS_PERIOD_MS;
+    this.#roles.domains().forEach((domain) => this.#claim(domain));
+  }
+
+  inspect(): unknown {
+    return {
+      submissions: this.#table.size,
+      pending: this.#table.pending,
+      attemptsInProgress: this.#runner.size,
+      waitingRequests: this.#requester.size,
+      draining: this.#draining,
+    };
+  }
+
+  #reasonWithoutKey(job: JobSpec, policy: KindPolicy | undefined): Reason {
+    return policy ? Reason.keyRequired : this.#unknownWork(job);
+  }
+
+  #unknownWork(job: JobSpec): Reason {
+    if (!this.#configuration) return Reason.noConfiguration;
+    return this.#configuration.teams.has(job.team) ? Reason.unknownKind : Reason.unknownTeam;
+  }
+
+  #refusalOnArrival(job: JobSpec, policy: KindPolicy | undefined): Reason | null {
+    if (this.#draining) return Reason.draining;
+    return policy ? null : this.#unknownWork(job);
+  }
+
+  #join(known: Submission, callId: number, bodyHash: string): void {
+    if (known.bodyHash !== bodyHash && known.bodyHash !== '') {
+      this.#answerCall(callId, {
+        outcome: Outcome.refused,
+        key: known.key,
+        notRun: false,
+        reason: Reason.keyReused,
+        tasks: [],
+      });
+      return;
+    }
+    this.#outbox.decide('join', 'same-key', { key: known.key });
+    if (known.answer) this.#answerCall(callId, known.answer);
+    else known.callIds.add(callId);
+  }
+
+  #accept(callId: number, key: string, job: JobSpec, expiresAtMs: number, nowMs: number): void {
+    const submission = new Submission(key, job, hashOf(job), nowMs, expiresAtMs);
+    submission.callIds.add(callId);
+    this.#table.add(submission);
+    this.#deadlines.add(expiresAtMs, key, DueKind.expiry);
+    if (this.#requester.isImpossible(submission, nowMs)) {
+      this.#finishEarly(submission, Outcome.refused, Reason.impossibleJob);
+      return;
+    }
+    const halfMs = Math.max(0, job.deadlineMs * HALF - HALF_MARGIN_MS);
+    this.#deadlines.add(nowMs + halfMs, key, DueKind.half);
+    this.#deadlines.add(submission.deadlineAtMs, key, DueKind.full);
+    this.#requester.place(submission, job.tasks.length, nowMs);
+  }
+
+  /** Remembers a cancellation that came before the submission itself. */
+  #bury(callId: number, key: string, expiresAtMs: number, nowMs: number): void {
+    const job: JobSpec = {
+      team: '',
+      kind: '',
+      deadlineMs: 0,
+      resources: { cores: 0, memoryMb: 0, accelerators: 0 },
+      tasks: [],
+    };
+    const submission = new Submission(key, job, '', nowMs, expiresAtMs);
+    submission.callIds.add(callId);
+    this.#table.add(submission);
+    this.#deadlines.add(expiresAtMs, key, DueKind.expiry);
+    this.#finishEarly(submission, Outcome.cancelled, Reason.cancelled);
+  }
+
+  #start(submission: Submission, grant: Grant, domain: string, nowMs: number): void {
+    if (!submission.begun && nowMs >= submission.arrivedAtMs + submission.job.deadlineMs * HALF) {
+      this.#requester.release(grant.grantId, domain, 'unused', 0);
+      this.#finishEarly(submission, Outcome.refused, Reason.overloaded);
+      return;
+    }
+    this.#retries.earn();
+    this.#runner.start(submission, grant, domain, nowMs);
+  }
+
+  #slotsRefused(submission: Submission, reason: Reason, retryAfterMs: number, nowMs: number): void {
+    if (!submission.begun) {
+      this.#finishEarly(submission, Outcome.refused, reason, retryAfterMs);
+    } else if (reason === Reason.impossibleJob || reason === Reason.unknownKind) {
+      this.#finishEarly(submission, Outcome.failed, reason);
+    } else {
+      this.#requestMissing(submission, nowMs);
+    }
+  }
+
+  /** Requests slots for the queued tasks that no request covers. */
+  #requestMissing(submission: Submission, nowMs: number): void {
+    const missing = submission.queuedTasks - this.#requester.waiting(submission);
+    if (missing > 0) this.#requester.place(submission, missing, nowMs);
+  }
+
+  #taskSucceeded(submission: Submission): void {
+    if (!submission.succeeded) return;
+    this.#finish(submission, {
+      outcome: Outcome.complete,
+      key: submission.key,
+      notRun: false,
+      tasks: submission.reports(),
+    });
+  }
+
+  #taskFailed(submission: Submission, state: TaskState): void {
+    this.#finishEarly(submission, Outcome.failed, FAILURE_REASONS[state] ?? Reason.taskUnknown);
+  }
+
+  #taskNotStarted(submission: Submission, nowMs: number): void {
+    this.#delayed.add(submission);
+    this.#placeDelayed(nowMs);
+  }
+
+  #placeDelayed(nowMs: number): void {
+    this.#delayed.forEach((submission) => {
+      if (submission.answer) {
+        this.#delayed.delete(submission);
+        return;
+      }
+      const missing = submission.queuedTasks - this.#requester.waiting(submission);
+      const allowed = this.#allowRetries(missing, nowMs);
+      if (allowed > 0) this.#requester.place(submission, allowed, nowMs);
+      if (allowed === missing) this.#delayed.delete(submission);
+    });
+  }
+
+  #allowRetries(wanted: number, nowMs: number): number {
+    if (!this.#options.guards.retryBudget) return wanted;
+    let allowed = 0;
+    while (allowed < wanted && this.#retries.take(nowMs)) allowed += 1;
+    return allowed;
+  }
+
+  #expire(nowMs: number): void {
+    this.#deadlines.take(nowMs).forEach(({ key, kind }) => {
+      const submission = this.#table.get(key);
+      if (!submission) return;
+      if (kind === DueKind.expiry) this.#expireKey(submission, nowMs);
+      else if (!submission.answer) this.#expireDeadline(submission, kind);
+    });
+  }
+
+  #expireKey(submission: Submission, nowMs: number): void {
+    if (submission.answer) this.#table.expire(submission.key);
+    else this.#deadlines.add(nowMs + this.#options.taskLeaseMs, submission.key, DueKind.expiry);
+  }
+
+  #expireDeadline(submission: Submission, kind: DueKind): void {
+    if (!submission.begun) {
+      this.#finishEarly(submission, Outcome.refused, Reason.overloaded, DEFAULT_RETRY_AFTER_MS);
+    } else if (kind === DueKind.full) {
+      this.#finishEarly(submission, Outcome.failed, Reason.deadline);
+    }
+  }
+
+  #claim(domain: string): void {
+    const scheduler = this.#roles.schedulerOf(domain);
+    const claims = this.#runner.claims(domain);
+    if (scheduler !== null) this.#outbox.send(scheduler, { type: 'slotClaims', claims });
+  }
+
+  /** Ends a submission that is not complete. One with a started task is failed, whatever was asked. */
+  #finishEarly(
+    submission: Submission,
+    outcome: Outcome,
+    reason: Reason,
+    retryAfterMs?: number,
+  ): void {
+    const notRun = !submission.begun;
+    this.#finish(submission, {
+      outcome: notRun ? outcome : Outcome.failed,
+      key: submission.key,
+      notRun,
+      reason,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+      tasks: submission.reports(),
+    });
+  }
+
+  #finish(submission: Submission, answer: JobAnswer): void {
+    const finished = submission;
+    finished.answer = answer;
+    this.#requester.withdraw(finished);
+    this.#runner.stopAll(finished);
+    this.#table.finish(finished);
+    finished.callIds.forEach((callId) => this.#answerCall(callId, answer));
+    finished.callIds.clear();
+    const { team, kind } = finished.job;
+    this.#outbox.count('jobs.answered', 1, { outcome: answer.outcome });
+    this.#outbox.decide('answer', answer.reason ?? answer.outcome, {
+      key: finished.key,
+      team,
+      kind,
+      outcome: answer.outcome,
+      notRun: answer.notRun,
+    });
+  }
+
+  #refuseCall(callId: number, key: string, reason: Reason): void {
+    const unknown = reason === Reason.issuerUnreachable || reason === Reason.keyExpired;
+    this.#outbox.count('jobs.refused', 1, { reason });
+    this.#outbox.decide('answer', reason, { key, outcome: Outcome.refused });
+    this.#answerCall(callId, {
+      outcome: unknown ? Outcome.unknown : Outcome.refused,
+      key,
+      notRun: !unknown,
+      reason,
+      ...(reason === Reason.draining || reason === Reason.noConfiguration
+        ? { retryAfterMs: DEFAULT_RETRY_AFTER_MS }
+        : {}),
+      tasks: [],
+    });
+  }
+
+  #answerCall(callId: number, answer: JobAnswer): void {
+    this.#outbox.push({ type: 'answer', callId, answer });
+  }
+}
--- /dev/null
+++ b/src/core/workerTable.ts
@@ -0,0 +1,193 @@
+/**
+ * The workers of one domain and what is granted on each. Use is counted from grants, because the
+ * workers' own reports lag; the reports only tell what others have running there.
+ */
+import type { HostListEntry } from '../workers/hostList';
+import type { WorkerStatus } from '../workers/workers';
+import { WorkerHealth, type HealthGuards } from './health';
+import type { Resources } from './job';
+import type { WorkerRef } from './messages';
+
+/** No resources besides the slot. */
+export const NO_RESOURCES: Resources = { cores: 0, memoryMb: 0, accelerators: 0 };
+
+/** One worker with its use. */
+export interface WorkerEntry {
+  readonly id: string;
+  readonly health: WorkerHealth;
+  address: string;
+  leaving: boolean;
+  status: WorkerStatus | null;
+  usedSlots: number;
+  used: Resources;
+  /** Running on the worker by its own report, but not granted by this scheduler. */
+  foreignSlots: number;
+  readonly slotsByHost: Map<string, number>;
+}
+
+function add(left: Resources, right: Resources, sign: 1 | -1): Resources {
+  return {
+    cores: left.cores + sign * right.cores,
+    memoryMb: left.memoryMb + sign * right.memoryMb,
+    accelerators: left.accelerators + sign * right.accelerators,
+  };
+}
+
+/** True if `needed` fits into what the worker has in total. */
+export function fitsTotal(total: Resources, needed: Resources): boolean {
+  return (
+    needed.cores <= total.cores &&
+    needed.memoryMb <= total.memoryMb &&
+    needed.accelerators <= total.accelerators
+  );
+}
+
+function usableSlots(worker: WorkerEntry): number {
+  if (worker.leaving || !worker.status) return 0;
+  return worker.health.limit(worker.status.slots);
+}
+
+/** Slots that can be granted now. */
+export function freeSlots(worker: WorkerEntry): number {
+  return Math.max(0, usableSlots(worker) - worker.usedSlots - worker.foreignSlots);
+}
+
+/** Accounts for one grant to a host. */
+export function occupy(worker: WorkerEntry, host: string, resources: Resources): void {
+  const entry = worker;
+  entry.usedSlots += 1;
+  entry.foreignSlots = Math.max(0, entry.foreignSlots - 1);
+  entry.used = add(entry.used, resources, 1);
+  entry.slotsByHost.set(host, (entry.slotsByHost.get(host) ?? 0) + 1);
+}
+
+/** Accounts for the end of one grant to a host. */
+export function vacate(worker: WorkerEntry, host: string, resources: Resources): void {
+  const entry = worker;
+  entry.usedSlots -= 1;
+  entry.used = add(entry.used, resources, -1);
+  const left = (entry.slotsByHost.get(host) ?? 1) - 1;
+  if (left > 0) entry.slotsByHost.set(host, left);
+  else entry.slotsByHost.delete(host);
+}
+
+/** The worker as submitters are told of it. */
+export function toRef(worker: WorkerEntry): WorkerRef {
+  return {
+    id: worker.id,
+    address: worker.address,
+    incarnation: worker.status?.incarnation ?? '',
+  };
+}
+
+function admits(
+  worker: WorkerEntry,
+  host: string,
+  resources: Resources,
+  slotsPerHost: number,
+): boolean {
+  const { status } = worker;
+  if (!status || (worker.slotsByHost.get(host) ?? 0) >= slotsPerHost) return false;
+  return fitsTotal(add(status, worker.used, -1), resources);
+}
+
+/** The workers known to a scheduler. */
+export class WorkerTable {
+  readonly #guards: HealthGuards;
+
+  readonly #workers = new Map<string, WorkerEntry>();
+
+  #list: readonly WorkerEntry[] = [];
+
+  #cursor = 0;
+
+  constructor(guards: HealthGuards) {
+    this.#guards = guards;
+  }
+
+  get(id: string): WorkerEntry | undefined {
+    return this.#workers.get(id);
+  }
+
+  all(): readonly WorkerEntry[] {
+    return this.#list;
+  }
+
+  /** Takes over the host list. A worker that has gone from it and runs nothing is forgotten. */
+  setList(entries: readonly HostListEntry[]): void {
+    const listed = new Set(entries.map((entry) => entry.id));
+    entries.forEach((entry) => this.#put(entry));
+    this.#workers.forEach((worker, id) => {
+      if (listed.has(id)) return;
+      if (worker.usedSlots === 0) this.#workers.delete(id);
+      else Object.assign(worker, { leaving: true });
+    });
+    this.#list = [...this.#workers.values()];
+  }
+
+  #put(entry: HostListEntry): void {
+    const known = this.#workers.get(entry.id);
+    if (known) {
+      known.address = entry.address;
+      known.leaving = entry.state === 'leaving';
+      return;
+    }
+    this.#workers.set(entry.id, {
+      id: entry.id,
+      health: new WorkerHealth(this.#guards),
+      address: entry.address,
+      leaving: entry.state === 'leaving',
+      status: null,
+      usedSlots: 0,
+      used: NO_RESOURCES,
+      foreignSlots: 0,
+      slotsByHost: new Map(),
+    });
+  }
+
+  /** Slots of workers that take work. */
+  capacity(): number {
+    return this.#list.reduce((sum, worker) => sum + usableSlots(worker), 0);
+  }
+
+  totalFree(): number {
+    return this.#list.reduce((sum, worker) => sum + freeSlots(worker), 0);
+  }
+
+  /** The largest total of each resource on a single worker. */
+  largest(): Resources {
+    return this.#list.reduce<Resources>((largest, { status }) => {
+      if (!status) return largest;
+      return {
+        cores: Math.max(largest.cores, status.cores),
+        memoryMb: Math.max(largest.memoryMb, status.memoryMb),
+        accelerators: Math.max(largest.accelerators, status.accelerators),
+      };
+    }, NO_RESOURCES);
+  }
+
+  /** True if some worker could run a task of this size when idle. */
+  canEverRun(resources: Resources): boolean {
+    return this.#list.some(({ status }) => status !== null && fitsTotal(status, resources));
+  }
+
+  /**
+   * The worker with the most free slots that has room for the resources and a connection left for the
+   * host; the search starts behind the last choice, so that equal workers take turns.
+   */
+  choose(host: string, resources: Resources, slotsPerHost: number): WorkerEntry | null {
+    const count = this.#list.length;
+    let best: WorkerEntry | null = null;
+    let bestFree = 0;
+    for (let offset = 1; offset <= count; offset += 1) {
+      const worker = this.#list[(this.#cursor + offset) % count];
+      const free = worker ? freeSlots(worker) : 0;
+      if (worker && free > bestFree && admits(worker, host, resources, slotsPerHost)) {
+        best = worker;
+        bestFree = free;
+      }
+    }
+    if (best) this.#cursor = this.#list.indexOf(best);
+    return best;
+  }
+}
