--- a/src/bench/callers.ts
+++ b/src/bench/callers.ts
@@ -104,6 +104,9 @@
     const { timeline, network, record } = this.#site;
     const call = record.call(callId);
     call.coreAnswers.push(answer);
+    if (call.type === 'submit') {
+      record.answeredJobs.add(call.jobId);
+    }
     call.decidedAtMs ??= timeline.nowMs();
     const entry = this.#hostOf(call.entryId);
     if (entry === null || entry === host) {
--- a/src/bench/entryHost.ts
+++ b/src/bench/entryHost.ts
@@ -73,8 +73,9 @@
     this.#site = site;
   }
 
+  /** Lower-case letters and digits, as keys need. */
   get incarnation(): string {
-    return `${this.id}-${this.#life}`;
+    return `${this.id.replaceAll('-', '')}x${this.#life}`;
   }
 
   get core(): Core {
