--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -28,6 +28,13 @@
   return rate.perMs * Math.exp(-(nowMs - rate.atMs) / RATE_WINDOW_MS);
 }
 
+/** Slots of a domain as they are for one team. */
+export interface DomainLoad {
+  readonly capacitySlots: number;
+  /** Slots that could be granted to the team now. */
+  readonly freeSlots: number;
+}
+
 /** Decides on arrival whether a request can be served in time. */
 export class Admission {
   readonly #shares: FairShares;
@@ -49,14 +56,18 @@
     this.#rates.set(leaf, rate);
   }
 
-  /** Expected time until `tasks` waiting tasks of a kind have been granted slots. */
-  waitMs(team: string, leaf: string, tasks: number, capacity: number, nowMs: number): number {
+  /**
+   * Expected time until `tasks` waiting tasks of a kind have been granted slots: at the rate seen
+   * lately, or that of its guaranteed slots, or that of the slots it has and those that are free.
+   */
+  #waitMs(team: string, leaf: string, tasks: number, load: DomainLoad, nowMs: number): number {
     const rate = this.#rates.get(leaf);
     const observed = rate ? decayed(rate, nowMs) : 0;
     const kinds = Math.max(1, this.#shares.policy(team)?.kinds.size ?? 1);
-    const guaranteedSlots = this.#shares.guaranteedSlots(team, capacity) / kinds;
-    const guaranteed = guaranteedSlots / this.#estimates.meanMs(leaf);
-    const perMs = Math.max(observed, guaranteed);
+    const guaranteedSlots = this.#shares.guaranteedSlots(team, load.capacitySlots) / kinds;
+    const reachableSlots = this.#shares.usedByLeaf(leaf) + load.freeSlots;
+    const slots = Math.max(guaranteedSlots, reachableSlots);
+    const perMs = Math.max(observed, slots / this.#estimates.meanMs(leaf));
     return perMs > 0 ? tasks / perMs : Infinity;
   }
 
@@ -64,18 +75,17 @@
   check(
     request: SlotRequest,
     queuedAhead: number,
-    freeSlots: number,
-    capacity: number,
+    load: DomainLoad,
     nowMs: number,
   ): Refusal | null {
     const { team, kind, count, deadlineMs } = request;
-    if (queuedAhead === 0 && freeSlots >= count) return null;
+    if (queuedAhead === 0 && load.freeSlots >= count) return null;
     const leaf = leafKey(team, kind);
-    const waiting = queuedAhead + count - freeSlots;
-    const waitMs = this.waitMs(team, leaf, Math.max(0, waiting), capacity, nowMs);
+    const waiting = queuedAhead + count - load.freeSlots;
+    const waitMs = this.#waitMs(team, leaf, Math.max(0, waiting), load, nowMs);
     const budgetMs = deadlineMs * BUDGET_FRACTION;
     if (waitMs <= budgetMs) return null;
-    const reason = this.#shares.belowShare(team, capacity)
+    const reason = this.#shares.belowShare(team, load.capacitySlots)
       ? Reason.overloaded
       : Reason.teamOverLimit;
     const retryAfterMs = Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, waitMs - budgetMs));
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -291,8 +291,8 @@
     const queued = this.#queues.leaf(leafKey(message.team, message.kind))?.tasks ?? 0;
     const capacity = this.#workers.capacity();
     if (capacity === 0) return null;
-    const free = queued > 0 ? 0 : this.#grantable(message.team, capacity);
-    return this.#admission.check(message, queued, free, capacity, nowMs);
+    const load = { capacitySlots: capacity, freeSlots: this.#grantable(message.team, capacity) };
+    return this.#admission.check(message, queued, load, nowMs);
   }
 
   #grantable(team: string, capacity: number): number {
@@ -302,7 +302,7 @@
 
   #reserveSlots(capacity: number): number {
     if (!this.#options.guards.reserve) return 0;
-    return Math.ceil(capacity * this.#options.reserveFraction);
+    return Math.floor(capacity * this.#options.reserveFraction);
   }
 
   #meanRunTimeMs(): number {
--- a/src/core/taskRunner.ts
+++ b/src/core/taskRunner.ts
@@ -139,10 +139,9 @@
       this.#outbox.push({ type: 'renewLeases', worker, attemptIds, leaseMs });
     });
     this.#attempts.unclear().forEach((attempt) => {
-      if (attempt.askAtMs === null || attempt.askAtMs > nowMs) return;
       if (nowMs - (attempt.unclearSinceMs ?? nowMs) >= this.#options.taskLeaseMs) {
         this.#giveUp(attempt, nowMs);
-      } else {
+      } else if (attempt.askAtMs !== null && attempt.askAtMs <= nowMs) {
         this.#ask(attempt, nowMs);
       }
     });
--- a/src/core/workerTable.ts
+++ b/src/core/workerTable.ts
@@ -113,10 +113,14 @@
     return this.#list;
   }
 
-  /** Takes over the host list. A worker that has gone from it and runs nothing is forgotten. */
+  /**
+   * Takes over the host list. A worker that has gone from it and runs nothing is forgotten. Workers of
+   * the first list are taken as established; those that appear later start slowly.
+   */
   setList(entries: readonly HostListEntry[]): void {
+    const guards = { ...this.#guards, slowStart: this.#guards.slowStart && this.#list.length > 0 };
     const listed = new Set(entries.map((entry) => entry.id));
-    entries.forEach((entry) => this.#put(entry));
+    entries.forEach((entry) => this.#put(entry, guards));
     this.#workers.forEach((worker, id) => {
       if (listed.has(id)) return;
       if (worker.usedSlots === 0) this.#workers.delete(id);
@@ -125,7 +129,7 @@
     this.#list = [...this.#workers.values()];
   }
 
-  #put(entry: HostListEntry): void {
+  #put(entry: HostListEntry, guards: HealthGuards): void {
     const known = this.#workers.get(entry.id);
     if (known) {
       known.address = entry.address;
@@ -134,7 +138,7 @@
     }
     this.#workers.set(entry.id, {
       id: entry.id,
-      health: new WorkerHealth(this.#guards),
+      health: new WorkerHealth(guards),
       address: entry.address,
       leaving: entry.state === 'leaving',
       status: null,
--- /dev/null
+++ b/test/core/scheduler.test.ts
@@ -0,0 +1,203 @@
+/** Guards the scheduler: shares, urgency, worker health, leaving workers, lost and moved state. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { CONFIGURATION, Driver, job, member, status } from './driver';
+import type { SlotRequest } from '../../src/core/messages';
+
+const RESOURCES = { cores: 1, memoryMb: 1, accelerators: 0 };
+
+function request(requestId: number, team: string, count: number): SlotRequest {
+  return {
+    type: 'slotRequest',
+    requestId,
+    team,
+    kind: 'fast',
+    count,
+    resources: RESOURCES,
+    deadlineMs: 60_000,
+    jobTasks: count,
+    begun: false,
+  };
+}
+
+/** Grants by request id, sent to other hosts so far. */
+function granted(driver: Driver): Map<number, number> {
+  const counts = new Map<number, number>();
+  driver.sent('slotGrant').forEach(({ requestId, grants }) => {
+    counts.set(requestId, (counts.get(requestId) ?? 0) + grants.length);
+  });
+  return counts;
+}
+
+function releaseOne(driver: Driver, requestId: number, outcome: 'succeeded' | 'failed'): void {
+  const [grant] = driver
+    .sent('slotGrant')
+    .filter((message) => message.requestId === requestId)
+    .flatMap(({ grants }) => grants);
+  driver.receive('b1', {
+    type: 'slotRelease',
+    grantId: grant?.grantId ?? 0,
+    outcome,
+    runTimeMs: 100,
+  });
+}
+
+describe('shares', () => {
+  it('give a freed slot to the team below its share, however urgent the flood is', () => {
+    const driver = Driver.ready([10]);
+    driver.receive('b1', request(1, 'blue', 500));
+    expect(granted(driver).get(1)).toEqual(10);
+    driver.receive('b1', request(2, 'red', 3));
+    releaseOne(driver, 1, 'succeeded');
+    expect(granted(driver).get(2)).toEqual(1);
+  });
+
+  it('lend idle capacity, except for the reserve', () => {
+    const driver = Driver.ready(Array(10).fill(8));
+    driver.receive('b1', request(1, 'blue', 500));
+    expect(granted(driver).get(1)).toEqual(78);
+    driver.receive('b1', request(2, 'red', 3));
+    expect(granted(driver).get(2)).toEqual(2);
+  });
+
+  it('leave what is not guaranteed to the most urgent work', () => {
+    const driver = Driver.ready([10]);
+    driver.receive('b1', request(1, 'red', 5), request(2, 'blue', 5));
+    driver.receive('b1', request(3, 'red', 5), request(4, 'blue', 5));
+    releaseOne(driver, 1, 'succeeded');
+    releaseOne(driver, 2, 'succeeded');
+    expect([granted(driver).get(3), granted(driver).get(4)]).toEqual([1, 1]);
+  });
+
+  it('are capped by the quota of a team', () => {
+    const driver = Driver.ready([10]);
+    const blue = CONFIGURATION.teams.get('blue');
+    if (!blue) throw new Error('no team blue');
+    const teams = new Map([['blue', { ...blue, quotaSlots: 4 }]]);
+    driver.send({ type: 'configuration', configuration: { ...CONFIGURATION, teams } });
+    driver.receive('b1', request(1, 'blue', 10));
+    expect(granted(driver).get(1)).toEqual(4);
+  });
+});
+
+describe('workers', () => {
+  it('that are leaving get nothing from then on', () => {
+    const driver = Driver.ready([4, 4]);
+    driver.setWorkers(['w0', 'w1'], ['w0']);
+    driver.receive('b1', request(1, 'red', 8));
+    const workers = driver.sent('slotGrant').flatMap(({ grants }) => grants);
+    expect(workers.map(({ worker }) => worker.id)).toEqual(['w1', 'w1', 'w1', 'w1']);
+  });
+
+  it('that fail every task are avoided within 20 tasks and tried again with one', () => {
+    const driver = Driver.ready([8, 8, 8]);
+    let failed = 0;
+    for (let step = 0; step < 300; step += 1) {
+      const call = driver.submit(job(1));
+      const last = driver.starts().at(-1);
+      if (last?.worker.id === 'w0') {
+        failed += 1;
+        driver.result(last.start.attemptId, { state: 'failed', error: 'x', runTimeMs: 1 });
+      } else if (last) driver.succeed(last.start.attemptId);
+      expect(driver.answers(call).length).toEqual(1);
+    }
+    expect(failed <= 20).toEqual(true);
+    driver.actions = [];
+    driver.advance(1100);
+    driver.submit(job(24));
+    const tried = driver.starts().filter(({ worker }) => worker.id === 'w0');
+    expect(tried.length).toEqual(1);
+  });
+
+  it('are not blamed for a kind that fails on all of them', () => {
+    const driver = Driver.ready([8, 8, 8]);
+    for (let step = 0; step < 200; step += 1) {
+      driver.submit(job(1));
+      const last = driver.starts().at(-1)?.start.attemptId ?? '';
+      driver.result(last, { state: 'failed', error: 'x', runTimeMs: 1 });
+    }
+    const avoided = driver.all('decision').filter((a) => a.decision.decision === 'avoid-worker');
+    expect(avoided.length <= 1).toEqual(true);
+  });
+
+  it('that can not be reached are avoided at the first report', () => {
+    const driver = Driver.ready([1, 1]);
+    driver.submit(job(1));
+    const [first] = driver.starts();
+    driver.result(first?.start.attemptId ?? '', { state: 'notStarted', reason: 'unreachable' });
+    driver.submit(job(1));
+    driver.submit(job(1));
+    const later = driver.starts().slice(1);
+    expect(later.every(({ worker }) => worker.id !== first?.worker.id)).toEqual(true);
+  });
+
+  it('are filled by resources as well as by slots', () => {
+    const driver = Driver.ready([8]);
+    driver.submit(job(8, { resources: { cores: 25, memoryMb: 1, accelerators: 0 } }));
+    expect(driver.starts().length).toEqual(2);
+  });
+});
+
+describe('state of others', () => {
+  it('is rebuilt by a new scheduler from claims', () => {
+    const driver = new Driver('b1');
+    driver.send({ type: 'configuration', configuration: CONFIGURATION });
+    driver.send({ type: 'members', members: [member('a1', 'd1'), member('b1', 'd1')] });
+    driver.setWorkers(['w0']);
+    driver.send({ type: 'members', members: [member('a1', 'd1', 'dead'), member('b1', 'd1')] });
+    driver.receive('c1', {
+      type: 'slotClaims',
+      claims: [1, 2, 3].map((grantId) => ({
+        grantId,
+        workerId: 'w0',
+        team: 'red',
+        kind: 'fast',
+        resources: RESOURCES,
+      })),
+    });
+    driver.send({ type: 'workerStatus', workerId: 'w0', status: status('w0', 4, { running: 3 }) });
+    driver.advance(100);
+    driver.receive('c1', request(1, 'red', 4));
+    driver.advance(100);
+    expect(granted(driver).get(1)).toEqual(1);
+  });
+
+  it('of a dead host is reclaimed one lease after its death', () => {
+    const driver = Driver.ready([2]);
+    driver.send({ type: 'members', members: [member('a1', 'd1'), member('b1', 'd1')] });
+    driver.receive('b1', request(1, 'red', 2));
+    driver.send({ type: 'members', members: [member('a1', 'd1'), member('b1', 'd1', 'dead')] });
+    driver.submit(job(1));
+    driver.advance(1400);
+    expect(driver.starts().length).toEqual(0);
+    driver.advance(200);
+    expect(driver.starts().length).toEqual(1);
+  });
+
+  it('whose releases were lost is dropped when it is not claimed any more', () => {
+    const driver = Driver.ready([2]);
+    driver.receive('b1', request(1, 'red', 2));
+    driver.advance(3500);
+    driver.receive('b1', { type: 'slotClaims', claims: [] });
+    driver.submit(job(1));
+    expect(driver.starts().length).toEqual(1);
+  });
+});
+
+describe('admission', () => {
+  it('refuses on arrival what can not start in time, with a time to come back', () => {
+    const driver = Driver.ready([2]);
+    driver.receive('b1', request(1, 'red', 200));
+    driver.receive('b1', { ...request(2, 'red', 1), deadlineMs: 1000 });
+    const [refusal] = driver.sent('slotRefusal');
+    expect(refusal?.requestId).toEqual(2);
+    expect((refusal?.retryAfterMs ?? 0) >= 100).toEqual(true);
+  });
+
+  it('lets a job finish that has begun', () => {
+    const driver = Driver.ready([2]);
+    driver.receive('b1', request(1, 'red', 200));
+    driver.receive('b1', { ...request(2, 'red', 1), deadlineMs: 1000, begun: true });
+    expect(driver.sent('slotRefusal')).toEqual([]);
+  });
+});
