--- /dev/null
+++ b/src/configuration/replica.ts
@@ -0,0 +1,237 @@
+/**
+ * Holds the configuration in force on one host. The record in force is replaced only by a newer one,
+ * so the generation never decreases. Messages may be lost or repeated: a host that hears of a higher
+ * generation pulls it, and each host compares its record with a random peer's now and then.
+ */
+import type { Result } from 'ts-results';
+import type { RandomSource } from '../core/clock';
+import type { ConfigurationPull, ConfigurationPush } from '../core/messages';
+import type { Finding } from '../settings/finding';
+import type { Entry } from '../store/store';
+import type { Configuration } from './policy';
+import {
+  HISTORY_LENGTH,
+  decodeRecord,
+  encodeRecord,
+  fromPush,
+  isNewer,
+  toConfiguration,
+  toPush,
+  type ConfigurationRecord,
+} from './record';
+
+/** Time between two pulls that gossip causes; an answer takes a few ms. */
+const PULL_INTERVAL_MS = 250;
+
+/** Time between two comparisons with a random peer; a pull takes about 100 bytes. */
+const COMPARE_INTERVAL_MS = 2000;
+
+/** Age after which a generation heard from a peer no longer holds up publications. */
+const HEARD_VALID_MS = 5000;
+
+/** Puts a configuration in force on this host. */
+export interface PutInForce {
+  readonly type: 'putInForce';
+  readonly record: ConfigurationRecord;
+  readonly configuration: Configuration;
+}
+
+/** Sends the record to all peers of this host's domain. */
+export interface PushToDomain {
+  readonly type: 'pushToDomain';
+  readonly message: ConfigurationPush;
+}
+
+/** Sends a message to one peer. */
+export interface SendToPeer {
+  readonly type: 'sendToPeer';
+  readonly hostId: string;
+  readonly message: ConfigurationPull | ConfigurationPush;
+}
+
+/** Writes the record in force into a store that holds an older one, by compare-and-swap. */
+export interface WriteBack {
+  readonly type: 'writeBack';
+  readonly value: string;
+  readonly expectedRevision: number;
+  readonly expectedValue: string | undefined;
+}
+
+/** A record that is not put in force, because it is not valid. */
+export interface RejectRecord {
+  readonly type: 'rejectRecord';
+  readonly source: string;
+  readonly message: string;
+  readonly findings: readonly Finding[];
+}
+
+/**
+ * The record in force is replaced by one whose publisher did not know it: the store lost it, and
+ * another was published meanwhile. Operators must publish the overridden change again.
+ */
+export interface ReportConflict {
+  readonly type: 'reportConflict';
+  readonly overridden: ConfigurationRecord;
+  readonly by: ConfigurationRecord;
+}
+
+export type ReplicaAction =
+  PutInForce | PushToDomain | SendToPeer | WriteBack | RejectRecord | ReportConflict;
+
+function conflicts(old: ConfigurationRecord | null, next: ConfigurationRecord): boolean {
+  if (old === null || next.generation - old.generation >= HISTORY_LENGTH) return false;
+  return !next.history.includes(old.publicationId);
+}
+
+function writeBack(record: ConfigurationRecord, entry: Entry | null): WriteBack {
+  return {
+    type: 'writeBack',
+    value: encodeRecord(record),
+    expectedRevision: entry?.modRevision ?? 0,
+    expectedValue: entry?.value,
+  };
+}
+
+/** State machine of one host; the caller performs the actions in their order. */
+export class ConfigurationReplica {
+  readonly #random: RandomSource;
+
+  #inForce: ConfigurationRecord | null = null;
+
+  #relay = false;
+
+  #peers: readonly string[] = [];
+
+  #pulledAtMs = -Infinity;
+
+  #comparedAtMs = -Infinity;
+
+  #heard = { generation: 0, atMs: -Infinity };
+
+  #rejectedId = '';
+
+  #rejectedGeneration = 0;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
+  }
+
+  /** Record in force; null before the first. */
+  get inForce(): ConfigurationRecord | null {
+    return this.#inForce;
+  }
+
+  /** Generation in force; 0 before the first. */
+  get generation(): number {
+    return this.#inForce?.generation ?? 0;
+  }
+
+  /** Highest generation that a peer has reported in the last few seconds; 0 if none. */
+  newestHeard(nowMs: number): number {
+    return nowMs - this.#heard.atMs <= HEARD_VALID_MS ? this.#heard.generation : 0;
+  }
+
+  /** Only a relay takes records from the store and writes back. */
+  setRelay(relay: boolean): void {
+    this.#relay = relay;
+  }
+
+  /** Hosts to compare with; all of them, of any domain. */
+  setPeers(hostIds: readonly string[]): void {
+    this.#peers = hostIds;
+  }
+
+  /** Takes what the store holds; `mayWriteBack` is false for the answer to a write-back. */
+  onStoreEntry(entry: Entry | null, mayWriteBack = true): readonly ReplicaAction[] {
+    const decoded = entry === null ? null : decodeRecord(entry.value);
+    if (decoded?.err) return this.#reject('store', String(entry?.modRevision), decoded.val, []);
+    const stored = decoded?.val ?? null;
+    if (stored !== null && isNewer(stored, this.#inForce)) return this.#accept('store', stored);
+    if (this.#inForce === null || !isNewer(this.#inForce, stored)) return [];
+    return this.#relay && mayWriteBack ? [writeBack(this.#inForce, entry)] : [];
+  }
+
+  /** Takes a record that this host has read or written while publishing. */
+  onPublished(record: ConfigurationRecord): readonly ReplicaAction[] {
+    return this.#accept('publication', record);
+  }
+
+  onPush(from: string, push: ConfigurationPush): readonly ReplicaAction[] {
+    const decoded = fromPush(push);
+    if (decoded.err) return this.#reject(from, push.publicationId, decoded.val, []);
+    const record = decoded.val;
+    if (this.#inForce !== null && isNewer(this.#inForce, record)) return this.#answer(from);
+    return this.#accept(from, record);
+  }
+
+  onPull(from: string, pull: ConfigurationPull): readonly ReplicaAction[] {
+    const own = this.#inForce;
+    const theirs = {
+      generation: pull.generation,
+      publicationId: pull.publicationId ?? own?.publicationId ?? '',
+    };
+    if (own !== null && isNewer(own, theirs)) return this.#answer(from);
+    return isNewer(theirs, own) ? [this.#pull(from)] : [];
+  }
+
+  /** Takes the generation that a peer reports in a membership message. */
+  onGeneration(from: string, generation: number, nowMs: number): readonly ReplicaAction[] {
+    if (generation >= this.newestHeard(nowMs)) this.#heard = { generation, atMs: nowMs };
+    if (generation <= Math.max(this.generation, this.#rejectedGeneration)) return [];
+    if (nowMs - this.#pulledAtMs < PULL_INTERVAL_MS) return [];
+    this.#pulledAtMs = nowMs;
+    return [this.#pull(from)];
+  }
+
+  /** Compares with a random peer when it is time to; call it about once a second. */
+  onTick(nowMs: number): readonly ReplicaAction[] {
+    if (nowMs - this.#comparedAtMs < COMPARE_INTERVAL_MS) return [];
+    this.#comparedAtMs = nowMs;
+    const peer = this.#peers[Math.floor(this.#random.next() * this.#peers.length)];
+    return peer === undefined ? [] : [this.#pull(peer)];
+  }
+
+  #accept(source: string, record: ConfigurationRecord): readonly ReplicaAction[] {
+    const old = this.#inForce;
+    if (!isNewer(record, old)) return [];
+    const configuration: Result<Configuration, readonly Finding[]> = toConfiguration(record);
+    if (configuration.err) {
+      this.#rejectedGeneration = record.generation;
+      const message = `generation ${record.generation} is not a valid configuration`;
+      return this.#reject(source, record.publicationId, message, configuration.val);
+    }
+    this.#inForce = record;
+    const actions: ReplicaAction[] = [
+      { type: 'putInForce', record, configuration: configuration.val },
+    ];
+    if (this.#relay) actions.push({ type: 'pushToDomain', message: toPush(record) });
+    if (old !== null && conflicts(old, record)) {
+      actions.push({ type: 'reportConflict', overridden: old, by: record });
+    }
+    return actions;
+  }
+
+  /** Reports each invalid record once, although reads repeat it every few seconds. */
+  #reject(
+    source: string,
+    id: string,
+    message: string,
+    findings: readonly Finding[],
+  ): readonly ReplicaAction[] {
+    if (id === this.#rejectedId) return [];
+    this.#rejectedId = id;
+    return [{ type: 'rejectRecord', source, message, findings }];
+  }
+
+  #answer(hostId: string): readonly ReplicaAction[] {
+    if (this.#inForce === null) return [];
+    return [{ type: 'sendToPeer', hostId, message: toPush(this.#inForce) }];
+  }
+
+  #pull(hostId: string): ReplicaAction {
+    const id = this.#inForce?.publicationId;
+    const pull = { type: 'configurationPull', generation: this.generation } as const;
+    const message = id === undefined ? pull : { ...pull, publicationId: id };
+    return { type: 'sendToPeer', hostId, message };
+  }
+}
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -156,6 +156,8 @@
 export interface ConfigurationPull {
   readonly type: 'configurationPull';
   readonly generation: number;
+  /** With it, a peer also answers if it has another content under the same generation. */
+  readonly publicationId?: string;
 }
 
 /** Carries a configuration record; see `src/configuration`. */
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -50,11 +50,16 @@
   get(key: string): Promise<Result<Entry | null, StoreError>>;
   /** Entries whose key starts with `prefix`. */
   list(prefix: string): Promise<Result<readonly Entry[], StoreError>>;
-  /** Writes if the key's revision is `expectedRevision`; 0 means that the key must not exist. */
+  /**
+   * Writes if the key's revision is `expectedRevision`; 0 means that the key must not exist. With
+   * `expectedValue` the key must also hold that value: a store that lost its most recent writes
+   * gives their revisions out again, so an equal revision alone does not prove an equal value.
+   */
   swap(
     key: string,
     value: string,
     expectedRevision: number,
+    expectedValue?: string,
   ): Promise<Result<SwapOutcome, StoreError>>;
   /** Writes a key that disappears when the lease lapses. */
   putWithLease(key: string, value: string, leaseId: number): Promise<Result<void, StoreError>>;
@@ -65,8 +70,14 @@
   revokeLease(leaseId: number): Promise<Result<void, StoreError>>;
   /**
    * Watches a key prefix and reports each change; `onEnd` is called once when the watch breaks.
-   * A watch starts at the present state; read the key after starting it.
+   * A watch starts at the present state; read the key in `onOpen`, which is called once when the
+   * service confirms the watch. A read sent earlier may miss a change that the watch misses too.
    */
-  watch(prefix: string, onChange: (change: Change) => void, onEnd: () => void): Watch;
+  watch(
+    prefix: string,
+    onChange: (change: Change) => void,
+    onEnd: () => void,
+    onOpen?: () => void,
+  ): Watch;
   close(): Promise<void>;
 }
