Add the micro-kernel and service events

Cause: services of an entry host need one place for their lifecycle and for looking each other up. Conclusion: the 8 tests of test/kernel pass, with failing services and subscribers.

--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,141 @@
+/**
+ * Micro-kernel of an entry host: services register under a name and find each other by it. They open
+ * in the order of registration and close in reverse order. When one fails to open, those already open
+ * are closed; all errors are reported together.
+ */
+import { EventBus } from './eventBus';
+import type { Service, ServiceName } from './service';
+import { ServiceError } from './serviceError';
+import type {
+  ServiceEvents,
+  Subscriber,
+  SubscriberFault,
+  Subscription,
+  Topic,
+} from './serviceEvents';
+import { ServiceNotFoundError } from './serviceNotFoundError';
+
+interface Registration {
+  readonly service: Service;
+  readonly value: unknown;
+}
+
+function throwTogether(errors: readonly Error[], message: string): void {
+  const [first] = errors;
+  if (first === undefined) return;
+  if (errors.length === 1) throw first;
+  const details = errors.map((error) => error.message).join('; ');
+  throw new AggregateError(errors, `${message}: ${details}`);
+}
+
+/** Services of one process. `onFault` hears of the faults of event subscribers. */
+export class Kernel {
+  readonly #registrations = new Map<ServiceName, Registration>();
+
+  readonly #opened: Service[] = [];
+
+  readonly #events: EventBus;
+
+  #opening: Promise<void> | null = null;
+
+  #closing: Promise<void> | null = null;
+
+  constructor(onFault: (fault: SubscriberFault) => void = () => {}) {
+    this.#events = new EventBus(onFault);
+  }
+
+  /**
+   * Registers a service under its name, before `open`. `value` is what `find` returns; it is the
+   * service itself unless the service only manages the lifecycle of another object.
+   */
+  register(service: Service, value: unknown = service): void {
+    if (this.#opening !== null || this.#closing !== null) {
+      throw new Error(`service "${service.name}" must be registered before the kernel opens`);
+    }
+    if (this.#registrations.has(service.name)) {
+      throw new Error(`a service is already registered as "${service.name}"`);
+    }
+    this.#registrations.set(service.name, { service, value });
+  }
+
+  /** The service with that name. Throws `ServiceNotFoundError` if there is none. */
+  find<T>(name: ServiceName): T {
+    const registration = this.#registrations.get(name);
+    if (registration === undefined) {
+      throw new ServiceNotFoundError(name, [...this.#registrations.keys()]);
+    }
+    return registration.value as T;
+  }
+
+  /** Opens all services one after the other. Rejects with a `ServiceError` or an AggregateError. */
+  open(): Promise<void> {
+    if (this.#closing !== null) return Promise.reject(new Error('the kernel has been closed'));
+    this.#opening ??= this.#openAll();
+    return this.#opening;
+  }
+
+  /**
+   * Closes the open services in reverse order, each once, whatever the others do. A service that is
+   * opening is waited for; later ones are not opened. Rejects with all errors together.
+   */
+  close(): Promise<void> {
+    this.#closing ??= this.#closeAll();
+    return this.#closing;
+  }
+
+  /** Queues an event for all subscribers of the topic. */
+  publish<K extends Topic>(topic: K, event: ServiceEvents[K]): void {
+    this.#events.publish(topic, event);
+  }
+
+  /** Subscribes to a topic; `name` identifies the subscriber in fault reports. */
+  subscribe<K extends Topic>(topic: K, name: string, subscriber: Subscriber<K>): Subscription {
+    return this.#events.subscribe(topic, name, subscriber);
+  }
+
+  async #openAll(): Promise<void> {
+    const services = [...this.#registrations.values()].map(({ service }) => service);
+    try {
+      await services.reduce(
+        (previous, service) => previous.then(() => this.#openOne(service)),
+        Promise.resolve(),
+      );
+    } catch (thrown) {
+      const errors = [thrown as Error, ...(await this.#closeOpened())];
+      this.#events.close();
+      throwTogether(errors, 'the kernel failed to open');
+    }
+  }
+
+  async #openOne(service: Service): Promise<void> {
+    if (this.#closing !== null) throw new ServiceError(service.name, 'open', 'kernel is closing');
+    try {
+      await service.open();
+    } catch (thrown) {
+      throw new ServiceError(service.name, 'open', thrown);
+    }
+    this.#opened.push(service);
+  }
+
+  async #closeAll(): Promise<void> {
+    // A failure to open is reported by `open`, which has then closed the open services itself.
+    await this.#opening?.catch(() => {});
+    const errors = await this.#closeOpened();
+    this.#events.close();
+    throwTogether(errors, 'the kernel failed to close');
+  }
+
+  async #closeOpened(): Promise<readonly Error[]> {
+    const errors: Error[] = [];
+    const services = this.#opened.splice(0).reverse();
+    await services.reduce(async (previous, service) => {
+      await previous;
+      try {
+        await service.close();
+      } catch (thrown) {
+        errors.push(new ServiceError(service.name, 'close', thrown));
+      }
+    }, Promise.resolve());
+    return errors;
+  }
+}
