--- a/src/settings/iniDocument.ts
+++ b/src/settings/iniDocument.ts
@@ -29,6 +29,7 @@
 }
 
 const SECTION_HEADER = /^\s*\[([^\]]*)\]\s*([;#].*)?$/;
+const BLANK_OR_COMMENT = /^\s*([;#].*)?$/;
 
 function findingAt(file: string, line: number, section: string, key: string) {
   return (expected: string, found: string): Finding => ({
@@ -60,6 +61,11 @@
 
   function addValue(source: string, line: number): void {
     const entries = Object.entries(ini.parse(source));
+    // The library skips lines that have no key and keys with the name __proto__.
+    if (entries.length === 0 && !BLANK_OR_COMMENT.test(source)) {
+      const report = findingAt(file, line, current.name, '');
+      findings.push(report('key = value', JSON.stringify(source.trim())));
+    }
     entries.forEach(([key, value]) => {
       const report = findingAt(file, line, current.name, key);
       if (!source.includes('=')) {
