--- a/src/core/hostCore.ts
+++ b/src/core/hostCore.ts
@@ -17,7 +17,7 @@
 /** What the core of a host is built from. */
 export interface HostCoreParts {
   readonly hostId: string;
-  /** Differs for each start of the process: lower-case letters and digits. */
+  /** Differs for each start of the process: lower-case letters, digits and hyphens. */
   readonly incarnation: string;
   /** Signs submission keys; kept in memory only. */
   readonly secret: string;
@@ -48,8 +48,6 @@
     this.#parts = parts;
     this.#outbox = new Outbox(hostId);
     this.#issuer = new KeyIssuer(hostId, incarnation, secret, options.keyLifetimeMs);
-    const { keyLifetimeMs } = options;
-    if (keyLifetimeMs <= 0) throw new RangeError('keyLifetimeMs must be above 0');
     this.#submitter = new Submitter({
       domain,
       options,
--- a/src/core/submissionKey.ts
+++ b/src/core/submissionKey.ts
@@ -8,8 +8,9 @@
 import { Reason } from './job';
 
 const MAC_LENGTH = 16;
+const NAME_PATTERN = /^[a-z0-9-]{1,64}$/;
 const KEY_PATTERN =
-  /^([a-z0-9-]{1,64})\.([a-z0-9]{1,32})\.([a-z0-9]{1,13})\.([a-z0-9]{1,13})\.([\w-]{16})$/;
+  /^([a-z0-9-]{1,64})\.([a-z0-9-]{1,64})\.([a-z0-9]{1,13})\.([a-z0-9]{1,13})\.([\w-]{16})$/;
 
 /** The readable part of a key; anyone can read it, only the issuer can verify it. */
 export interface KeyParts {
@@ -46,6 +47,10 @@
   #counter = 0;
 
   constructor(hostId: string, incarnation: string, secret: string, lifetimeMs: number) {
+    if (!NAME_PATTERN.test(hostId) || !NAME_PATTERN.test(incarnation)) {
+      throw new RangeError('host id and incarnation take lower-case letters, digits and hyphens');
+    }
+    if (lifetimeMs <= 0) throw new RangeError('the lifetime of keys must be above 0 ms');
     this.#hostId = hostId;
     this.#incarnation = incarnation;
     this.#secret = secret;
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -4,13 +4,20 @@
  */
 import { createHash } from 'node:crypto';
 import type { Configuration, KindPolicy } from '../configuration/policy';
+import {
+  completeAnswer,
+  earlyAnswer,
+  keyReusedAnswer,
+  refusalAnswer,
+  unusedKeyAnswer,
+} from './answers';
 import type { CoreEvent } from './events';
 import { Deadlines, DueKind } from './deadlines';
 import { Outcome, Reason, TaskState, type JobAnswer, type JobSpec } from './job';
 import type { Grant, SlotMessage } from './messages';
 import type { CoreOptions } from './options';
 import type { Outbox } from './outbox';
-import { RetryBudget } from './retryBudget';
+import { RetryQueue } from './retryQueue';
 import { Roles } from './roles';
 import { SlotRequester } from './slotRequester';
 import { Submission } from './submission';
@@ -22,7 +29,6 @@
 /** Refusals at half of the deadline are due this much earlier, so that ticks do not make them late. */
 const HALF_MARGIN_MS = 20;
 const CLAIMS_PERIOD_MS = 5000;
-const DEFAULT_RETRY_AFTER_MS = 1000;
 
 const FAILURE_REASONS: Partial<Record<TaskState, Reason>> = {
   [TaskState.failed]: Reason.taskFailed,
@@ -58,10 +64,7 @@
 
   readonly #runner: TaskRunner;
 
-  readonly #retries: RetryBudget;
-
-  /** Submissions with tasks that wait for the retry budget. */
-  readonly #delayed = new Set<Submission>();
+  readonly #retries: RetryQueue;
 
   #configuration: Configuration | null = null;
 
@@ -76,16 +79,16 @@
     this.#outbox = outbox;
     this.#issuer = issuer;
     this.#table = new SubmissionTable(options.answerBytesLimit);
-    this.#retries = new RetryBudget(options.retryFraction, options.retryBurst);
     this.#requester = new SlotRequester(domain, options, outbox, this.#roles, {
       start: (submission, grant, from, nowMs) => this.#start(submission, grant, from, nowMs),
       refused: (submission, reason, retryAfterMs, nowMs) =>
         this.#slotsRefused(submission, reason, retryAfterMs, nowMs),
     });
+    this.#retries = new RetryQueue(options, this.#requester);
     this.#runner = new TaskRunner(options, outbox, {
       succeeded: (submission) => this.#taskSucceeded(submission),
       failed: (submission, state) => this.#taskFailed(submission, state),
-      notStarted: (submission, nowMs) => this.#taskNotStarted(submission, nowMs),
+      notStarted: (submission, nowMs) => this.#retries.add(submission, nowMs),
       release: (grantId, from, outcome, runTimeMs) =>
         this.#requester.release(grantId, from, outcome, runTimeMs),
     });
@@ -154,13 +157,7 @@
   await(callId: number, key: string): void {
     const known = this.#table.get(key);
     if (!known) {
-      this.#answerCall(callId, {
-        outcome: Outcome.unknown,
-        key,
-        notRun: false,
-        reason: Reason.invalidKey,
-        tasks: [],
-      });
+      this.#answerCall(callId, unusedKeyAnswer(key));
     } else if (known.answer) {
       this.#answerCall(callId, known.answer);
     } else {
@@ -187,7 +184,7 @@
   tick(nowMs: number): void {
     this.#expire(nowMs);
     this.#runner.tick(nowMs);
-    this.#placeDelayed(nowMs);
+    this.#retries.place(nowMs);
     this.#requester.tick(nowMs);
     if (nowMs < this.#nextClaimsMs) return;
     this.#nextClaimsMs = nowMs + CLAIMS_PERIOD_MS;
@@ -220,13 +217,7 @@
 
   #join(known: Submission, callId: number, bodyHash: string): void {
     if (known.bodyHash !== bodyHash && known.bodyHash !== '') {
-      this.#answerCall(callId, {
-        outcome: Outcome.refused,
-        key: known.key,
-        notRun: false,
-        reason: Reason.keyReused,
-        tasks: [],
-      });
+      this.#answerCall(callId, keyReusedAnswer(known.key));
       return;
     }
     this.#outbox.decide('join', 'same-key', { key: known.key });
@@ -292,44 +283,13 @@
   }
 
   #taskSucceeded(submission: Submission): void {
-    if (!submission.succeeded) return;
-    this.#finish(submission, {
-      outcome: Outcome.complete,
-      key: submission.key,
-      notRun: false,
-      tasks: submission.reports(),
-    });
+    if (submission.succeeded) this.#finish(submission, completeAnswer(submission));
   }
 
   #taskFailed(submission: Submission, state: TaskState): void {
     this.#finishEarly(submission, Outcome.failed, FAILURE_REASONS[state] ?? Reason.taskUnknown);
   }
 
-  #taskNotStarted(submission: Submission, nowMs: number): void {
-    this.#delayed.add(submission);
-    this.#placeDelayed(nowMs);
-  }
-
-  #placeDelayed(nowMs: number): void {
-    this.#delayed.forEach((submission) => {
-      if (submission.answer) {
-        this.#delayed.delete(submission);
-        return;
-      }
-      const missing = submission.queuedTasks - this.#requester.waiting(submission);
-      const allowed = this.#allowRetries(missing, nowMs);
-      if (allowed > 0) this.#requester.place(submission, allowed, nowMs);
-      if (allowed === missing) this.#delayed.delete(submission);
-    });
-  }
-
-  #allowRetries(wanted: number, nowMs: number): number {
-    if (!this.#options.guards.retryBudget) return wanted;
-    let allowed = 0;
-    while (allowed < wanted && this.#retries.take(nowMs)) allowed += 1;
-    return allowed;
-  }
-
   #expire(nowMs: number): void {
     this.#deadlines.take(nowMs).forEach(({ key, kind }) => {
       const submission = this.#table.get(key);
@@ -346,7 +306,7 @@
 
   #expireDeadline(submission: Submission, kind: DueKind): void {
     if (!submission.begun) {
-      this.#finishEarly(submission, Outcome.refused, Reason.overloaded, DEFAULT_RETRY_AFTER_MS);
+      this.#finishEarly(submission, Outcome.refused, Reason.overloaded);
     } else if (kind === DueKind.full) {
       this.#finishEarly(submission, Outcome.failed, Reason.deadline);
     }
@@ -358,22 +318,14 @@
     if (scheduler !== null) this.#outbox.send(scheduler, { type: 'slotClaims', claims });
   }
 
-  /** Ends a submission that is not complete. One with a started task is failed, whatever was asked. */
+  /** Ends a submission that is not complete. */
   #finishEarly(
     submission: Submission,
     outcome: Outcome,
     reason: Reason,
     retryAfterMs?: number,
   ): void {
-    const notRun = !submission.begun;
-    this.#finish(submission, {
-      outcome: notRun ? outcome : Outcome.failed,
-      key: submission.key,
-      notRun,
-      reason,
-      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
-      tasks: submission.reports(),
-    });
+    this.#finish(submission, earlyAnswer(submission, outcome, reason, retryAfterMs));
   }
 
   #finish(submission: Submission, answer: JobAnswer): void {
@@ -396,19 +348,10 @@
   }
 
   #refuseCall(callId: number, key: string, reason: Reason): void {
-    const unknown = reason === Reason.issuerUnreachable || reason === Reason.keyExpired;
+    const answer = refusalAnswer(key, reason);
     this.#outbox.count('jobs.refused', 1, { reason });
-    this.#outbox.decide('answer', reason, { key, outcome: Outcome.refused });
-    this.#answerCall(callId, {
-      outcome: unknown ? Outcome.unknown : Outcome.refused,
-      key,
-      notRun: !unknown,
-      reason,
-      ...(reason === Reason.draining || reason === Reason.noConfiguration
-        ? { retryAfterMs: DEFAULT_RETRY_AFTER_MS }
-        : {}),
-      tasks: [],
-    });
+    this.#outbox.decide('answer', reason, { key, outcome: answer.outcome, notRun: answer.notRun });
+    this.#answerCall(callId, answer);
   }
 
   #answerCall(callId: number, answer: JobAnswer): void {
