--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -58,7 +58,7 @@
     if (template !== undefined && !parent) {
       this.#report(team, 'template', 'the name of a [template NAME] section', template);
     }
-    const kinds = this.#kinds(team, template ?? null);
+    const kinds = this.#kinds(team, parent ? parent.header.name : null);
     if (template === undefined || share === undefined || !parent) return null;
     const quota = quotaSlots ?? parent.values.quotaSlots ?? null;
     return { name, template, share, quotaSlots: quota, kinds };
