Add the callers' HTTP interface

Cause: docs/design.md, section 6, had no implementation. A refusal type that means 'not run' is used only if the answer says notRun; otherwise the outcome is unknown.

--- /dev/null
+++ b/src/host/callerAnswer.ts
@@ -0,0 +1,149 @@
+/**
+ * Turns the answer of a submission into an HTTP answer. "Not run" is said only if the submission
+ * says so; a refusal without that statement becomes `outcome-unknown`.
+ */
+import { Outcome, Reason, TaskState } from '../core/job';
+import type { JobAnswer } from '../core/job';
+import { json, problem, ProblemType } from './callerProblem';
+import type { HttpAnswer } from './callerProblem';
+
+/** Time after which to retry when a refusal does not name one. */
+const RETRY_AFTER_MS = 1000;
+
+/** Status of each problem type; a request that is invalid may also get 404, 405, 413 or 415. */
+export const PROBLEM_STATUS: Readonly<Record<ProblemType, number>> = {
+  [ProblemType.jobFailed]: 500,
+  [ProblemType.overloaded]: 503,
+  [ProblemType.teamOverLimit]: 429,
+  [ProblemType.impossibleJob]: 422,
+  [ProblemType.draining]: 503,
+  [ProblemType.cancelled]: 409,
+  [ProblemType.invalidRequest]: 400,
+  [ProblemType.invalidKey]: 400,
+  [ProblemType.keyExpired]: 410,
+  [ProblemType.keyReused]: 422,
+  [ProblemType.outcomeUnknown]: 504,
+};
+
+/** Problem type of a submission that did not run, by its reason. */
+const REFUSALS: Readonly<Record<Reason, ProblemType>> = {
+  [Reason.overloaded]: ProblemType.overloaded,
+  [Reason.teamOverLimit]: ProblemType.teamOverLimit,
+  [Reason.impossibleJob]: ProblemType.impossibleJob,
+  [Reason.draining]: ProblemType.draining,
+  [Reason.unknownTeam]: ProblemType.invalidRequest,
+  [Reason.unknownKind]: ProblemType.invalidRequest,
+  [Reason.keyRequired]: ProblemType.invalidKey,
+  [Reason.invalidKey]: ProblemType.invalidKey,
+  [Reason.keyExpired]: ProblemType.keyExpired,
+  [Reason.keyReused]: ProblemType.keyReused,
+  [Reason.deadline]: ProblemType.overloaded,
+  [Reason.retryBudget]: ProblemType.overloaded,
+  [Reason.taskFailed]: ProblemType.jobFailed,
+  [Reason.taskUnknown]: ProblemType.jobFailed,
+  [Reason.cancelled]: ProblemType.cancelled,
+  [Reason.issuerUnreachable]: ProblemType.outcomeUnknown,
+  [Reason.noConfiguration]: ProblemType.overloaded,
+  [Reason.answerDropped]: ProblemType.outcomeUnknown,
+};
+
+const DETAILS: Readonly<Record<Reason, string>> = {
+  [Reason.overloaded]: 'The job would wait too long for a free slot.',
+  [Reason.teamOverLimit]: 'The team uses its share or quota and the fleet has no slots left over.',
+  [Reason.impossibleJob]: 'Its resources exceed those of every worker.',
+  [Reason.draining]: 'The host is shutting down; submit the job to another host.',
+  [Reason.unknownTeam]: 'The configuration has no such team.',
+  [Reason.unknownKind]: 'The configuration has no such kind for the team.',
+  [Reason.keyRequired]: 'Jobs of this kind need a key from POST /v1/keys.',
+  [Reason.invalidKey]: 'The key was not issued by this service.',
+  [Reason.keyExpired]: 'The key has expired; it is not known whether its job ran.',
+  [Reason.keyReused]: 'The key belongs to a job with a different body.',
+  [Reason.deadline]: 'The deadline left no time for the job.',
+  [Reason.retryBudget]: 'Tasks were refused by workers and the retry budget is used up.',
+  [Reason.taskFailed]: 'A task failed.',
+  [Reason.taskUnknown]: 'It is not known whether a task ran.',
+  [Reason.cancelled]: 'The job was cancelled.',
+  [Reason.issuerUnreachable]: 'The host that issued the key can not be reached.',
+  [Reason.noConfiguration]: 'The host has no configuration in force yet.',
+  [Reason.answerDropped]: 'The job has ended and its results are no longer kept.',
+};
+
+/** Types that tell the caller that nothing ran. */
+const NOT_RUN_TYPES: ReadonlySet<ProblemType> = new Set([
+  ProblemType.overloaded,
+  ProblemType.teamOverLimit,
+  ProblemType.impossibleJob,
+  ProblemType.draining,
+  ProblemType.cancelled,
+]);
+
+/** Types of faults in the request, whatever the outcome. */
+const REQUEST_TYPES: ReadonlySet<ProblemType> = new Set([
+  ProblemType.invalidRequest,
+  ProblemType.invalidKey,
+  ProblemType.keyExpired,
+  ProblemType.keyReused,
+]);
+
+const RETRY_TYPES: ReadonlySet<ProblemType> = new Set([
+  ProblemType.overloaded,
+  ProblemType.teamOverLimit,
+]);
+
+/** The problem type of an answer that is not complete. */
+export function problemTypeOf(answer: JobAnswer): ProblemType {
+  const { outcome, reason, notRun } = answer;
+  const type = reason === undefined ? null : REFUSALS[reason];
+  if (type !== null && REQUEST_TYPES.has(type)) return type;
+  if (outcome === Outcome.failed) return ProblemType.jobFailed;
+  if (outcome === Outcome.cancelled) {
+    return notRun ? ProblemType.cancelled : ProblemType.jobFailed;
+  }
+  if (outcome === Outcome.refused) {
+    const refusal = type ?? ProblemType.overloaded;
+    return NOT_RUN_TYPES.has(refusal) && !notRun ? ProblemType.outcomeUnknown : refusal;
+  }
+  return ProblemType.outcomeUnknown;
+}
+
+function isWhole(answer: JobAnswer): boolean {
+  return (
+    answer.outcome === Outcome.complete &&
+    answer.reason !== Reason.answerDropped &&
+    answer.tasks.every((task) => task.state === TaskState.succeeded)
+  );
+}
+
+function findingsOf(reason: Reason | undefined): Readonly<Record<string, unknown>> {
+  if (reason !== Reason.unknownTeam && reason !== Reason.unknownKind) return {};
+  const path = reason === Reason.unknownTeam ? 'team' : 'kind';
+  return { findings: [{ path, message: DETAILS[reason] }] };
+}
+
+/** The HTTP answer for the answer of a submission. */
+export function answerOf(answer: JobAnswer): HttpAnswer {
+  const { outcome, key, notRun, reason, tasks } = answer;
+  if (isWhole(answer)) {
+    const results = tasks.map(({ id, result }) => ({ id, result: result ?? null }));
+    return json(200, { outcome, key, results });
+  }
+  const type = problemTypeOf(answer);
+  const retryAfterMs = answer.retryAfterMs ?? (RETRY_TYPES.has(type) ? RETRY_AFTER_MS : undefined);
+  return problem(type, PROBLEM_STATUS[type], {
+    ...(reason === undefined ? {} : { detail: DETAILS[reason], reason }),
+    outcome,
+    ...(key === '' ? {} : { key }),
+    ...(notRun ? { notRun: true as const } : {}),
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    ...findingsOf(reason),
+    ...(tasks.length === 0 ? {} : { tasks }),
+  });
+}
+
+/** The answer when the dispatcher itself has failed: nothing is known of the job. */
+export function internalErrorAnswer(): HttpAnswer {
+  const detail = 'The host failed while it handled the request.';
+  return problem(ProblemType.outcomeUnknown, PROBLEM_STATUS[ProblemType.outcomeUnknown], {
+    detail,
+  });
+}
