--- /dev/null
+++ b/test/host/callersPage.test.ts
@@ -0,0 +1,61 @@
+/** Guards against examples in docs/callers.md that are refused and problem types that differ. */
+import { readFile } from 'node:fs/promises';
+import { before, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { PROBLEM_STATUS } from '../../src/host/callerAnswer';
+import { ProblemType } from '../../src/host/callerProblem';
+import { JobRequestParser, parseKeysRequest } from '../../src/host/callerRequest';
+import { DEFAULT_CALLER_SETTINGS } from '../../src/host/callerSettings';
+
+interface Block {
+  readonly language: string;
+  readonly text: string;
+}
+
+let page = '';
+let blocks: readonly Block[] = [];
+
+function bodiesFor(path: string): readonly unknown[] {
+  return blocks
+    .filter(({ language, text }) => language === 'sh' && text.includes(`${path}"`))
+    .flatMap(({ text }) => [...text.matchAll(/-d '([^']*)'/g)])
+    .map(([, body]) => JSON.parse(body ?? '') as unknown);
+}
+
+describe('docs/callers.md', () => {
+  before(async () => {
+    page = await readFile('docs/callers.md', 'utf8');
+    blocks = [...page.matchAll(/```(\w+)\n([^]*?)```/g)].map(([, language = '', text = '']) => ({
+      language,
+      text,
+    }));
+  });
+
+  it('has examples of jobs that are accepted', () => {
+    const parser = new JobRequestParser(DEFAULT_CALLER_SETTINGS);
+    const parsed = bodiesFor('/v1/jobs').map((body) => parser.parse(body, 0));
+    expect(parsed.map((result) => result.ok)).toEqual([true, true]);
+  });
+
+  it('has an example of a request for keys that is accepted', () => {
+    const parsed = bodiesFor('/v1/keys').map((body) => parseKeysRequest(body).ok);
+    expect(parsed).toEqual([true]);
+  });
+
+  it('has answers in valid JSON', () => {
+    const answers = blocks.filter(({ language }) => language === 'json');
+    answers.forEach(({ text }) => JSON.parse(text));
+    expect(answers.length).toEqual(2);
+  });
+
+  it('names exactly the problem types of the code', () => {
+    const named = new Set([...page.matchAll(/\/problems\/[a-z-]+/g)].map(([type]) => type));
+    expect([...named].sort()).toEqual([...Object.values(ProblemType)].sort());
+  });
+
+  it('gives each problem type its status', () => {
+    const rows = [...page.matchAll(/^\| `(\/problems\/[a-z-]+)`\s*\| (\d+)/gm)];
+    const statuses = rows.map(([, type, status]) => [type, Number(status)] as const);
+    expect(Object.fromEntries(statuses)).toEqual({ ...PROBLEM_STATUS });
+  });
+});
