--- a/src/configuration/diff.ts
+++ b/src/configuration/diff.ts
@@ -1,9 +1,17 @@
-/** Readable list of the changes between two configurations. */
+/** Changes between two configurations, value by value as operators write them. */
 import type { Configuration, KindPolicy, TeamPolicy } from './policy';
 
-type Describe<T> = (value: T) => Readonly<Record<string, string>>;
+/** One difference; null where there is no value. `section` is the header without brackets. */
+export interface ConfigurationChange {
+  readonly section: string;
+  readonly key: string;
+  readonly inForce: string | null;
+  readonly proposed: string | null;
+}
+
+type Values = Readonly<Record<string, string | null>>;
 
-function describeKind({ urgency, idempotent, deadlineMs }: KindPolicy) {
+function kindValues({ urgency, idempotent, deadlineMs }: KindPolicy): Values {
   return {
     urgency: String(urgency),
     idempotent: String(idempotent),
@@ -11,47 +19,44 @@
   };
 }
 
-function describeTeam({ template, share, quotaSlots }: TeamPolicy) {
-  return { template, share: String(share), quotaSlots: String(quotaSlots ?? 'none') };
-}
-
-function fieldsOf(fields: Readonly<Record<string, string>>): string {
-  return Object.entries(fields)
-    .map(([key, value]) => `${key} ${value}`)
-    .join(', ');
+function teamValues({ template, share, quotaSlots }: TeamPolicy): Values {
+  return {
+    template,
+    share: String(share),
+    quotaSlots: quotaSlots === null ? null : String(quotaSlots),
+  };
 }
 
-function diffOne<T>(label: string, old: T | undefined, next: T | undefined, describe: Describe<T>) {
-  if (old === undefined && next === undefined) return [];
-  if (old === undefined) return [`${label}: added (${fieldsOf(describe(next as T))})`];
-  if (next === undefined) return [`${label}: removed`];
-  const [before, after] = [describe(old), describe(next)];
-  return Object.keys(after)
-    .filter((key) => before[key] !== after[key])
-    .map((key) => `${label}: ${key} ${before[key]} -> ${after[key]}`);
+function changesOf(section: string, inForce: Values, proposed: Values) {
+  const keys = [...new Set([...Object.keys(inForce), ...Object.keys(proposed)])];
+  return keys
+    .map((key): ConfigurationChange => ({
+      section,
+      key,
+      inForce: inForce[key] ?? null,
+      proposed: proposed[key] ?? null,
+    }))
+    .filter((change) => change.inForce !== change.proposed);
 }
 
-function names(...maps: readonly (ReadonlyMap<string, unknown> | undefined)[]): readonly string[] {
-  return [...new Set(maps.flatMap((map) => [...(map?.keys() ?? [])]))].sort();
+/** Values by section; a kind stands with its team, whether or not it comes from a template. */
+function sectionsOf(configuration: Configuration | null): ReadonlyMap<string, Values> {
+  const sections = new Map<string, Values>();
+  configuration?.teams.forEach((team) => {
+    sections.set(`team ${team.name}`, teamValues(team));
+    team.kinds.forEach((kind) => {
+      sections.set(`team ${team.name} kind ${kind.name}`, kindValues(kind));
+    });
+  });
+  return sections;
 }
 
-/** One line per change, by team and kind; empty if both mean the same. `old` is null at first. */
+/** All changes, by section; empty if both mean the same. `inForce` is null at first. */
 export function diffConfigurations(
-  old: Configuration | null,
-  next: Configuration,
-): readonly string[] {
-  return names(old?.teams, next.teams).flatMap((name) => {
-    const [before, after] = [old?.teams.get(name), next.teams.get(name)];
-    const team = diffOne(`team ${name}`, before, after, describeTeam);
-    if (after === undefined) return team;
-    const kinds = names(before?.kinds, after.kinds).flatMap((kind) =>
-      diffOne(
-        `team ${name} kind ${kind}`,
-        before?.kinds.get(kind),
-        after.kinds.get(kind),
-        describeKind,
-      ),
-    );
-    return [...team, ...kinds];
-  });
+  inForce: Configuration | null,
+  proposed: Configuration,
+): readonly ConfigurationChange[] {
+  const [before, after] = [sectionsOf(inForce), sectionsOf(proposed)];
+  const names = [...new Set([...before.keys(), ...after.keys()])].sort();
+  return names.flatMap((name) => changesOf(name, before.get(name) ?? {}, after.get(name) ?? {}));
 }
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,7 +1,7 @@
 /** Public surface: the configuration in force, its record, and how it is published and spread. */
 export type { Configuration, KindPolicy, TeamPolicy } from './policy';
 export { parseConfiguration, type Teams } from './parse';
-export { diffConfigurations } from './diff';
+export { diffConfigurations, type ConfigurationChange } from './diff';
 export {
   decodeRecord,
   encodeRecord,
--- a/src/core/hostCore.ts
+++ b/src/core/hostCore.ts
@@ -13,6 +13,7 @@
 import { Scheduler } from './scheduler';
 import { KeyIssuer } from './submissionKey';
 import { Submitter } from './submitter';
+import type { HostView } from './views';
 
 /** What the core of a host is built from. */
 export interface HostCoreParts {
@@ -77,7 +78,7 @@
     return this.#submitter.pending();
   }
 
-  inspect(): unknown {
+  inspect(): HostView {
     return { submitter: this.#submitter.inspect(), scheduler: this.#scheduler.inspect() };
   }
 
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -6,3 +6,4 @@
 export * from './job';
 export { ALL_GUARDS, DEFAULT_OPTIONS, type CoreOptions, type Guards } from './options';
 export { parseKey, type KeyParts } from './submissionKey';
+export type { HostView, QueueState, SchedulerView, SubmitterView, WorkerCondition } from './views';
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -25,6 +25,7 @@
 import type { CoreOptions } from './options';
 import type { Outbox } from './outbox';
 import { SlotQueues } from './slotQueues';
+import type { SchedulerView } from './views';
 import { StatusPolls } from './statusPolls';
 import { freeSlots, WorkerTable, type WorkerEntry } from './workerTable';
 
@@ -198,7 +199,7 @@
   }
 
   /** State for operators. */
-  inspect(): unknown {
+  inspect(): SchedulerView {
     return {
       domain: this.#domain,
       active: this.#active,
@@ -207,12 +208,15 @@
       queues: [...this.#queues.leaves()].map((queue) => ({
         team: queue.team,
         kind: queue.kind,
+        urgency: this.#shares.kind(queue.team, queue.kind)?.urgency ?? 0,
         queuedTasks: queue.tasks,
         usedSlots: this.#shares.usedByLeaf(queue.leaf),
         meanRunTimeMs: this.#estimates.meanMs(queue.leaf),
+        oldestArrivalMs: queue.peek()?.arrivedAtMs ?? null,
       })),
       workers: this.#workers.all().map((worker) => ({
         id: worker.id,
+        rack: worker.status?.rack ?? '',
         address: worker.address,
         state: worker.leaving ? 'leaving' : worker.health.state,
         slots: worker.status?.slots ?? 0,
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -24,6 +24,7 @@
 import type { KeyIssuer } from './submissionKey';
 import { SubmissionTable } from './submissionTable';
 import { TaskRunner } from './taskRunner';
+import type { SubmitterView } from './views';
 
 const HALF = 0.5;
 /** Refusals at half of the deadline are due this much earlier, so that ticks do not make them late. */
@@ -191,7 +192,7 @@
     this.#roles.domains().forEach((domain) => this.#claim(domain));
   }
 
-  inspect(): unknown {
+  inspect(): SubmitterView {
     return {
       submissions: this.#table.size,
       pending: this.#table.pending,
--- /dev/null
+++ b/src/host/coreService.ts
@@ -0,0 +1,265 @@
+/**
+ * Runs the decision code of a host: feeds it events, performs its actions, and resolves each call with
+ * its one answer. Submissions whose keys other hosts issued are forwarded to their issuers.
+ */
+import type { Configuration, KindPolicy } from '../configuration/policy';
+import {
+  Outcome,
+  parseKey,
+  Reason,
+  TICK_MS,
+  type Clock,
+  type Core,
+  type CoreAction,
+  type CoreEvent,
+  type HostView,
+  type JobAnswer,
+  type JobSpec,
+} from '../core';
+import { MemberState, type Member, type SlotMessage } from '../core/messages';
+import { ServiceName, type Service } from '../kernel';
+import type { DecisionLog, Metrics } from '../observe';
+import type { PeerOrigin, PeerTransport } from '../peers/transport';
+import type { HostListEntry, Workers } from '../workers';
+import type { SubmissionService } from './submissionService';
+
+/** Connections of one worker that all entry hosts share. */
+const WORKER_CONNECTIONS = 60;
+
+/** What the service is built from. */
+export interface CoreServiceParts {
+  readonly hostId: string;
+  readonly core: Omit<Core, 'inspect'> & { inspect(nowMs: number): HostView };
+  readonly clock: Clock;
+  readonly workers: Workers;
+  readonly peers: PeerTransport;
+  readonly decisions: DecisionLog;
+  readonly metrics: Metrics;
+}
+
+function unknownOutcome(key: string): JobAnswer {
+  return {
+    outcome: Outcome.unknown,
+    key,
+    notRun: false,
+    reason: Reason.issuerUnreachable,
+    tasks: [],
+  };
+}
+
+/** Decision code with its inputs and outputs. */
+export class CoreService implements Service, SubmissionService {
+  readonly name = ServiceName.core;
+
+  readonly #parts: CoreServiceParts;
+
+  readonly #calls = new Map<number, (answer: JobAnswer) => void>();
+
+  #nextCallId = 0;
+
+  #timer: NodeJS.Timeout | null = null;
+
+  #members: ReadonlyMap<string, Member> = new Map();
+
+  #configuration: Configuration | null = null;
+
+  #draining = false;
+
+  constructor(parts: CoreServiceParts) {
+    this.#parts = parts;
+  }
+
+  async open(): Promise<void> {
+    this.#timer = setInterval(() => this.#dispatch({ type: 'tick' }), TICK_MS);
+  }
+
+  async close(): Promise<void> {
+    if (this.#timer) clearInterval(this.#timer);
+    this.#timer = null;
+  }
+
+  submit(key: string | null, job: JobSpec): Promise<JobAnswer> {
+    const issuer = key === null ? null : this.#foreignIssuer(key);
+    if (key === null || issuer === null) {
+      return this.#call((callId) => ({ type: 'submit', callId, key, job }));
+    }
+    return this.#forward(key, issuer, (address, incarnation) =>
+      this.#parts.peers.forward(address, incarnation, key, job),
+    );
+  }
+
+  cancel(key: string): Promise<JobAnswer> {
+    const issuer = this.#foreignIssuer(key);
+    if (issuer === null) return this.#call((callId) => ({ type: 'cancel', callId, key }));
+    return this.#forward(key, issuer, (address, incarnation) =>
+      this.#parts.peers.forwardCancel(address, incarnation, key),
+    );
+  }
+
+  awaitAnswer(key: string): Promise<JobAnswer> {
+    if (this.#foreignIssuer(key) !== null) return Promise.resolve(unknownOutcome(key));
+    return this.#call((callId) => ({ type: 'await', callId, key }));
+  }
+
+  issueKeys(count: number): readonly string[] {
+    return this.#parts.core.issueKeys(count, this.#parts.clock.nowMs());
+  }
+
+  kindPolicy(team: string, kind: string): KindPolicy | null {
+    return this.#configuration?.teams.get(team)?.kinds.get(kind) ?? null;
+  }
+
+  ready(): boolean {
+    return this.#configuration !== null && !this.#draining;
+  }
+
+  /** A submission forwarded by another host; only this incarnation's core decides on it. */
+  acceptForwarded(key: string, job: JobSpec): Promise<JobAnswer> {
+    return this.#call((callId) => ({ type: 'submit', callId, key, job }));
+  }
+
+  acceptForwardedCancel(key: string): Promise<JobAnswer> {
+    return this.#call((callId) => ({ type: 'cancel', callId, key }));
+  }
+
+  receive(from: PeerOrigin, messages: readonly SlotMessage[]): void {
+    this.#dispatch({ type: 'peerMessages', from, messages });
+  }
+
+  setConfiguration(configuration: Configuration): void {
+    this.#configuration = configuration;
+    this.#dispatch({ type: 'configuration', configuration });
+  }
+
+  setMembers(members: readonly Member[]): void {
+    this.#members = new Map(members.map((member) => [member.hostId, member]));
+    const alive = members.filter(({ state }) => state !== MemberState.dead).length;
+    const connections = Math.floor(WORKER_CONNECTIONS / Math.max(1, alive));
+    this.#parts.workers.setConnectionLimit(Math.max(1, connections));
+    this.#dispatch({ type: 'members', members });
+  }
+
+  setWorkerList(entries: readonly HostListEntry[]): void {
+    this.#dispatch({ type: 'workerList', entries });
+  }
+
+  confirm(): void {
+    this.#dispatch({ type: 'confirmed' });
+  }
+
+  drain(): void {
+    this.#draining = true;
+    this.#dispatch({ type: 'drain' });
+  }
+
+  pending(): number {
+    return this.#parts.core.pending();
+  }
+
+  inspect(): HostView {
+    return this.#parts.core.inspect(this.#parts.clock.nowMs());
+  }
+
+  /** Host that issued a key, if it is another one; malformed keys are left to the core to refuse. */
+  #foreignIssuer(key: string): { readonly hostId: string; readonly incarnation: string } | null {
+    const parts = parseKey(key);
+    return parts === null || parts.hostId === this.#parts.hostId ? null : parts;
+  }
+
+  async #forward(
+    key: string,
+    issuer: { readonly hostId: string; readonly incarnation: string },
+    send: (address: string, incarnation: string) => Promise<JobAnswer | null>,
+  ): Promise<JobAnswer> {
+    const member = this.#members.get(issuer.hostId);
+    const reachable =
+      member !== undefined &&
+      member.incarnation === issuer.incarnation &&
+      member.state !== MemberState.dead;
+    this.#parts.decisions.record({
+      decision: 'forward',
+      reason: reachable ? 'issuer' : Reason.issuerUnreachable,
+      fields: { key, issuer: issuer.hostId },
+    });
+    if (!reachable) return unknownOutcome(key);
+    return (await send(member.peerAddress, member.incarnation)) ?? unknownOutcome(key);
+  }
+
+  #call(eventFor: (callId: number) => CoreEvent): Promise<JobAnswer> {
+    this.#nextCallId += 1;
+    const callId = this.#nextCallId;
+    return new Promise((resolve) => {
+      this.#calls.set(callId, resolve);
+      this.#dispatch(eventFor(callId));
+    });
+  }
+
+  #dispatch(event: CoreEvent): void {
+    this.#parts.core
+      .handle(event, this.#parts.clock.nowMs())
+      .forEach((action) => this.#perform(action));
+  }
+
+  #perform(action: CoreAction): void {
+    const { peers, decisions, metrics } = this.#parts;
+    switch (action.type) {
+      case 'send':
+        peers.send(this.#members.get(action.to)?.peerAddress ?? '', action.messages);
+        break;
+      case 'answer':
+        this.#calls.get(action.callId)?.(action.answer);
+        this.#calls.delete(action.callId);
+        break;
+      case 'decision':
+        decisions.record(action.decision);
+        break;
+      case 'count':
+        metrics.count(action.name, action.value, action.tags);
+        break;
+      default:
+        this.#askWorker(action);
+    }
+  }
+
+  #askWorker(action: CoreAction): void {
+    const { workers } = this.#parts;
+    switch (action.type) {
+      case 'startTask':
+        this.#report(action.start.attemptId, 'start', workers.start(action.worker, action.start));
+        break;
+      case 'revokeTask':
+        this.#report(action.attemptId, 'revoke', workers.revoke(action.worker, action.attemptId));
+        break;
+      case 'inquireTask':
+        this.#report(
+          action.attemptId,
+          'inquire',
+          workers.inquire(action.worker, action.attemptId, action.waitMs),
+        );
+        break;
+      case 'stopTask':
+        workers.stop(action.worker, action.attemptId);
+        break;
+      case 'renewLeases':
+        workers.renew(action.worker, action.attemptIds, action.leaseMs);
+        break;
+      case 'pollStatus':
+        this.#poll(action.workerId, action.address);
+        break;
+      default:
+    }
+  }
+
+  async #report(
+    attemptId: string,
+    source: 'start' | 'revoke' | 'inquire',
+    pending: ReturnType<Workers['start']>,
+  ): Promise<void> {
+    this.#dispatch({ type: 'attemptResult', attemptId, source, result: await pending });
+  }
+
+  async #poll(workerId: string, address: string): Promise<void> {
+    const status = await this.#parts.workers.status(address);
+    this.#dispatch({ type: 'workerStatus', workerId, status });
+  }
+}
--- /dev/null
+++ b/src/host/operatorFacade.ts
@@ -0,0 +1,217 @@
+/**
+ * Answers operators from the services of this host, and asks the other hosts for what only they know:
+ * the schedulers for workers and queues, every member for its generation.
+ */
+import { randomUUID } from 'node:crypto';
+import { Err, Ok, type Result } from 'ts-results';
+import {
+  diffConfigurations,
+  parseConfiguration,
+  type PublishOutcome as StoreOutcome,
+} from '../configuration';
+import { toConfiguration } from '../configuration/record';
+import type { Clock, HostView } from '../core';
+import { MemberState, type Member } from '../core/messages';
+import type { PeerTransport } from '../peers/transport';
+import type { Finding } from '../settings/finding';
+import type { ConfigurationService } from './configurationService';
+import type { CoreService } from './coreService';
+import type {
+  ConfigurationChange,
+  ConfigurationView,
+  GenerationInForce,
+  HostStatus,
+  OperatorService,
+  PublishOutcome,
+  PublishRequest,
+  QueueView,
+  WorkerView,
+} from './operatorService';
+
+/** What each host tells the others about itself. */
+export interface PeerStatus {
+  readonly status: HostStatus;
+  readonly view: HostView;
+  /** The host's monotonic clock, to read the times in `view`. */
+  readonly nowMs: number;
+}
+
+/** What the facade reads. */
+export interface OperatorFacadeParts {
+  readonly hostId: string;
+  readonly incarnation: string;
+  readonly service: string;
+  readonly region: string;
+  readonly domain: string;
+  readonly clock: Clock;
+  readonly core: CoreService;
+  readonly configuration: ConfigurationService;
+  readonly peers: PeerTransport;
+  readonly members: () => readonly Member[];
+  readonly schedulerOf: (domain: string) => string | null;
+  readonly isRelay: () => boolean;
+  readonly drain: () => void;
+}
+
+function toOutcome(outcome: StoreOutcome): PublishOutcome {
+  switch (outcome.outcome) {
+    case 'published': {
+      const { generation, publicationId } = outcome;
+      return { outcome: 'published', generation, publicationId };
+    }
+    case 'lostRace': {
+      const { generation, publicationId, publishedBy, publishedAtMs } = outcome.winner;
+      const winner = { generation, publicationId, publishedBy, publishedAtMs };
+      return { outcome: 'lostRace', winner };
+    }
+    case 'invalid':
+      return { outcome: 'rejected', findings: outcome.findings };
+    case 'unavailable':
+      return { outcome: 'unavailable', detail: outcome.message };
+    default: {
+      const { publicationId, message } = outcome;
+      return { outcome: 'unknown', publicationId, detail: message };
+    }
+  }
+}
+
+function workersOf({ view: { scheduler } }: PeerStatus): readonly WorkerView[] {
+  return scheduler.workers.map((worker) => ({
+    workerId: worker.id,
+    domain: scheduler.domain,
+    rack: worker.rack,
+    address: worker.address,
+    condition: worker.state,
+    slots: worker.slots,
+    usedSlots: worker.usedSlots,
+  }));
+}
+
+function queuesOf({ view: { scheduler }, nowMs }: PeerStatus): readonly QueueView[] {
+  return scheduler.queues.map((queue) => ({
+    domain: scheduler.domain,
+    team: queue.team,
+    kind: queue.kind,
+    urgency: queue.urgency,
+    queuedTasks: queue.queuedTasks,
+    usedSlots: queue.usedSlots,
+    oldestWaitMs: queue.oldestArrivalMs === null ? 0 : Math.round(nowMs - queue.oldestArrivalMs),
+  }));
+}
+
+/** Operators' view of one host and, through it, of the others. */
+export class OperatorFacade implements OperatorService {
+  readonly checkConfiguration = async (file: string, text: string): Promise<readonly Finding[]> => {
+    const parsed = parseConfiguration(file, text);
+    return parsed.ok ? [] : parsed.val;
+  };
+
+  readonly #parts: OperatorFacadeParts;
+
+  readonly #startedAtMs: number;
+
+  #draining = false;
+
+  constructor(parts: OperatorFacadeParts) {
+    this.#parts = parts;
+    this.#startedAtMs = parts.clock.nowMs();
+  }
+
+  /** What this host tells a peer that asks for its status. */
+  peerStatus(): PeerStatus {
+    const { core, clock } = this.#parts;
+    return { status: this.#status(), view: core.inspect(), nowMs: clock.nowMs() };
+  }
+
+  async status(): Promise<HostStatus> {
+    return this.#status();
+  }
+
+  async members(): Promise<readonly Member[]> {
+    return this.#parts.members();
+  }
+
+  async workers(): Promise<readonly WorkerView[]> {
+    return (await this.#schedulers()).flatMap(workersOf);
+  }
+
+  async queues(): Promise<readonly QueueView[]> {
+    return (await this.#schedulers()).flatMap(queuesOf);
+  }
+
+  async configuration(): Promise<ConfigurationView | null> {
+    return this.#parts.configuration.inForce;
+  }
+
+  async diffConfiguration(
+    text: string,
+  ): Promise<Result<readonly ConfigurationChange[], readonly Finding[]>> {
+    const parsed = parseConfiguration('proposed', text);
+    if (parsed.err) return Err(parsed.val);
+    const record = this.#parts.configuration.inForce;
+    const inForce = record === null ? null : toConfiguration(record);
+    const current = inForce?.ok ? inForce.val : null;
+    const proposed = { generation: 0, publicationId: '', teams: parsed.val };
+    return Ok(diffConfigurations(current, proposed));
+  }
+
+  async publishConfiguration(request: PublishRequest): Promise<PublishOutcome> {
+    const { file, text, publishedBy, expectedGeneration } = request;
+    const outcome = await this.#parts.configuration.publish({
+      file,
+      text,
+      publishedBy,
+      publicationId: randomUUID(),
+      publishedAtMs: Date.now(),
+      ...(expectedGeneration === undefined ? {} : { basedOnGeneration: expectedGeneration }),
+    });
+    return toOutcome(outcome);
+  }
+
+  /** A dead member may come back, so it is listed as out of reach. */
+  async inForce(): Promise<readonly GenerationInForce[]> {
+    return Promise.all(
+      this.#parts.members().map(async (member) => {
+        const status = await this.#statusOf(member);
+        const { hostId, domain } = member;
+        return { hostId, domain, generation: status?.status.generation ?? null };
+      }),
+    );
+  }
+
+  async drain(): Promise<void> {
+    if (this.#draining) return;
+    this.#draining = true;
+    this.#parts.drain();
+  }
+
+  async #schedulers(): Promise<readonly PeerStatus[]> {
+    const { members, schedulerOf } = this.#parts;
+    const schedulers = members().filter(({ hostId, domain }) => schedulerOf(domain) === hostId);
+    const statuses = await Promise.all(schedulers.map((member) => this.#statusOf(member)));
+    return statuses.flatMap((status) => (status === null ? [] : [status]));
+  }
+
+  async #statusOf(member: Member): Promise<PeerStatus | null> {
+    if (member.hostId === this.#parts.hostId) return this.peerStatus();
+    if (member.state === MemberState.dead) return null;
+    return (await this.#parts.peers.status(member.peerAddress)) as PeerStatus | null;
+  }
+
+  #status(): HostStatus {
+    const { hostId, incarnation, service, region, domain, clock } = this.#parts;
+    return {
+      hostId,
+      incarnation,
+      service,
+      region,
+      domain,
+      state: this.#draining ? 'draining' : 'serving',
+      schedulerId: this.#parts.schedulerOf(domain),
+      relay: this.#parts.isRelay(),
+      generation: this.#parts.configuration.inForce?.generation ?? 0,
+      pendingSubmissions: this.#parts.core.pending(),
+      uptimeMs: Math.round(clock.nowMs() - this.#startedAtMs),
+    };
+  }
+}
