--- a/src/core/hostCore.ts
+++ b/src/core/hostCore.ts
@@ -13,11 +13,12 @@
 import { Scheduler } from './scheduler';
 import { KeyIssuer } from './submissionKey';
 import { Submitter } from './submitter';
+import type { HostView } from './views';
 
 /** What the core of a host is built from. */
 export interface HostCoreParts {
   readonly hostId: string;
-  /** Differs for each start of the process: lower-case letters and digits. */
+  /** Differs for each start of the process: lower-case letters, digits and hyphens. */
   readonly incarnation: string;
   /** Signs submission keys; kept in memory only. */
   readonly secret: string;
@@ -48,8 +49,6 @@
     this.#parts = parts;
     this.#outbox = new Outbox(hostId);
     this.#issuer = new KeyIssuer(hostId, incarnation, secret, options.keyLifetimeMs);
-    const { keyLifetimeMs } = options;
-    if (keyLifetimeMs <= 0) throw new RangeError('keyLifetimeMs must be above 0');
     this.#submitter = new Submitter({
       domain,
       options,
@@ -79,7 +78,7 @@
     return this.#submitter.pending();
   }
 
-  inspect(): unknown {
+  inspect(): HostView {
     return { submitter: this.#submitter.inspect(), scheduler: this.#scheduler.inspect() };
   }
 
