Count a moved request once; split the worker's behaviour off

Cause: a moved request is one message for any number of slots, and was counted per slot. Change: waste counts messages; the fake worker's faults have a file of their own.

--- a/src/bench/figures.ts
+++ b/src/bench/figures.ts
@@ -18,7 +18,7 @@
   readonly untrue: number;
 }
 
-/** Messages without use, by kind. */
+/** Messages without use, by kind. A request counts once when it moves, for any number of slots. */
 export interface WasteFigures {
   readonly refusedStarts: number;
   readonly retries: number;
@@ -107,7 +107,7 @@
   const of = (...names: Parameters<RunRecord['messages']>[0][]): number =>
     sum(runs.flatMap(({ record }) => names.map((name) => record.messages(name))));
   const ofCore = (name: string): number =>
-    sum(runs.map(({ record }) => record.coreCounts.get(name) ?? 0));
+    sum(runs.map(({ record }) => record.coreCountings.get(name) ?? 0));
   const parts = {
     refusedStarts: of('startsRefused', 'startsUnreachable'),
     retries: of('taskRetries'),
--- a/src/bench/harness.ts
+++ b/src/bench/harness.ts
@@ -10,8 +10,7 @@
 import { Callers } from './callers';
 import type { CoreFactory } from './entryHost';
 import { EntryHost } from './entryHost';
-import type { WorkerBehaviour } from './fakeWorker';
-import { FakeWorker, HEALTHY } from './fakeWorker';
+import { FakeWorker } from './fakeWorker';
 import type { FleetShape } from './fleet';
 import { hostNames, workerEntries } from './fleet';
 import { MemberViews } from './memberViews';
@@ -20,6 +19,8 @@
 import type { JobPlan } from './records';
 import { RunRecord } from './records';
 import { Timeline } from './timeline';
+import type { WorkerBehaviour } from './workerBehaviour';
+import { HEALTHY } from './workerBehaviour';
 
 /** A run. */
 export interface HarnessOptions {
--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -1,7 +1,7 @@
 /** Public surface of the bench: the harness in virtual time, its oracle, workloads and baselines. */
 export { createBaselineCore } from './baseline';
 export type { CoreContext, CoreFactory } from './entryHost';
-export type { WorkerBehaviour } from './fakeWorker';
+export type { WorkerBehaviour } from './workerBehaviour';
 export type { FleetShape } from './fleet';
 export { Harness } from './harness';
 export type { HarnessOptions } from './harness';
--- a/src/bench/records.ts
+++ b/src/bench/records.ts
@@ -123,6 +123,9 @@
   /** Sums of the cores' own counters. */
   readonly coreCounts = new Map<string, number>();
 
+  /** How often each of the cores' counters was raised, by any value. */
+  readonly coreCountings = new Map<string, number>();
+
   readonly #messages = new Map<MessageCount, number>();
 
   /** Attempts sent per task, to count retries. */
@@ -149,6 +152,7 @@
 
   countOfCore(name: string, value: number): void {
     this.coreCounts.set(name, (this.coreCounts.get(name) ?? 0) + value);
+    this.coreCountings.set(name, (this.coreCountings.get(name) ?? 0) + 1);
   }
 
   job(jobId: number): JobRecord {
