Give unused grants back to their scheduler; keep the place of repeated requests

Cause: a grant for a request that had been dropped was released to the own domain's scheduler, so that grants of other domains leaked; a repeated request could be refused while its first copy stayed queued and was granted later. Ruled out: lost slotCancel messages (all were sent). Change: releases of unused grants go to the sender; a repetition of a known request is ignored.

--- a/src/core/hostCore.ts
+++ b/src/core/hostCore.ts
@@ -162,7 +162,7 @@
         this.#scheduler.claims(from, message, nowMs);
         break;
       default:
-        this.#submitter.receive(message, nowMs);
+        this.#submitter.receive(from, message, nowMs);
     }
   }
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -153,7 +153,9 @@
     this.#grantAll(nowMs);
   }
 
+  /** Queues a request or refuses it. One that is repeated, as submitters do without news, stays. */
   request(host: string, message: SlotRequest, nowMs: number): void {
+    if (this.#queues.has(host, message.requestId)) return;
     const refusal = this.#refusal(message, nowMs);
     if (refusal) {
       this.#refuse(host, message, refusal);
--- a/src/core/slotQueues.ts
+++ b/src/core/slotQueues.ts
@@ -15,9 +15,11 @@
     return this.#leaves.get(key);
   }
 
-  /** Adds a request; a repeated one replaces what is left of the first. */
+  has(host: string, requestId: number): boolean {
+    return this.#byHost.get(host)?.has(requestId) ?? false;
+  }
+
   add(request: QueuedRequest, team: string, kind: string): void {
-    this.cancel(request.host, request.requestId, Infinity);
     let queue = this.#leaves.get(request.leaf);
     if (!queue) {
       queue = new LeafQueue(request.leaf, team, kind);
--- a/src/core/slotRequester.ts
+++ b/src/core/slotRequester.ts
@@ -32,7 +32,8 @@
 
 /** What the requester tells the submitter. */
 export interface RequesterEvents {
-  start(submission: Submission, grant: Grant, domain: string, nowMs: number): void;
+  /** False if the grant is not used. */
+  start(submission: Submission, grant: Grant, domain: string, nowMs: number): boolean;
   refused(submission: Submission, reason: Reason, retryAfterMs: number, nowMs: number): void;
 }
 
@@ -97,16 +98,18 @@
     portions.forEach((portion) => this.#request(submission, portion, nowMs));
   }
 
-  grant(message: SlotGrant, nowMs: number): void {
+  /** Uses the grants of the scheduler `from`, or gives them back to it. */
+  grant(from: string, message: SlotGrant, nowMs: number): void {
     const request = this.#requests.get(message.requestId);
     message.grants.forEach((grant) => {
       if (!request || request.waiting === 0 || request.submission.answer) {
-        this.#giveBack(grant, request?.domain ?? this.#ownDomain);
+        this.giveBack(from, grant.grantId);
         return;
       }
       request.waiting -= 1;
       if (request.waiting === 0) this.#drop(request);
-      this.#events.start(request.submission, grant, request.domain, nowMs);
+      const used = this.#events.start(request.submission, grant, request.domain, nowMs);
+      if (!used) this.giveBack(from, grant.grantId);
     });
   }
 
@@ -176,17 +179,23 @@
     });
   }
 
+  /** Returns a grant that is not used to the scheduler that made it. */
+  giveBack(scheduler: string, grantId: number): void {
+    this.#outbox.count('grants.unused');
+    this.#outbox.send(scheduler, {
+      type: 'slotRelease',
+      grantId,
+      outcome: GrantOutcome.unused,
+      runTimeMs: 0,
+    });
+  }
+
   release(grantId: number, domain: string, outcome: GrantOutcome, runTimeMs: number): void {
     const scheduler = this.#roles.schedulerOf(domain);
     if (scheduler === null) return;
     this.#outbox.send(scheduler, { type: 'slotRelease', grantId, outcome, runTimeMs });
   }
 
-  #giveBack(grant: Grant, domain: string): void {
-    this.#outbox.count('grants.unused');
-    this.release(grant.grantId, domain, GrantOutcome.unused, 0);
-  }
-
   #request(submission: Submission, { domain, count }: Portion, nowMs: number): void {
     this.#nextRequestId += 1;
     const request = {
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -170,8 +170,8 @@
     this.#runner.result(event.attemptId, event.source, event.result, nowMs);
   }
 
-  receive(message: SlotMessage, nowMs: number): void {
-    if (message.type === 'slotGrant') this.#requester.grant(message, nowMs);
+  receive(from: string, message: SlotMessage, nowMs: number): void {
+    if (message.type === 'slotGrant') this.#requester.grant(from, message, nowMs);
     else if (message.type === 'slotRefusal') this.#requester.refusal(message, nowMs);
     else if (message.type === 'loadSummary') this.#requester.summary(message, nowMs);
   }
@@ -257,14 +257,13 @@
     this.#finishEarly(submission, Outcome.cancelled, Reason.cancelled);
   }
 
-  #start(submission: Submission, grant: Grant, domain: string, nowMs: number): void {
+  #start(submission: Submission, grant: Grant, domain: string, nowMs: number): boolean {
     if (!submission.begun && nowMs >= submission.arrivedAtMs + submission.job.deadlineMs * HALF) {
-      this.#requester.release(grant.grantId, domain, 'unused', 0);
       this.#finishEarly(submission, Outcome.refused, Reason.overloaded);
-      return;
+      return false;
     }
     this.#retries.earn();
-    this.#runner.start(submission, grant, domain, nowMs);
+    return this.#runner.start(submission, grant, domain, nowMs);
   }
 
   #slotsRefused(submission: Submission, reason: Reason, retryAfterMs: number, nowMs: number): void {
--- a/src/host/operatorFacade.ts
+++ b/src/host/operatorFacade.ts
@@ -99,12 +99,14 @@
   }));
 }
 
+async function findingsIn(file: string, text: string): Promise<readonly Finding[]> {
+  const parsed = parseConfiguration(file, text);
+  return parsed.ok ? [] : parsed.val;
+}
+
 /** Operators' view of one host and, through it, of the others. */
 export class OperatorFacade implements OperatorService {
-  readonly checkConfiguration = async (file: string, text: string): Promise<readonly Finding[]> => {
-    const parsed = parseConfiguration(file, text);
-    return parsed.ok ? [] : parsed.val;
-  };
+  readonly checkConfiguration = findingsIn;
 
   readonly #parts: OperatorFacadeParts;
 
--- a/test/core/scheduler.test.ts
+++ b/test/core/scheduler.test.ts
@@ -184,6 +184,37 @@
   });
 });
 
+describe('a repeated request', () => {
+  it('keeps its place, so that a refused repetition leaves nothing behind that is granted later', () => {
+    const driver = Driver.ready([2]);
+    driver.receive('b1', request(1, 'red', 50));
+    driver.receive('b1', { ...request(1, 'red', 48), deadlineMs: 100 });
+    expect(driver.sent('slotRefusal')).toEqual([]);
+    driver.receive('b1', { type: 'slotCancel', requestId: 1, count: 48 });
+    releaseOne(driver, 1, 'succeeded');
+    expect(granted(driver).get(1)).toEqual(2);
+  });
+});
+
+describe('a grant that is not wanted any more', () => {
+  it('is given back to the scheduler that made it, also in another domain', () => {
+    const driver = Driver.ready([2]);
+    driver.send({ type: 'members', members: [member('a1', 'd1'), member('z1', 'd2')] });
+    const worker = { id: 'w9', address: 'w9:1', incarnation: 'w9-1' };
+    driver.actions = [];
+    driver.receive('z1', {
+      type: 'slotGrant',
+      requestId: 99,
+      grants: [{ grantId: 5, worker }],
+      validMs: 1000,
+    });
+    const releases = driver
+      .all('send')
+      .filter(({ messages }) => messages.some(({ type }) => type === 'slotRelease'));
+    expect(releases.map(({ to }) => to)).toEqual(['z1']);
+  });
+});
+
 describe('admission', () => {
   it('refuses on arrival what can not start in time, with a time to come back', () => {
     const driver = Driver.ready([2]);
