--- a/src/bench/records.ts
+++ b/src/bench/records.ts
@@ -126,12 +126,25 @@
   /** How often each of the cores' counters was raised, by any value. */
   readonly coreCountings = new Map<string, number>();
 
+  #startsCounted: number | null = null;
+
   readonly #messages = new Map<MessageCount, number>();
 
   /** Attempts sent per task, to count retries. */
   readonly #attempts = new Map<string, number>();
 
+  /** Ends the counting of messages, at the end of the measured window. */
+  stopCounting(): void {
+    this.#startsCounted = this.starts.length;
+  }
+
+  /** Starts on workers while messages were counted. */
+  get startsCounted(): number {
+    return this.#startsCounted ?? this.starts.length;
+  }
+
   count(name: MessageCount, value = 1): void {
+    if (this.#startsCounted !== null) return;
     this.#messages.set(name, this.messages(name) + value);
   }
 
@@ -151,6 +164,7 @@
   }
 
   countOfCore(name: string, value: number): void {
+    if (this.#startsCounted !== null) return;
     this.coreCounts.set(name, (this.coreCounts.get(name) ?? 0) + value);
     this.coreCountings.set(name, (this.coreCountings.get(name) ?? 0) + 1);
   }
--- a/src/bench/scenarioRun.ts
+++ b/src/bench/scenarioRun.ts
@@ -86,6 +86,8 @@
   });
   arrivals.forEach(({ atMs, plan }) => harness.timeline.at(atMs, () => harness.submit(plan)));
   scenario.faults?.(harness, stage);
+  harness.runUntil(stage.untilMs);
+  harness.record.stopCounting();
   harness.runUntil(stage.untilMs + SETTLE_MS);
   return harness.record;
 }
