--- /dev/null
+++ b/src/peers/grpcTransport.ts
@@ -0,0 +1,201 @@
+/**
+ * Transport between entry hosts over gRPC: one client-streaming call per direction between two hosts
+ * carries messages in batches; forwarded submissions, cancellations and status are unary calls.
+ * Message delivery is not guaranteed; an answer of `forward` is the issuer's own.
+ */
+import { Server, ServerCredentials } from '@grpc/grpc-js';
+import type { JobAnswer, JobSpec } from '../core/job';
+import type { PeerMessage } from '../core/messages';
+import {
+  FORWARD_CANCEL_PATH,
+  FORWARD_PATH,
+  IncomingCalls,
+  PEERS_SERVICE,
+  STATUS_PATH,
+} from './incomingCalls';
+import { decodeAnswer, decodeStatus, encodeForward, encodeForwardCancel } from './jobCodec';
+import { PeerStream } from './peerStream';
+import { DropReason, Traffic, type TypeTraffic } from './traffic';
+import type { PeerHandler, PeerTransport } from './transport';
+import {
+  FORWARD_MARGIN_MS,
+  IDLE_PEER_MS,
+  channelOptions,
+  resolveOptions,
+  type ResolvedOptions,
+  type TransportOptions,
+} from './transportOptions';
+import { UnaryCalls } from './unaryCalls';
+
+interface Peer {
+  readonly stream: PeerStream;
+  readonly calls: UnaryCalls;
+}
+
+const DRAIN_POLL_MS = 5;
+/** Time for streams to hand over their last batches, as part of the close. */
+const STREAM_CLOSE_MS = 100;
+
+/** Transport of this host. Construction does no I/O. */
+export class GrpcTransport implements PeerTransport {
+  readonly #options: ResolvedOptions;
+
+  readonly #traffic = new Traffic();
+
+  readonly #peers = new Map<string, Peer>();
+
+  readonly #server: Server;
+
+  #incoming: IncomingCalls | null = null;
+
+  #sweepTimer: NodeJS.Timeout | null = null;
+
+  #closed = false;
+
+  constructor(options: TransportOptions) {
+    this.#options = resolveOptions(options);
+    this.#server = new Server(channelOptions(this.#options));
+  }
+
+  /** Starts to listen; rejects if the address can't be bound. */
+  async listen(handler: PeerHandler): Promise<number> {
+    this.#incoming = new IncomingCalls(handler, this.#options, this.#traffic);
+    this.#server.addService(PEERS_SERVICE, this.#incoming.implementation());
+    this.#sweepTimer = setInterval(() => this.#sweep(), IDLE_PEER_MS / 2);
+    this.#sweepTimer.unref();
+    return new Promise((resolve, reject) => {
+      this.#server.bindAsync(
+        this.#options.listenAddress,
+        ServerCredentials.createInsecure(),
+        (error, port) => (error === null ? resolve(port) : reject(error)),
+      );
+    });
+  }
+
+  send(peerAddress: string, messages: readonly PeerMessage[]): void {
+    if (messages.length === 0) return;
+    if (this.#closed) {
+      this.#traffic.dropped(DropReason.closed, messages.length);
+      return;
+    }
+    this.#peer(peerAddress).stream.send(messages);
+  }
+
+  async forward(
+    peerAddress: string,
+    incarnation: string,
+    key: string,
+    job: JobSpec,
+  ): Promise<JobAnswer | null> {
+    const request = encodeForward({ incarnation, key, job });
+    const timeoutMs = job.deadlineMs + FORWARD_MARGIN_MS;
+    const reply = await this.#call(peerAddress, 'forward', FORWARD_PATH, request, timeoutMs);
+    return this.#decoded(reply, decodeAnswer);
+  }
+
+  async forwardCancel(
+    peerAddress: string,
+    incarnation: string,
+    key: string,
+  ): Promise<JobAnswer | null> {
+    const request = encodeForwardCancel({ incarnation, key });
+    const { callTimeoutMs } = this.#options;
+    const reply = await this.#call(
+      peerAddress,
+      'forwardCancel',
+      FORWARD_CANCEL_PATH,
+      request,
+      callTimeoutMs,
+    );
+    return this.#decoded(reply, decodeAnswer);
+  }
+
+  /** Null if the peer can't be reached or doesn't answer in time. */
+  async status(peerAddress: string): Promise<unknown> {
+    const { callTimeoutMs } = this.#options;
+    const request = Buffer.alloc(0);
+    const reply = await this.#call(peerAddress, 'status', STATUS_PATH, request, callTimeoutMs);
+    return this.#decoded(reply, decodeStatus);
+  }
+
+  traffic(): Readonly<Record<string, TypeTraffic>> {
+    return this.#traffic.types();
+  }
+
+  /** Dropped messages and calls per reason since the start. */
+  drops(): Readonly<Partial<Record<DropReason, number>>> {
+    return this.#traffic.drops();
+  }
+
+  async close(graceMs: number): Promise<void> {
+    if (this.#closed) return;
+    await this.#drain(performance.now() + graceMs);
+    this.#closed = true;
+    if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer);
+    await Promise.all([...this.#peers.values()].map((peer) => peer.stream.close(STREAM_CLOSE_MS)));
+    this.#incoming?.endStreams();
+    this.#peers.forEach((peer) => peer.calls.close());
+    this.#peers.clear();
+    this.#server.forceShutdown();
+  }
+
+  /** Waits until no unary call is running in either direction, or for the time given. */
+  async #drain(untilMs: number): Promise<void> {
+    const running = [...this.#peers.values()].reduce(
+      (sum, peer) => sum + peer.calls.running,
+      this.#incoming?.running ?? 0,
+    );
+    if (running === 0 || performance.now() >= untilMs) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, DRAIN_POLL_MS);
+    });
+    await this.#drain(untilMs);
+  }
+
+  async #call(
+    peerAddress: string,
+    type: string,
+    path: string,
+    request: Buffer,
+    timeoutMs: number,
+  ): Promise<Buffer | null> {
+    if (this.#closed) return null;
+    if (request.length > this.#options.maxMessageBytes) {
+      this.#traffic.dropped(DropReason.tooLarge, 1);
+      return null;
+    }
+    this.#traffic.sent(type, request.length);
+    const reply = await this.#peer(peerAddress).calls.call(path, request, timeoutMs);
+    if (reply !== null) this.#traffic.received(type, reply.length);
+    return reply;
+  }
+
+  #decoded<T>(reply: Buffer | null, decode: (bytes: Buffer) => T | null): T | null {
+    if (reply === null) return null;
+    const decoded = decode(reply);
+    if (decoded === null) this.#traffic.dropped(DropReason.malformed, 1);
+    return decoded;
+  }
+
+  #peer(address: string): Peer {
+    let peer = this.#peers.get(address);
+    if (peer === undefined) {
+      peer = {
+        stream: new PeerStream(address, this.#options, this.#traffic),
+        calls: new UnaryCalls(address, this.#options),
+      };
+      this.#peers.set(address, peer);
+    }
+    return peer;
+  }
+
+  #sweep(): void {
+    const limitMs = performance.now() - IDLE_PEER_MS;
+    this.#peers.forEach(({ stream, calls }, address) => {
+      if (calls.running > 0 || Math.max(stream.usedAtMs, calls.usedAtMs) > limitMs) return;
+      this.#peers.delete(address);
+      calls.close();
+      stream.close(STREAM_CLOSE_MS).catch(() => undefined);
+    });
+  }
+}
--- /dev/null
+++ b/src/peers/traffic.ts
@@ -0,0 +1,74 @@
+/** Bytes and messages per message type, and counts of what was dropped. */
+
+/** Why messages or calls were dropped. */
+export const DropReason = {
+  /** The stream broke, or could not be opened, while the messages were queued. */
+  disconnected: 'disconnected',
+  /** The peer reads more slowly than this host sends. */
+  peerSlow: 'peer-slow',
+  /** A message exceeds the size limit. */
+  tooLarge: 'too-large',
+  /** A message from a peer could not be decoded or has values out of range. */
+  malformed: 'malformed',
+  /** The transport has been closed. */
+  closed: 'closed',
+  /** The handler of this host threw an error. */
+  handlerFailed: 'handler-failed',
+} as const;
+export type DropReason = (typeof DropReason)[keyof typeof DropReason];
+
+/** Figures of one message type since the start. */
+export interface TypeTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  /** Messages sent and received. */
+  readonly messages: number;
+}
+
+/** Counters of one transport; mutable, because they change with each message. */
+export class Traffic {
+  readonly #types = new Map<
+    string,
+    { sentBytes: number; receivedBytes: number; messages: number }
+  >();
+
+  readonly #drops = new Map<DropReason, number>();
+
+  /** Counts a message handed to the connection. */
+  sent(type: string, bytes: number): void {
+    const entry = this.#entry(type);
+    entry.sentBytes += bytes;
+    entry.messages += 1;
+  }
+
+  /** Counts a message received. */
+  received(type: string, bytes: number): void {
+    const entry = this.#entry(type);
+    entry.receivedBytes += bytes;
+    entry.messages += 1;
+  }
+
+  /** Counts dropped messages. */
+  dropped(reason: DropReason, count: number): void {
+    if (count > 0) this.#drops.set(reason, (this.#drops.get(reason) ?? 0) + count);
+  }
+
+  /** Figures per message type. */
+  types(): Readonly<Record<string, TypeTraffic>> {
+    return Object.fromEntries([...this.#types].map(([type, entry]) => [type, { ...entry }]));
+  }
+
+  /** Dropped messages per reason. */
+  drops(): Readonly<Partial<Record<DropReason, number>>> {
+    return Object.fromEntries(this.#drops);
+  }
+
+  #entry(type: string): { sentBytes: number; receivedBytes: number; messages: number } {
+    let entry = this.#types.get(type);
+    if (entry === undefined) {
+      entry = { sentBytes: 0, receivedBytes: 0, messages: 0 };
+      this.#types.set(type, entry);
+    }
+    return entry;
+  }
+}
