Spread a job over the domains by its team's load in each

Cause: under a flood every domain reported no free slots, so a whole job waited in one domain's queue, and free slots elsewhere were found only by moving requests every 200 ms. Ruled out: slow scheduling (grants follow a release within 0.3 ms) and the reserve. Change: load summaries carry queued tasks and used slots by team; a job's tasks go where its team's load per slot is lowest, the own domain preferred by 5 % of its slots; requests move only for a gain of 10 % of the slots and keep their age.

--- a/src/core/domainLoads.ts
+++ b/src/core/domainLoads.ts
@@ -1,6 +1,7 @@
 /**
- * The load of each domain as its scheduler last reported it, less what this host has asked for since.
- * Work goes to the host's own domain first and to others when they have room and can be reached.
+ * The load of each domain as its scheduler last reported it, and what this host has asked for since.
+ * A job's tasks are spread so that the domains fill up evenly for its team; the host's own domain is
+ * preferred while it is about as empty as the others.
  */
 import type { Resources } from './job';
 import type { LoadSummary } from './messages';
@@ -13,8 +14,10 @@
  * the same summary, and together they must not ask for much more than there is.
  */
 const FOREIGN_FRACTION = 0.34;
-/** Another domain's queue must be this much shorter before work that has to wait goes there. */
-const WAIT_ADVANTAGE_MS = 20;
+/** The own domain counts as this much emptier, as a fraction of its slots. */
+const OWN_PREFERENCE = 0.05;
+/** A waiting request moves only to a domain that is this much emptier, as a fraction of its slots. */
+const MOVE_ADVANTAGE = 0.1;
 
 /** A part of a job for one domain. */
 export interface Portion {
@@ -22,6 +25,13 @@
   readonly count: number;
 }
 
+/** Tasks of one job that need slots. */
+export interface Work {
+  readonly team: string;
+  readonly count: number;
+  readonly resources: Resources;
+}
+
 interface Load {
   readonly summary: LoadSummary;
   readonly atMs: number;
@@ -82,50 +92,53 @@
     return load !== null && fitsTotal(load.summary.largest, resources);
   }
 
-  /**
-   * Splits `count` tasks over the domains: free slots of the own domain first, then of others; what
-   * is left waits in the domain with the shortest queue.
-   */
-  split(
-    count: number,
-    resources: Resources,
-    domains: readonly string[],
-    spill: boolean,
-    nowMs: number,
-  ): readonly Portion[] {
-    const others = domains.filter(
-      (domain) => domain !== this.#ownDomain && this.couldRun(domain, resources, nowMs),
-    );
-    if (!spill || others.length === 0) return [{ domain: this.#ownDomain, count }];
-    const portions = new Map<string, number>();
-    const ownFits =
-      !this.#fresh(this.#ownDomain, nowMs) || this.couldRun(this.#ownDomain, resources, nowMs);
-    let left = count;
-    const take = (domain: string, wanted: number) => {
-      const taken = Math.min(left, wanted);
-      if (taken > 0) portions.set(domain, (portions.get(domain) ?? 0) + taken);
-      left -= taken;
-    };
-    if (ownFits) take(this.#ownDomain, this.freeSlots(this.#ownDomain, nowMs));
-    this.#byFreeSlots(others, nowMs).forEach((domain) => {
-      take(domain, this.freeSlots(domain, nowMs));
-    });
-    take(this.#shortestQueue(ownFits, others, nowMs), left);
-    return [...portions].map(([domain, portion]) => ({ domain, count: portion }));
+  /** Splits the tasks of a job over the domains that could run them, the emptiest first. */
+  split(work: Work, domains: readonly string[], spill: boolean, nowMs: number): readonly Portion[] {
+    const candidates = spill ? this.#candidates(work, domains, nowMs) : [];
+    const [first, ...others] = candidates.map((domain) => ({
+      domain,
+      level: this.#level(domain, work.team, nowMs),
+      step: 1 / Math.max(1, this.#fresh(domain, nowMs)?.summary.capacitySlots ?? 1),
+      count: 0,
+    }));
+    if (!first || others.length === 0) {
+      return [{ domain: first?.domain ?? this.#ownDomain, count: work.count }];
+    }
+    for (let task = 0; task < work.count; task += 1) {
+      const lowest = others.reduce((low, next) => (next.level < low.level ? next : low), first);
+      lowest.count += 1;
+      lowest.level += lowest.step;
+    }
+    return [first, ...others]
+      .filter(({ count }) => count > 0)
+      .map(({ domain, count }) => ({ domain, count }));
   }
 
-  #byFreeSlots(domains: readonly string[], nowMs: number): readonly string[] {
-    return [...domains].sort((a, b) => this.freeSlots(b, nowMs) - this.freeSlots(a, nowMs));
+  /** How many of a team's waiting tasks should move from one domain to another. */
+  movable(team: string, from: string, to: string, nowMs: number): number {
+    const target = this.#fresh(to, nowMs);
+    if (!target) return 0;
+    const gain = this.#level(from, team, nowMs) - this.#level(to, team, nowMs);
+    return gain > MOVE_ADVANTAGE ? this.freeSlots(to, nowMs) : 0;
   }
 
-  #shortestQueue(ownFits: boolean, others: readonly string[], nowMs: number): string {
-    const [shortest = this.#ownDomain] = [...others].sort(
-      (a, b) => this.waitMs(a, nowMs) - this.waitMs(b, nowMs),
-    );
-    if (!ownFits) return shortest;
-    const ownWaitMs = this.waitMs(this.#ownDomain, nowMs);
-    const isShorter = this.waitMs(shortest, nowMs) + WAIT_ADVANTAGE_MS < ownWaitMs;
-    return isShorter && Number.isFinite(ownWaitMs) ? shortest : this.#ownDomain;
+  /** Domains that could run the work, the own one first; it stands in while nothing is known. */
+  #candidates(work: Work, domains: readonly string[], nowMs: number): readonly string[] {
+    const able = domains.filter((domain) => this.couldRun(domain, work.resources, nowMs));
+    const own = able.filter((domain) => domain === this.#ownDomain);
+    return [...own, ...able.filter((domain) => domain !== this.#ownDomain)];
+  }
+
+  /** Tasks of the team that wait, less free slots, per slot of the domain. */
+  #level(domain: string, team: string, nowMs: number): number {
+    const load = this.#fresh(domain, nowMs);
+    if (!load) return Infinity;
+    const { summary, askedSlots } = load;
+    const queued = summary.teams.find((entry) => entry.team === team)?.queuedTasks ?? 0;
+    const isOwn = domain === this.#ownDomain;
+    const usable = isOwn ? summary.freeSlots : summary.freeSlots * FOREIGN_FRACTION;
+    const level = (queued + askedSlots - usable) / Math.max(1, summary.capacitySlots);
+    return isOwn ? level - OWN_PREFERENCE : level;
   }
 
   #fresh(domain: string, nowMs: number): Load | null {
--- a/src/core/fairness.ts
+++ b/src/core/fairness.ts
@@ -46,6 +46,11 @@
     this.#teams = configuration.teams;
   }
 
+  /** Names of all teams of the configuration. */
+  teams(): readonly string[] {
+    return [...this.#teams.keys()];
+  }
+
   policy(team: string): TeamPolicy | undefined {
     return this.#teams.get(team);
   }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -38,6 +38,8 @@
   readonly jobTasks: number;
   /** True when a task of the job has already started; such a request is never refused by admission. */
   readonly begun: boolean;
+  /** Time since the job arrived, so that a moved request keeps its place by age. */
+  readonly waitedMs: number;
 }
 
 /** One granted slot. */
@@ -93,6 +95,13 @@
   readonly claims: readonly Claim[];
 }
 
+/** Load of one team in a domain. */
+export interface TeamLoad {
+  readonly team: string;
+  readonly queuedTasks: number;
+  readonly usedSlots: number;
+}
+
 /** Load of one domain as its scheduler sees it. */
 export interface LoadSummary {
   readonly type: 'loadSummary';
@@ -104,6 +113,8 @@
   readonly waitMs: number;
   /** The largest single worker of the domain, for the refusal of impossible jobs. */
   readonly largest: Resources;
+  /** Teams with waiting or running tasks. */
+  readonly teams: readonly TeamLoad[];
 }
 
 /** State of a member as gossip carries it. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -21,6 +21,7 @@
   type SlotClaims,
   type SlotRelease,
   type SlotRequest,
+  type TeamLoad,
 } from './messages';
 import type { CoreOptions } from './options';
 import type { Outbox } from './outbox';
@@ -166,8 +167,9 @@
     const idealMs = this.#options.guards.learnedRunTimes
       ? this.#estimates.longestMs(leaf, message.jobTasks)
       : 0;
-    const dueAtMs = nowMs + idealMs;
-    const request = { host, requestId, leaf, resources, arrivedAtMs: nowMs, dueAtMs, begun, count };
+    const arrivedAtMs = nowMs - message.waitedMs;
+    const dueAtMs = arrivedAtMs + idealMs;
+    const request = { host, requestId, leaf, resources, arrivedAtMs, dueAtMs, begun, count };
     this.#queues.add(request, team, kind);
     this.#grantAll(nowMs);
   }
@@ -273,9 +275,21 @@
       queuedTasks,
       waitMs: capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0,
       largest: this.#workers.largest(),
+      teams: this.#teamLoads(),
     };
   }
 
+  #teamLoads(): readonly TeamLoad[] {
+    return this.#shares
+      .teams()
+      .map((team) => ({
+        team,
+        queuedTasks: this.#queues.tasksOfTeam(team),
+        usedSlots: this.#shares.usedByTeam(team),
+      }))
+      .filter(({ queuedTasks, usedSlots }) => queuedTasks + usedSlots > 0);
+  }
+
   #queuedWorkMs(): number {
     return [...this.#queues.leaves()].reduce(
       (sum, { tasks, leaf }) => sum + tasks * this.#estimates.meanMs(leaf),
--- a/src/core/slotRequester.ts
+++ b/src/core/slotRequester.ts
@@ -88,11 +88,12 @@
 
   /** Requests slots for `count` queued tasks of a submission. */
   place(submission: Submission, count: number, nowMs: number): void {
+    const { team, resources } = submission.job;
+    const { spill } = this.#options.guards;
     const portions = this.#loads.split(
-      count,
-      submission.job.resources,
+      { team, count, resources },
       this.#roles.domains(),
-      this.#options.guards.spill,
+      spill,
       nowMs,
     );
     portions.forEach((portion) => this.#request(submission, portion, nowMs));
@@ -235,6 +236,7 @@
       deadlineMs: Math.max(0, submission.deadlineAtMs - nowMs),
       jobTasks: job.tasks.length,
       begun: submission.begun,
+      waitedMs: nowMs - submission.arrivedAtMs,
     });
   }
 
@@ -268,7 +270,8 @@
     const { submission } = request;
     if (domain === request.domain || request.waiting === 0) return;
     if (!this.#loads.couldRun(domain, submission.job.resources, nowMs)) return;
-    const count = Math.min(request.waiting, this.#loads.freeSlots(domain, nowMs));
+    const movable = this.#loads.movable(submission.job.team, request.domain, domain, nowMs);
+    const count = Math.min(request.waiting, movable);
     if (count === 0) return;
     this.#outbox.count('requests.moved', count);
     this.#cancel(request, count);
--- a/src/peers/messageCodec.ts
+++ b/src/peers/messageCodec.ts
@@ -61,6 +61,7 @@
     deadlineMs: quantity(wire.deadlineMs ?? 0, 'deadlineMs'),
     jobTasks: integer(wire.jobTasks ?? 0, 'jobTasks'),
     begun: wire.begun ?? false,
+    waitedMs: quantity(wire.waitedMs ?? 0, 'waitedMs'),
   }),
   slotGrant: (wire) => ({
     type: 'slotGrant',
@@ -106,6 +107,11 @@
     queuedTasks: quantity(wire.queuedTasks ?? 0, 'queuedTasks'),
     waitMs: quantity(wire.waitMs ?? 0, 'waitMs'),
     largest: resourcesOf(wire.largest),
+    teams: (wire.teams ?? []).map((load) => ({
+      team: name(load.team, 'team'),
+      queuedTasks: quantity(load.queuedTasks ?? 0, 'queuedTasks'),
+      usedSlots: quantity(load.usedSlots ?? 0, 'usedSlots'),
+    })),
   }),
   ping: (wire) => ({
     type: 'ping',
@@ -127,6 +133,7 @@
   configurationPull: (wire) => ({
     type: 'configurationPull',
     generation: integer(wire.generation ?? 0, 'generation'),
+    ...(wire.publicationId ? { publicationId: wire.publicationId } : {}),
   }),
   configurationPush: (wire) => ({
     type: 'configurationPush',
--- a/test/core/scheduler.test.ts
+++ b/test/core/scheduler.test.ts
@@ -17,6 +17,7 @@
     deadlineMs: 60_000,
     jobTasks: count,
     begun: false,
+    waitedMs: 0,
   };
 }
 
