Make decision lines and counters cheaper

Cause: a line per decision and a counter per event are on the hot path of a dispatch. Change: decision lines are built by JSON.stringify and written in chunks of 8 KiB or every 100 ms; counters are summed in the process by name and tags.

--- a/src/observe/decisionLog.ts
+++ b/src/observe/decisionLog.ts
@@ -2,7 +2,6 @@
  * One log line per routing or placement decision. A setting samples them; what is left out costs one
  * random number.
  */
-import type { Logger } from 'pino';
 import type { RandomSource } from '../core/clock';
 import type { Decision, DecisionLog } from './observer';
 import type { PinoLog } from './pinoLog';
@@ -11,14 +10,14 @@
 
 /** Writes the given fraction of the decisions: 1 is all, 0 is none. */
 export class SampledDecisionLog implements DecisionLog {
-  readonly #logger: Logger;
+  readonly #log: PinoLog;
 
   readonly #fraction: number;
 
   readonly #random: RandomSource;
 
   constructor(log: PinoLog, fraction = 1, random = RANDOM) {
-    this.#logger = log.alwaysOn();
+    this.#log = log;
     this.#fraction = fraction;
     this.#random = random;
   }
@@ -26,6 +25,6 @@
   /** Writes `reason` and all fields of the decision into one line. */
   record({ decision, reason, fields }: Decision): void {
     if (this.#fraction < 1 && this.#random.next() >= this.#fraction) return;
-    this.#logger.info({ decision, reason, ...fields });
+    this.#log.writeLine({ decision, reason, ...fields });
   }
 }
--- a/src/observe/pinoLog.ts
+++ b/src/observe/pinoLog.ts
@@ -9,6 +9,10 @@
 /** Bytes of lines that may wait for the destination: a fraction of the memory of a small host. */
 const BUFFER_LIMIT_BYTES = 16 * 1024 * 1024;
 
+/** Lines are written in chunks of this size or after this time, to save system calls. */
+const CHUNK_BYTES = 8192;
+const FLUSH_PERIOD_MS = 100;
+
 /** A destination that does not take the last lines within this time is given up. */
 const FLUSH_LIMIT_MS = 2000;
 
@@ -43,6 +47,9 @@
 
   readonly #logger: Logger;
 
+  /** JSON members that are in every line, each preceded by a comma. */
+  readonly #base: string;
+
   #lost = 0;
 
   /** The reader of a pipe has gone; pino then turns the destination's methods off. */
@@ -54,6 +61,8 @@
     this.#destination = destination({
       dest: options.fd ?? STDOUT_FD,
       sync: false,
+      minLength: CHUNK_BYTES,
+      periodicFlush: FLUSH_PERIOD_MS,
       maxLength: BUFFER_LIMIT_BYTES,
     });
     this.#destination.on('error', (error: NodeJS.ErrnoException) => {
@@ -63,6 +72,8 @@
     this.#destination.on('drop', () => {
       this.#lost += 1;
     });
+    const base = JSON.stringify(options.base ?? {}).slice(1, -1);
+    this.#base = base === '' ? '' : `,${base}`;
     this.#logger = createLogger(options, { write: (line) => this.#write(line) });
   }
 
@@ -82,9 +93,19 @@
     this.#logger.error(fields, message);
   }
 
-  /** A logger for the same destination that writes `info` lines whatever the level of this log. */
-  alwaysOn(): Logger {
-    return this.#logger.child({}, { level: 'info' });
+  /**
+   * Writes one `info` line with the given fields, whatever the level of this log. For lines of the
+   * hot path: JSON.stringify on plain values takes about half the time of pino's serialization.
+   */
+  writeLine(fields: LogFields): void {
+    const time = `{"level":"info","timeMs":${Date.now()}${this.#base}`;
+    try {
+      const members = JSON.stringify(fields).slice(1);
+      this.#write(members === '}' ? `${time}}\n` : `${time},${members}\n`);
+    } catch {
+      // Pino serializes values that JSON.stringify refuses, such as circular ones.
+      this.#logger.child({}, { level: 'info' }).info(fields);
+    }
   }
 
   /** Write errors of the destination and lines that it did not take. */
--- a/src/observe/statsdMetrics.ts
+++ b/src/observe/statsdMetrics.ts
@@ -1,8 +1,9 @@
 /**
- * Metrics over hot-shots: StatsD lines over UDP. Counters and gauges are combined in the process and
- * all lines are buffered. Errors are counted and never reach the caller.
+ * Metrics over hot-shots: StatsD lines over UDP. Counters are summed in the process and all lines
+ * are buffered. Errors are counted and never reach the caller.
  */
 import { StatsD } from 'hot-shots';
+import { Counters } from './counters';
 import type { Metrics } from './observer';
 
 /** Keeps a datagram within one Ethernet frame, with IPv6 and UDP headers. */
@@ -26,6 +27,10 @@
 export class StatsdMetrics implements Metrics {
   readonly #client: StatsD;
 
+  readonly #counters = new Counters();
+
+  readonly #timer: NodeJS.Timeout;
+
   #errors = 0;
 
   #closing: Promise<void> | null = null;
@@ -39,7 +44,6 @@
       globalTags: { ...options.tags },
       maxBufferSize: DATAGRAM_BYTES,
       bufferFlushInterval: FLUSH_MS,
-      aggregation: { flushInterval: FLUSH_MS },
       closingFlushInterval: CLOSE_POLL_MS,
       // The environment and the container of the process must not change what is sent.
       datadog: false,
@@ -48,10 +52,12 @@
         this.#errors += 1;
       },
     });
+    this.#timer = setInterval(() => this.#flushCounters(), FLUSH_MS);
+    this.#timer.unref();
   }
 
   count(name: string, value: number, tags: Tags = {}): void {
-    if (this.#closing === null) this.#client.increment(name, value, tags);
+    if (this.#closing === null) this.#counters.add(name, value, tags);
   }
 
   gauge(name: string, value: number, tags: Tags = {}): void {
@@ -69,10 +75,20 @@
 
   /** Sends what is buffered and closes the socket; later metrics are ignored. It never rejects. */
   close(): Promise<void> {
-    this.#closing ??= this.#closeClient(true);
+    if (this.#closing === null) {
+      clearInterval(this.#timer);
+      this.#flushCounters();
+      this.#closing = this.#closeClient(true);
+    }
     return this.#closing;
   }
 
+  #flushCounters(): void {
+    this.#counters.take().forEach(({ name, value, tags }) => {
+      this.#client.increment(name, value, tags);
+    });
+  }
+
   /** The library leaves the socket open when the last flush fails; a second call closes it. */
   async #closeClient(again: boolean): Promise<void> {
     const error = await new Promise<Error | undefined>((resolve) => {
--- a/test/observe/log.test.ts
+++ b/test/observe/log.test.ts
@@ -63,18 +63,31 @@
 
   it('writes all decisions by default, whatever the level of the log', () =>
     withLogFile(async (path, fd) => {
-      const log = new PinoLog({ level: 'error', fd });
+      const log = new PinoLog({ level: 'error', fd, base: { host: 'h1' } });
       const decisions = new SampledDecisionLog(log);
       decisions.record(decision);
       decisions.record(decision);
       await log.close();
       const lines = await linesOf(path);
-      expect(lines.map((line) => [line.decision, line.reason, line.workerId])).toEqual([
-        ['place', 'mostFreeSlots', 'w1'],
-        ['place', 'mostFreeSlots', 'w1'],
+      expect(lines.map((line) => [line.level, line.host, line.reason, line.workerId])).toEqual([
+        ['info', 'h1', 'mostFreeSlots', 'w1'],
+        ['info', 'h1', 'mostFreeSlots', 'w1'],
       ]);
     }));
 
+  it('writes fields that JSON has no value for, as pino does', () =>
+    withLogFile(async (path, fd) => {
+      const log = new PinoLog({ level: 'error', fd, base: { host: 'h1' } });
+      const circular: Line = { big: 1n };
+      circular.self = circular;
+      new SampledDecisionLog(log).record({ ...decision, fields: circular });
+      log.writeLine({});
+      await log.close();
+      const [line, empty] = await linesOf(path);
+      expect(empty?.host).toEqual('h1');
+      expect([line?.host, line?.reason, line?.big]).toEqual(['h1', 'mostFreeSlots', 1]);
+    }));
+
   it('writes the fraction that the setting asks for, and none at 0', () =>
     withLogFile(async (path, fd) => {
       const log = new PinoLog({ level: 'info', fd });
--- a/test/observe/metrics.test.ts
+++ b/test/observe/metrics.test.ts
@@ -27,6 +27,7 @@
     const metrics = new StatsdMetrics({ host: HOST, port, prefix: 'desk', tags: { host: 'h1' } });
     metrics.count('starts', 2, { team: 'a' });
     metrics.count('starts', 3, { team: 'a' });
+    metrics.count('starts', 1, { team: 'b' });
     metrics.gauge('queued', 7);
     metrics.timing('answer', 12);
     await Promise.all([metrics.close(), metrics.close()]);
@@ -34,6 +35,7 @@
     expect(message.toString().trim().split('\n').sort()).toEqual([
       'desk.answer:12|ms|#host:h1',
       'desk.queued:7|g|#host:h1',
+      'desk.starts:1|c|#host:h1,team:b',
       'desk.starts:5|c|#host:h1,team:a',
     ]);
     metrics.count('late', 1);
