Report changes that a store with a lost tail lets others override

Cause: fuzzing with faults in the middle of a publication showed that a write over the same base can be accepted after the store lost another one; a late write of a call under way during the loss did the same in the stand-in. Change: the replica reports each overridden record it meets, a publication does not go below a generation it has read, and calls under way at a roll-back of the stand-ins have no effect. Conclusion: an accepted change stays, or operators are told that it does not.

--- a/src/configuration/publish.ts
+++ b/src/configuration/publish.ts
@@ -54,12 +54,16 @@
 
   readonly #candidate: Candidate;
 
+  /** Highest generation seen by this publication; the store may lose what it has shown. */
+  #newestSeen: number;
+
   /** True once a write of the candidate may have reached the store. */
   #maybeWritten = false;
 
   constructor(context: PublishContext, candidate: Candidate) {
     this.#context = context;
     this.#candidate = candidate;
+    this.#newestSeen = Math.max(context.newestHeard, candidate.basedOnGeneration ?? 0);
   }
 
   async run(): Promise<PublishOutcome> {
@@ -100,14 +104,16 @@
     const accepted = generationOf(base.record, publicationId);
     if (accepted !== null) return published(publicationId, accepted, base.record);
     const generation = base.record?.generation ?? 0;
-    const expected = basedOnGeneration ?? generation;
-    const newest = Math.max(this.#context.newestHeard, expected);
+    const newest = this.#newestSeen;
     if (generation < newest) {
       return unavailable(
         `generation ${newest} is known, but this host and the store do not have it`,
       );
     }
-    if (base.record !== null && generation > expected) return lostRace(base.record);
+    this.#newestSeen = generation;
+    if (base.record !== null && generation > (basedOnGeneration ?? generation)) {
+      return lostRace(base.record);
+    }
     const next = nextRecord(base.record, this.#candidate);
     const bytes = Buffer.byteLength(encodeRecord(next));
     return bytes > RECORD_BYTES_LIMIT ? this.#tooLarge(bytes) : this.#write(base, next, attempts);
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -10,7 +10,6 @@
 import type { Entry } from '../store/store';
 import type { Configuration } from './policy';
 import {
-  HISTORY_LENGTH,
   decodeRecord,
   encodeRecord,
   fromPush,
@@ -66,7 +65,7 @@
 }
 
 /**
- * The record in force is replaced by one whose publisher did not know it: the store lost it, and
+ * A published record gives way to one whose publisher did not know it: the store lost it, and
  * another was published meanwhile. Operators must publish the overridden change again.
  */
 export interface ReportConflict {
@@ -78,9 +77,11 @@
 export type ReplicaAction =
   PutInForce | PushToDomain | SendToPeer | WriteBack | RejectRecord | ReportConflict;
 
-function conflicts(old: ConfigurationRecord | null, next: ConfigurationRecord): boolean {
-  if (old === null || next.generation - old.generation >= HISTORY_LENGTH) return false;
-  return !next.history.includes(old.publicationId);
+/** True if the history of the newer record shows that it was not published over the older one. */
+function conflicts(older: ConfigurationRecord, newer: ConfigurationRecord): boolean {
+  const age = newer.generation - older.generation;
+  const id = newer.history[newer.history.length - 1 - age];
+  return id !== undefined && id !== older.publicationId;
 }
 
 function writeBack(record: ConfigurationRecord, entry: Entry | null): WriteBack {
@@ -112,6 +113,8 @@
 
   #rejectedGeneration = 0;
 
+  #overriddenId = '';
+
   constructor(random: RandomSource) {
     this.#random = random;
   }
@@ -147,8 +150,10 @@
     if (decoded?.err) return this.#reject('store', String(entry?.modRevision), decoded.val, []);
     const stored = decoded?.val ?? null;
     if (stored !== null && isNewer(stored, this.#inForce)) return this.#accept('store', stored);
-    if (this.#inForce === null || !isNewer(this.#inForce, stored)) return [];
-    return this.#relay && mayWriteBack ? [writeBack(this.#inForce, entry)] : [];
+    const own = this.#inForce;
+    if (own === null || !isNewer(own, stored)) return [];
+    const actions: ReplicaAction[] = stored === null ? [] : [...this.#reportConflict(stored, own)];
+    return this.#relay && mayWriteBack ? [...actions, writeBack(own, entry)] : actions;
   }
 
   /** Takes a record that this host has read or written while publishing. */
@@ -160,8 +165,9 @@
     const decoded = fromPush(push);
     if (decoded.err) return this.#reject(from, push.publicationId, decoded.val, []);
     const record = decoded.val;
-    if (this.#inForce !== null && isNewer(this.#inForce, record)) return this.#answer(from);
-    return this.#accept(from, record);
+    const own = this.#inForce;
+    if (own === null || !isNewer(own, record)) return this.#accept(from, record);
+    return [...this.#reportConflict(record, own), ...this.#answer(from)];
   }
 
   onPull(from: string, pull: ConfigurationPull): readonly ReplicaAction[] {
@@ -193,7 +199,7 @@
 
   #accept(source: string, record: ConfigurationRecord): readonly ReplicaAction[] {
     const old = this.#inForce;
-    if (!isNewer(record, old)) return [];
+    if (old !== null && !isNewer(record, old)) return this.#reportConflict(record, old);
     const configuration: Result<Configuration, readonly Finding[]> = toConfiguration(record);
     if (configuration.err) {
       this.#rejectedGeneration = record.generation;
@@ -205,10 +211,17 @@
       { type: 'putInForce', record, configuration: configuration.val },
     ];
     if (this.#relay) actions.push({ type: 'pushToDomain', message: toPush(record) });
-    if (old !== null && conflicts(old, record)) {
-      actions.push({ type: 'reportConflict', overridden: old, by: record });
-    }
-    return actions;
+    return old === null ? actions : [...actions, ...this.#reportConflict(old, record)];
+  }
+
+  /** Reports each overridden record once. */
+  #reportConflict(
+    overridden: ConfigurationRecord,
+    by: ConfigurationRecord,
+  ): readonly ReportConflict[] {
+    if (!conflicts(overridden, by) || overridden.publicationId === this.#overriddenId) return [];
+    this.#overriddenId = overridden.publicationId;
+    return [{ type: 'reportConflict', overridden, by }];
   }
 
   /** Reports each invalid record once, although reads repeat it every few seconds. */
--- a/src/standins/storeMemory.ts
+++ b/src/standins/storeMemory.ts
@@ -161,12 +161,14 @@
     this.faults.count(name);
     if (this.faults.isCut) return fail(StoreErrorCode.unavailable, 'not connected');
     if (this.faults.refuses) return fail(StoreErrorCode.refused, 'too many requests');
+    const { restarts } = this.state;
+    const apply = () => (this.state.restarts === restarts ? effect() : UNCLEAR);
     await this.#wait(this.faults.delayMs);
     if (this.faults.isFrozen) {
-      this.faults.thawed.then(effect);
+      this.faults.thawed.then(apply);
       return UNCLEAR;
     }
-    const result = effect();
+    const result = apply();
     await this.#wait(0);
     return this.faults.takeLostAnswer() ? UNCLEAR : result;
   }
--- a/src/standins/storeServer.ts
+++ b/src/standins/storeServer.ts
@@ -147,6 +147,7 @@
     if (this.faults.refuses) {
       throw new Refusal(status.RESOURCE_EXHAUSTED, 'etcdserver: too many requests');
     }
+    const { restarts } = this.state;
     const { delayMs } = this.faults;
     if (delayMs > 0) {
       await new Promise((resolve) => {
@@ -154,6 +155,7 @@
       });
     }
     await this.faults.thawed;
+    if (this.state.restarts !== restarts) throw new Refusal(status.UNAVAILABLE, 'restarted');
     const response = effect();
     if (this.faults.takeLostAnswer()) throw new Refusal(status.UNAVAILABLE, 'answer lost');
     return response;
--- a/src/standins/storeState.ts
+++ b/src/standins/storeState.ts
@@ -54,6 +54,8 @@
 
   #readRevision: number | null = null;
 
+  #restarts = 0;
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -63,6 +65,11 @@
     return this.#revision;
   }
 
+  /** Number of roll-backs; a call that was under way during one has no effect. */
+  get restarts(): number {
+    return this.#restarts;
+  }
+
   /** Number of watches that wait for changes. */
   get watchers(): number {
     return this.#watchers.size;
@@ -151,6 +158,7 @@
 
   /** Forgets the changes after `revision`, as a store does that lost its most recent writes. */
   rollBack(revision: number): void {
+    this.#restarts += 1;
     this.#log = this.#log.filter((change) => change.revision <= revision);
     this.#entries = entriesOf(this.#log);
     this.#revision = Math.min(this.#revision, Math.max(1, revision));
--- a/test/configuration/fuzz.test.ts
+++ b/test/configuration/fuzz.test.ts
@@ -21,10 +21,49 @@
   return Object.assign(command, { toString: () => name });
 }
 
-/** `careful` keeps to what docs/design.md grants: a lost record is in force on some host. */
-function commands(careful: boolean): fc.Arbitrary<Command> {
+/** What a sequence may do. */
+interface Limits {
+  /** Publishers have heard from all peers, and the store loses no record that no host has. */
+  readonly informed: boolean;
+  /** The store may lose writes between the read and the write of one publication. */
+  readonly rollBackAnyTime: boolean;
+  readonly restarts: boolean;
+}
+
+function rollBack({ informed }: Limits, lost: number): Command {
+  return named(`rollBack(${lost})`, (w) => {
+    const { state } = w.store;
+    if (!informed || w.isHeldElsewhere(null)) state.rollBack(state.revision - lost);
+  });
+}
+
+/** Faults of the store, which happen between calls or in the middle of one. */
+function faults(limits: Limits, midCall: boolean): fc.Arbitrary<Command> {
+  const lost = fc.integer({ min: 1, max: 4 }).map((n) => rollBack(limits, n));
+  const lag = (revisions: number) =>
+    named(`lag(${revisions})`, ({ store: { state } }) => state.readAt(state.revision - revisions));
+  return fc.oneof(
+    ...(midCall && !limits.rollBackAnyTime ? [] : [lost]),
+    fc.nat(3).map(lag),
+    fc.nat(2).map((n) => named(`lose(${n})`, (w) => w.store.faults.loseAnswers(n))),
+    fc.constantFrom(
+      named('freeze', (w) => w.store.faults.freeze()),
+      named('thaw', (w) => w.store.faults.thaw()),
+      named('cut', (w) => w.store.cut()),
+      named('refuse', (w) => w.store.faults.refuse()),
+      named('mend', (w) => w.store.faults.mend()),
+    ),
+  );
+}
+
+function commands(limits: Limits): fc.Arbitrary<Command> {
   const publishOn = (hosts: readonly number[]) =>
-    named(`publish(${hosts})`, (world) => world.publish(hosts, careful));
+    named(`publish(${hosts})`, (world) => world.publish(hosts, limits.informed));
+  const restart = (one: number) =>
+    named(`restart(${one})`, (w) => {
+      if (!limits.informed || w.isHeldElsewhere(one)) w.restart(one);
+    });
+  const step = fc.integer({ min: 1, max: 12 });
   return fc.oneof(
     { weight: 4, arbitrary: host.map((one) => publishOn([one])) },
     { weight: 2, arbitrary: fc.uniqueArray(host, { minLength: 2 }).map(publishOn) },
@@ -42,45 +81,17 @@
         .tuple(index, fc.nat(2))
         .map(([i, times]) => named(`deliver(${i},${times})`, (w) => w.deliver(i, times))),
     },
+    { weight: limits.restarts ? 1 : 0, arbitrary: host.map(restart) },
+    { weight: 4, arbitrary: faults(limits, false) },
     {
-      weight: 1,
-      arbitrary: host.map((one) =>
-        named(`restart(${one})`, (w) => {
-          if (!careful || w.isHeldElsewhere(one)) w.restart(one);
-        }),
-      ),
-    },
-    {
-      weight: 2,
-      arbitrary: fc.integer({ min: 1, max: 4 }).map((lost) =>
-        named(`rollBack(${lost})`, (w) => {
-          const { state } = w.store;
-          if (!careful || w.isHeldElsewhere(null)) state.rollBack(state.revision - lost);
-        }),
-      ),
-    },
-    {
-      weight: 1,
+      weight: 4,
       arbitrary: fc
-        .nat(3)
-        .map((lag) =>
-          named(`lag(${lag})`, ({ store: { state } }) => state.readAt(state.revision - lag)),
+        .tuple(step, faults(limits, true))
+        .map(([steps, fault]) =>
+          named(`plan(${steps},${String(fault)})`, (w) => w.plan(steps, () => fault(w))),
         ),
     },
-    {
-      weight: 1,
-      arbitrary: fc.nat(2).map((n) => named(`lose(${n})`, (w) => w.store.faults.loseAnswers(n))),
-    },
-    {
-      weight: 3,
-      arbitrary: fc.constantFrom(
-        named('freeze', (w) => w.store.faults.freeze()),
-        named('thaw', (w) => w.store.faults.thaw()),
-        named('cut', (w) => w.store.cut()),
-        named('refuse', (w) => w.store.faults.refuse()),
-        named('mend', (w) => w.store.faults.mend()),
-      ),
-    },
+    { weight: 3, arbitrary: fc.constant(named('mend', (w) => w.store.faults.mend())) },
   );
 }
 
@@ -120,8 +131,8 @@
     .map(([id]) => id);
 }
 
-function check(careful: boolean, verify: (world: World) => void): Promise<void> {
-  const sequences = fc.array(commands(careful), { minLength: 5, maxLength: 40, size: 'max' });
+function check(limits: Limits, verify: (world: World) => void): Promise<void> {
+  const sequences = fc.array(commands(limits), { minLength: 5, maxLength: 40, size: 'max' });
   const property = fc.asyncProperty(sequences, fc.nat(), async (sequence, seed) => {
     const world = new World(HOSTS, seed);
     await run(world, sequence);
@@ -131,15 +142,31 @@
   return fc.assert(property, { seed: SEED, numRuns: RUNS });
 }
 
+function expectNoneOf(ids: readonly string[], set: ReadonlySet<string>): void {
+  expect(ids.filter((id) => set.has(id))).toEqual([]);
+}
+
+function lostIds(world: World): readonly string[] {
+  const history = new Set(world.stored?.history);
+  return idsOf(world, 'published').filter((id) => !history.has(id));
+}
+
 describe('configuration under faults', () => {
-  it('keeps every accepted change, and none that was reported as not applied', () =>
-    check(true, (world) => {
-      const history = new Set(world.stored?.history);
-      expect(idsOf(world, 'published').filter((id) => !history.has(id))).toEqual([]);
-      const refused = idsOf(world, 'lostRace', 'unavailable');
-      expect(refused.filter((id) => world.seen.has(id))).toEqual([]);
-    }));
-
-  it('never reverts and ends in agreement, even if publishers do not know what was lost', () =>
-    check(false, () => {}));
+  it('keeps every accepted change, and none that was reported as not applied', () => {
+    const limits = { informed: true, rollBackAnyTime: false, restarts: true };
+    return check(limits, (world) => {
+      expect(lostIds(world)).toEqual([]);
+      expectNoneOf(idsOf(world, 'lostRace', 'unavailable'), world.seen);
+    });
+  });
+
+  it('reports each accepted change that a store with a lost tail lets another override', () => {
+    const limits = { informed: false, rollBackAnyTime: true, restarts: false };
+    return check(limits, (world) => {
+      expect(lostIds(world).filter((id) => !world.overridden.has(id))).toEqual([]);
+    });
+  });
+
+  it('never reverts and ends in agreement, whatever is lost', () =>
+    check({ informed: false, rollBackAnyTime: true, restarts: true }, () => {}));
 });
--- a/test/configuration/publish.test.ts
+++ b/test/configuration/publish.test.ts
@@ -115,6 +115,28 @@
     expect(stored().history).toEqual(['a', 'b']);
   });
 
+  it('does not repeat a change over the newer one that beat it when the answer is lost', async () => {
+    onStep = async (step) => {
+      if (step !== 3) return;
+      await run('b');
+      store.faults.loseAnswers(1);
+    };
+    const outcome = await run('a');
+    expect(outcome.outcome === 'lostRace' && outcome.winner.publicationId).toEqual('b');
+    expect(stored().history).toEqual(['b']);
+  });
+
+  it('does not publish below a record that the store has shown and lost', async () => {
+    await run('y');
+    const { revision } = store.state;
+    await run('z');
+    onStep = (step) => {
+      if (step === 2 + 8) store.state.rollBack(revision);
+    };
+    expect((await run('a')).outcome).toEqual('unavailable');
+    expect(stored().history).toEqual(['y']);
+  });
+
   it('says unknown while the store is frozen, and the id tells later', async () => {
     onStep = (step) => {
       if (step === 3) store.faults.freeze();
--- a/test/configuration/world.ts
+++ b/test/configuration/world.ts
@@ -45,6 +45,9 @@
 
   readonly outcomes = new Map<string, PublishOutcome>();
 
+  /** Ids that were reported to operators as overridden. */
+  readonly overridden = new Set<string>();
+
   /** Ids of all records that were in force on some host. */
   readonly seen = new Set<string>();
 
@@ -58,9 +61,14 @@
 
   #published = 0;
 
+  #planned: readonly { readonly steps: number; readonly fault: () => unknown }[] = [];
+
   constructor(hosts: number, seed: number) {
     this.#random = seeded(seed);
-    const wait = () => hops(Math.floor(this.#random.next() * 4));
+    const wait = async () => {
+      await hops(Math.floor(this.#random.next() * 4));
+      this.#step();
+    };
     this.store = new MemoryStore({ clock: { nowMs: () => this.#nowMs }, wait });
     this.#hosts = Array.from({ length: hosts }, (_, index) => this.#start(index, hosts));
   }
@@ -80,6 +88,11 @@
     await Promise.all(hosts.map((host) => this.#publish(host)));
   }
 
+  /** Brings a fault about in the middle of a later store call; each call has two steps. */
+  plan(steps: number, fault: () => unknown): void {
+    this.#planned = [...this.#planned, { steps, fault }];
+  }
+
   /** Tells a host the generations of all others, as membership does all the time. */
   gossipTo(to: number): void {
     this.#hosts.forEach((host, from) => this.gossip(from, to, host.generation));
@@ -127,11 +140,18 @@
 
   /** Mends the store and runs rounds of all messages until all hosts agree, 30 rounds at most. */
   async settle(): Promise<void> {
+    this.#planned = [];
     this.store.faults.mend();
     this.store.state.readAt(null);
     await this.#settle(30);
   }
 
+  #step(): void {
+    const next = this.#planned.map(({ steps, fault }) => ({ steps: steps - 1, fault }));
+    this.#planned = next.filter(({ steps }) => steps > 0);
+    next.filter(({ steps }) => steps <= 0).forEach(({ fault }) => fault());
+  }
+
   async #settle(rounds: number): Promise<void> {
     if (rounds === 0) return;
     await this.#round();
@@ -182,7 +202,9 @@
 
   async #do(from: number, action: ReplicaAction): Promise<void> {
     if (action.type === 'putInForce') this.seen.add(action.record.publicationId);
-    else if (action.type === 'rejectRecord') expect(action.message).toEqual('');
+    else if (action.type === 'reportConflict') {
+      action.overridden.history.forEach((id) => this.overridden.add(id));
+    } else if (action.type === 'rejectRecord') expect(action.message).toEqual('');
     else if (action.type === 'sendToPeer') this.#send(from, Number(action.hostId), action.message);
     else if (action.type === 'pushToDomain') {
       this.#hosts.forEach((_, to) => this.#send(from, to, action.message));
