--- a/src/peers/peerStream.ts
+++ b/src/peers/peerStream.ts
@@ -8,6 +8,7 @@
 import { wasabiyoke } from './generated/peers';
 import { encodeMessage } from './messageCodec';
 import { OutgoingCall } from './outgoingCall';
+import { PeerClient } from './peerClient';
 import { DropReason, type Traffic } from './traffic';
 import {
   FIRST_BACKOFF_MS,
@@ -29,6 +30,8 @@
 
   readonly #options: ResolvedOptions;
 
+  readonly #client: PeerClient;
+
   readonly #traffic: Traffic;
 
   #queue: PeerMessage[] = [];
@@ -49,6 +52,7 @@
     this.#address = address;
     this.#options = options;
     this.#traffic = traffic;
+    this.#client = new PeerClient(address, options);
   }
 
   /** Time of the last send on the monotonic clock. */
@@ -75,6 +79,7 @@
     }
     this.#closed = true;
     await this.#call?.close(timeoutMs);
+    this.#client.close();
   }
 
   #flush(): void {
@@ -122,10 +127,11 @@
 
   #connect(): OutgoingCall | null {
     if (performance.now() < this.#retryAtMs) return null;
-    this.#call = new OutgoingCall(this.#address, this.#options, {
+    this.#call = new OutgoingCall(this.#client.get(), this.#options.connectTimeoutMs, {
       onAccepted: () => {
         this.#backoffMs = FIRST_BACKOFF_MS;
       },
+      onTimeout: () => this.#client.connectTimedOut(),
       onEnd: (lostMessages) => this.#disconnected(lostMessages),
     });
     return this.#call;
--- a/src/peers/unaryCalls.ts
+++ b/src/peers/unaryCalls.ts
@@ -2,26 +2,25 @@
  * Unary calls to one peer, on a connection apart from its message stream, so that a large job does
  * not delay slot messages. A call yields null when it has no valid answer.
  */
-import { Client, connectivityState, credentials } from '@grpc/grpc-js';
-import { channelOptions, type ResolvedOptions } from './transportOptions';
+import type { Client } from '@grpc/grpc-js';
+import { PeerClient } from './peerClient';
+import type { ResolvedOptions } from './transportOptions';
 
 const sameBytes = (value: Buffer): Buffer => value;
 
 /** Client of one peer. */
 export class UnaryCalls {
-  readonly #address: string;
-
   readonly #options: ResolvedOptions;
 
-  #client: Client | null = null;
+  readonly #client: PeerClient;
 
   #running = 0;
 
   #usedAtMs = performance.now();
 
   constructor(address: string, options: ResolvedOptions) {
-    this.#address = address;
     this.#options = options;
+    this.#client = new PeerClient(address, options);
   }
 
   /** Calls without an answer so far. */
@@ -38,13 +37,8 @@
   async call(path: string, request: Buffer, timeoutMs: number): Promise<Buffer | null> {
     this.#running += 1;
     this.#usedAtMs = performance.now();
-    this.#client ??= new Client(
-      this.#address,
-      credentials.createInsecure(),
-      channelOptions(this.#options),
-    );
     try {
-      return await this.#request(this.#client, path, request, timeoutMs);
+      return await this.#request(this.#client.get(), path, request, timeoutMs);
     } finally {
       this.#running -= 1;
       this.#usedAtMs = performance.now();
@@ -53,8 +47,7 @@
 
   /** Closes the connection; calls in progress are cancelled by the caller's time-out at the latest. */
   close(): void {
-    this.#client?.close();
-    this.#client = null;
+    this.#client.close();
   }
 
   #request(
@@ -79,9 +72,9 @@
       );
       // A peer that accepts connections and never answers must not use up the job's deadline.
       timer = setTimeout(() => {
-        if (client.getChannel().getConnectivityState(false) === connectivityState.READY) return;
+        if (this.#client.ready()) return;
         call.cancel();
-        if (this.#client === client) this.close();
+        this.#client.connectTimedOut();
       }, this.#options.connectTimeoutMs);
     });
   }
