--- a/src/cli/hostCommands.ts
+++ b/src/cli/hostCommands.ts
@@ -46,9 +46,9 @@
   program
     .command('demo')
     .description('run hosts against stand-ins in this process')
-    .option('--hosts <count>', 'entry hosts', countArgument(1), 3)
-    .option('--workers <count>', 'workers', countArgument(1), 6)
-    .option('--seconds <count>', 'duration', countArgument(1), 10)
+    .option('--hosts <count>', 'entry hosts', countArgument(3), 9)
+    .option('--workers <count>', 'workers', countArgument(3), 12)
+    .option('--seconds <count>', 'duration', countArgument(5), 40)
     .action(async (options: DemoOptions) => {
       await context.demo(options, context.terminal);
       context.exit(ExitCode.ok);
--- a/src/host/callerApi.ts
+++ b/src/host/callerApi.ts
@@ -115,6 +115,11 @@
     this.#draining = true;
   }
 
+  /** Breaks all connections; requests in progress get no answer. */
+  abort(): void {
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
   /** Accepts no more connections and resolves when the requests in progress are answered. */
   async close(): Promise<void> {
     const server = this.#server;
--- a/src/host/operatorFacade.ts
+++ b/src/host/operatorFacade.ts
@@ -36,17 +36,22 @@
   readonly nowMs: number;
 }
 
-/** What the facade reads. */
-export interface OperatorFacadeParts {
-  readonly hostId: string;
+/** Who this host is. */
+export interface HostIdentity {
+  readonly id: string;
   readonly incarnation: string;
   readonly service: string;
   readonly region: string;
   readonly domain: string;
+}
+
+/** What the facade reads; the services are looked up when they are needed. */
+export interface OperatorFacadeParts {
+  readonly identity: () => HostIdentity;
   readonly clock: Clock;
-  readonly core: CoreService;
-  readonly configuration: ConfigurationService;
-  readonly peers: PeerTransport;
+  readonly core: () => CoreService;
+  readonly configuration: () => ConfigurationService;
+  readonly peers: () => PeerTransport;
   readonly members: () => readonly Member[];
   readonly schedulerOf: (domain: string) => string | null;
   readonly isRelay: () => boolean;
@@ -122,7 +127,7 @@
   /** What this host tells a peer that asks for its status. */
   peerStatus(): PeerStatus {
     const { core, clock } = this.#parts;
-    return { status: this.#status(), view: core.inspect(), nowMs: clock.nowMs() };
+    return { status: this.#status(), view: core().inspect(), nowMs: clock.nowMs() };
   }
 
   async status(): Promise<HostStatus> {
@@ -142,7 +147,7 @@
   }
 
   async configuration(): Promise<ConfigurationView | null> {
-    return this.#parts.configuration.inForce;
+    return this.#parts.configuration().inForce;
   }
 
   async diffConfiguration(
@@ -150,7 +155,7 @@
   ): Promise<Result<readonly ConfigurationChange[], readonly Finding[]>> {
     const parsed = parseConfiguration('proposed', text);
     if (parsed.err) return Err(parsed.val);
-    const record = this.#parts.configuration.inForce;
+    const record = this.#parts.configuration().inForce;
     const inForce = record === null ? null : toConfiguration(record);
     const current = inForce?.ok ? inForce.val : null;
     const proposed = { generation: 0, publicationId: '', teams: parsed.val };
@@ -159,7 +164,7 @@
 
   async publishConfiguration(request: PublishRequest): Promise<PublishOutcome> {
     const { file, text, publishedBy, expectedGeneration } = request;
-    const outcome = await this.#parts.configuration.publish({
+    const outcome = await this.#parts.configuration().publish({
       file,
       text,
       publishedBy,
@@ -195,24 +200,25 @@
   }
 
   async #statusOf(member: Member): Promise<PeerStatus | null> {
-    if (member.hostId === this.#parts.hostId) return this.peerStatus();
+    if (member.hostId === this.#parts.identity().id) return this.peerStatus();
     if (member.state === MemberState.dead) return null;
-    return (await this.#parts.peers.status(member.peerAddress)) as PeerStatus | null;
+    return (await this.#parts.peers().status(member.peerAddress)) as PeerStatus | null;
   }
 
   #status(): HostStatus {
-    const { hostId, incarnation, service, region, domain, clock } = this.#parts;
+    const { identity, clock, core, configuration, schedulerOf, isRelay } = this.#parts;
+    const { id, incarnation, service, region, domain } = identity();
     return {
-      hostId,
+      hostId: id,
       incarnation,
       service,
       region,
       domain,
       state: this.#draining ? 'draining' : 'serving',
-      schedulerId: this.#parts.schedulerOf(domain),
-      relay: this.#parts.isRelay(),
-      generation: this.#parts.configuration.inForce?.generation ?? 0,
-      pendingSubmissions: this.#parts.core.pending(),
+      schedulerId: schedulerOf(domain),
+      relay: isRelay(),
+      generation: configuration().inForce?.generation ?? 0,
+      pendingSubmissions: core().pending(),
       uptimeMs: Math.round(clock.nowMs() - this.#startedAtMs),
     };
   }
--- /dev/null
+++ b/src/standins/deployment.ts
@@ -0,0 +1,187 @@
+/**
+ * A whole deployment in one process, over real sockets on loopback: entry hosts in several failure
+ * domains with stand-ins for the store, the host list and the workers. The demo and the system tests
+ * use it; faults are switched on at the stand-ins.
+ */
+import { createServer, type AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { EntryHost } from '../host/entryHost';
+import type { HostOutputs } from '../host/outputs';
+import { checkSettings, type Settings } from '../settings';
+import { HostListServer } from './hostListServer';
+import { StoreServer } from './storeServer';
+import { WorkerServer } from './workerServer';
+
+const WORKERS_PER_RACK = 8;
+
+/** Sizes and names of a deployment. */
+export interface DeploymentShape {
+  readonly service: string;
+  readonly region: string;
+  readonly domains: readonly string[];
+  readonly hostsPerDomain: number;
+  readonly workersPerDomain: number;
+  readonly slots: number;
+  readonly memoryMb: number;
+}
+
+/** An entry host with what is needed to start it again. */
+export interface DeployedHost {
+  readonly settings: Settings;
+  host: EntryHost | null;
+}
+
+/** Settings that differ from the defaults, as lines of their INI section. */
+export type SettingsLines = Readonly<Record<string, readonly string[]>>;
+
+/** Takes ports that are free now, all different. */
+async function freePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map((server) => {
+      server.close();
+      return once(server, 'close');
+    }),
+  );
+  return ports;
+}
+
+function sectionText(name: string, lines: readonly string[]): string {
+  return [`[${name}]`, ...lines].join('\n');
+}
+
+/** Running deployment; `close` ends everything it started. */
+export class Deployment {
+  readonly shape: DeploymentShape;
+
+  readonly store = new StoreServer({ nowMs: () => performance.now() });
+
+  readonly hostList = new HostListServer();
+
+  readonly workers: readonly WorkerServer[];
+
+  readonly hosts: DeployedHost[] = [];
+
+  readonly #createOutputs: (settings: Settings) => HostOutputs;
+
+  constructor(shape: DeploymentShape, createHostOutputs: (settings: Settings) => HostOutputs) {
+    this.shape = shape;
+    this.#createOutputs = createHostOutputs;
+    this.workers = shape.domains.flatMap((domain) =>
+      Array.from(
+        { length: shape.workersPerDomain },
+        (_, index) =>
+          new WorkerServer({
+            id: `${domain}-w${index + 1}`,
+            domain,
+            rack: `${domain}-r${Math.floor(index / WORKERS_PER_RACK) + 1}`,
+            slots: shape.slots,
+            memoryMb: shape.memoryMb,
+          }),
+      ),
+    );
+  }
+
+  /** Starts the stand-ins, then all hosts. */
+  async open(extra: SettingsLines = {}): Promise<void> {
+    await Promise.all([
+      this.store.start(),
+      this.hostList.open(),
+      ...this.workers.map((worker) => worker.open()),
+    ]);
+    this.showHostList();
+    await this.#planHosts(extra);
+    await Promise.all(this.hosts.map((_, index) => this.startHost(index)));
+  }
+
+  /** Shows the workers in the host list as they are now. */
+  showHostList(): void {
+    this.hostList.set(this.workers.map((worker) => worker.hostListEntry));
+  }
+
+  async startHost(index: number): Promise<void> {
+    const deployed = this.#deployed(index);
+    const host = new EntryHost(deployed.settings, this.#createOutputs(deployed.settings));
+    await host.open();
+    deployed.host = host;
+  }
+
+  /** The host is gone at once: its connections break and nobody gets an answer. */
+  async killHost(index: number): Promise<void> {
+    const deployed = this.#deployed(index);
+    const { host } = deployed;
+    deployed.host = null;
+    await host?.abort();
+  }
+
+  /** Graceful shutdown; resolves when the host has closed. */
+  async drainHost(index: number): Promise<void> {
+    const deployed = this.#deployed(index);
+    await deployed.host?.drain();
+    deployed.host = null;
+  }
+
+  callerAddresses(): readonly string[] {
+    return this.hosts.map(({ settings }) => settings.listen.callerAddress);
+  }
+
+  operatorAddresses(): readonly string[] {
+    return this.hosts.map(({ settings }) => settings.listen.operatorAddress);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.hosts.map(({ host }) => host?.abort()));
+    await Promise.all(this.workers.map((worker) => worker.close()));
+    await this.hostList.close();
+    await this.store.close();
+  }
+
+  #deployed(index: number): DeployedHost {
+    const deployed = this.hosts[index];
+    if (!deployed) throw new RangeError(`no host ${index}`);
+    return deployed;
+  }
+
+  async #planHosts(extra: SettingsLines): Promise<void> {
+    const { domains, hostsPerDomain } = this.shape;
+    const ports = await freePorts(domains.length * hostsPerDomain * 3);
+    const peers = ports.filter((_, index) => index % 3 === 2).map((port) => `127.0.0.1:${port}`);
+    domains.forEach((domain, domainIndex) => {
+      for (let number = 1; number <= hostsPerDomain; number += 1) {
+        const first = (domainIndex * hostsPerDomain + number - 1) * 3;
+        const addresses = ports.slice(first, first + 3).map((port) => `127.0.0.1:${port}`);
+        const id = `${domain}-${number}`;
+        const text = this.#settingsText(id, domain, addresses, peers, extra);
+        this.hosts.push({ settings: checkSettings(id, text).unwrap(), host: null });
+      }
+    });
+  }
+
+  #settingsText(
+    id: string,
+    domain: string,
+    [caller, operator, peer]: readonly string[],
+    peers: readonly string[],
+    extra: SettingsLines,
+  ): string {
+    const { service, region } = this.shape;
+    const seeds = peers.filter((address) => address !== peer).join(', ');
+    const sections: SettingsLines = {
+      host: [`id = ${id}`, `service = ${service}`, `region = ${region}`, `domain = ${domain}`],
+      listen: [
+        `callerAddress = ${caller}`,
+        `operatorAddress = ${operator}`,
+        `peerAddress = ${peer}`,
+      ],
+      peers: seeds === '' ? [] : [`seeds = ${seeds}`],
+      store: [`endpoints = ${this.store.address}`],
+      hostList: [`url = http://${this.hostList.address}`],
+    };
+    const names = [...new Set([...Object.keys(sections), ...Object.keys(extra)])];
+    return names
+      .map((name) => sectionText(name, [...(sections[name] ?? []), ...(extra[name] ?? [])]))
+      .join('\n');
+  }
+}
