Test the relay over gRPC and document all exports

Cause: the relay had only been run over the memory store. Change: a test over a stand-in server that is down and loses its tail; a test that a relay reports a conflict that it meets in the store; doc lines.

--- a/src/configuration/outcome.ts
+++ b/src/configuration/outcome.ts
@@ -37,8 +37,10 @@
   readonly message: string;
 }
 
+/** What a publication came to. */
 export type PublishOutcome = Published | LostRace | Invalid | Unknown | Unavailable;
 
+/** Outcome of an accepted publication. */
 export function published(
   publicationId: string,
   generation: number,
@@ -47,15 +49,18 @@
   return { outcome: 'published', publicationId, generation, record };
 }
 
+/** Outcome of a publication that `record` came before. */
 export function lostRace(record: ConfigurationRecord): LostRace {
   const { text, history, ...winner } = record;
   return { outcome: 'lostRace', winner, record };
 }
 
+/** Outcome of a publication whose effect can't be proven. */
 export function unknown(publicationId: string, message: string): Unknown {
   return { outcome: 'unknown', publicationId, message };
 }
 
+/** Outcome of a publication that was not written. */
 export function unavailable(message: string): Unavailable {
   return { outcome: 'unavailable', message };
 }
--- a/src/configuration/replica.ts
+++ b/src/configuration/replica.ts
@@ -74,6 +74,7 @@
   readonly by: ConfigurationRecord;
 }
 
+/** What the caller does for a replica. */
 export type ReplicaAction =
   PutInForce | PushToDomain | SendToPeer | WriteBack | RejectRecord | ReportConflict;
 
--- a/src/configuration/values.ts
+++ b/src/configuration/values.ts
@@ -34,6 +34,7 @@
   },
 } as const;
 
+/** A key that some section may hold. */
 export type ValueKey = keyof typeof VALUES;
 
 /** The values of a section that passed their schemas. */
--- a/src/store/etcdApi.ts
+++ b/src/store/etcdApi.ts
@@ -32,6 +32,7 @@
   };
 }
 
+/** Plain shapes of the messages, as the serializers take and give them. */
 export type RangeRequest = pb.IRangeRequest;
 export type RangeResponse = pb.IRangeResponse;
 export type PutRequest = pb.IPutRequest;
@@ -49,45 +50,54 @@
 export type KeyValue = pb.IKeyValue;
 export type Compare = pb.ICompare;
 
+/** Kind of a change in a watch. */
 export const { EventType } = pb.Event;
+/** Terms of a comparison in a transaction. */
 export const { CompareResult, CompareTarget } = pb.Compare;
 
+/** Reads a key or a range of keys. */
 export const RANGE: Method<RangeRequest, RangeResponse> = method(
   'KV/Range',
   pb.RangeRequest as MessageType<RangeRequest>,
   pb.RangeResponse as MessageType<RangeResponse>,
   false,
 );
+/** Writes a key, with a lease if one is given. */
 export const PUT: Method<PutRequest, PutResponse> = method(
   'KV/Put',
   pb.PutRequest as MessageType<PutRequest>,
   pb.PutResponse as MessageType<PutResponse>,
   false,
 );
+/** Compares keys, then runs one of two lists of operations, in one step. */
 export const TXN: Method<TxnRequest, TxnResponse> = method(
   'KV/Txn',
   pb.TxnRequest as MessageType<TxnRequest>,
   pb.TxnResponse as MessageType<TxnResponse>,
   false,
 );
+/** Grants a lease under an id that the client chooses. */
 export const LEASE_GRANT: Method<LeaseGrantRequest, LeaseGrantResponse> = method(
   'Lease/LeaseGrant',
   pb.LeaseGrantRequest as MessageType<LeaseGrantRequest>,
   pb.LeaseGrantResponse as MessageType<LeaseGrantResponse>,
   false,
 );
+/** Ends a lease and deletes its keys. */
 export const LEASE_REVOKE: Method<LeaseRevokeRequest, LeaseRevokeResponse> = method(
   'Lease/LeaseRevoke',
   pb.LeaseRevokeRequest as MessageType<LeaseRevokeRequest>,
   pb.LeaseRevokeResponse as MessageType<LeaseRevokeResponse>,
   false,
 );
+/** Renews leases; a time to live of 0 in the answer means that the lease has lapsed. */
 export const KEEP_ALIVE: Method<KeepAliveRequest, KeepAliveResponse> = method(
   'Lease/LeaseKeepAlive',
   pb.LeaseKeepAliveRequest as MessageType<KeepAliveRequest>,
   pb.LeaseKeepAliveResponse as MessageType<KeepAliveResponse>,
   true,
 );
+/** Reports the changes of a range of keys. */
 export const WATCH: Method<WatchRequest, WatchResponse> = method(
   'Watch/Watch',
   pb.WatchRequest as MessageType<WatchRequest>,
--- a/test/configuration/relay.test.ts
+++ b/test/configuration/relay.test.ts
@@ -2,9 +2,16 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { createClock, type Clock as FakeClock } from '@sinonjs/fake-timers';
 import { expect } from 'earl';
-import { ConfigurationRelay, ConfigurationReplica, encodeRecord } from '../../src/configuration';
+import {
+  ConfigurationRelay,
+  ConfigurationReplica,
+  SYSTEM_TIMERS,
+  encodeRecord,
+} from '../../src/configuration';
 import { backoffMs } from '../../src/configuration/relay';
 import { MemoryStore } from '../../src/standins/storeMemory';
+import { StoreServer } from '../../src/standins/storeServer';
+import { EtcdStore } from '../../src/store';
 import { sampleRecord } from './samples';
 
 const KEY = '/c';
@@ -124,6 +131,30 @@
     expect(store.state.watchers).toEqual(0);
   });
 
+  it('takes a change over gRPC after the store was down and lost its tail', async () => {
+    const server = new StoreServer({ nowMs: () => 0 });
+    await server.start();
+    const client = new EtcdStore({ endpoints: [server.address], callTimeoutMs: 500 });
+    server.state.put(KEY, encodeRecord(SECOND));
+    server.cut();
+    server.state.rollBack(1);
+    const seen = new Promise<unknown>((resolve) => {
+      const options = { store: client, key: KEY, random: { next: () => 0 } };
+      const onEntry = (entry: unknown) => {
+        if (entry !== null) resolve(entry);
+        else server.state.put(KEY, encodeRecord(FIRST));
+      };
+      relay.stop();
+      relay = new ConfigurationRelay({ ...options, timers: SYSTEM_TIMERS, onEntry });
+      relay.start();
+    });
+    await server.mend();
+    expect(await seen).toEqual({ key: KEY, value: encodeRecord(FIRST), modRevision: 2 });
+    relay.stop();
+    await client.close();
+    await server.close();
+  });
+
   it('spreads its attempts', () => {
     expect([0, 1, 9].map((failures) => backoffMs(failures, { next: () => 0 }))).toEqual([
       100, 200, 5000,
--- a/test/configuration/replica.test.ts
+++ b/test/configuration/replica.test.ts
@@ -67,6 +67,11 @@
     expect(actions[2]).toEqual({ type: 'reportConflict', overridden: low, by: high });
     expect(types(replica.onStoreEntry(entry(low)))).toEqual(['writeBack']);
     expect(replica.inForce).toEqual(high);
+    const late = new ConfigurationReplica({ next: () => 0 });
+    late.setRelay(true);
+    late.onPublished(high);
+    expect(types(late.onStoreEntry(entry(low)))).toEqual(['reportConflict', 'writeBack']);
+    expect(types(late.onStoreEntry(entry(FIRST)))).toEqual(['writeBack']);
   });
 
   it('pulls from a peer that is ahead, but not for every message', () => {
