--- a/src/bench/workerCalls.ts
+++ b/src/bench/workerCalls.ts
@@ -24,6 +24,14 @@
 }
 
 type Source = 'start' | 'revoke' | 'inquire';
+
+interface OpenCall {
+  readonly worker: FakeWorker;
+  readonly attemptId: string;
+  readonly source: Source;
+  unansweredMs: number;
+}
+
 type ResultHandler = (attemptId: string, source: Source, result: AttemptResult) => void;
 type Request = (worker: FakeWorker, reply: Reply) => void;
 
@@ -33,6 +41,10 @@
 
   readonly #onResult: ResultHandler;
 
+  readonly #open = new Set<OpenCall>();
+
+  #watching = false;
+
   constructor(site: CallSite, onResult: ResultHandler) {
     this.#site = site;
     this.#onResult = onResult;
@@ -99,16 +111,9 @@
   #request(ref: WorkerRef, attemptId: string, source: Source, send: Request): void {
     const { domain, network } = this.#site;
     const worker = this.#byAddress(ref.address);
-    const call = { open: true, unansweredMs: 0 };
-    const settle: Reply = (result) => {
-      if (call.open) {
-        call.open = false;
-        this.#countResult(source, result);
-        this.#onResult(attemptId, source, result);
-      }
-    };
+    const call: OpenCall = { worker, attemptId, source, unansweredMs: 0 };
     const reply: Reply = (result) =>
-      network.deliver(worker.entry.domain, domain, () => settle(result));
+      network.deliver(worker.entry.domain, domain, () => this.#settle(call, result));
     network.deliver(domain, worker.entry.domain, () => {
       if (worker.phase === 'dead') {
         reply(WorkerCalls.#unreachable(source));
@@ -116,29 +121,42 @@
         send(worker, reply);
       }
     });
-    this.#watch(worker, call, settle);
+    this.#open.add(call);
+    this.#watch();
+  }
+
+  /** A request gets its first result only. */
+  #settle(call: OpenCall, result: AttemptResult): void {
+    if (this.#open.delete(call)) {
+      this.#countResult(call.source, result);
+      this.#onResult(call.attemptId, call.source, result);
+    }
   }
 
-  /** Gives an open request up once its worker has been silent for `SILENCE_MS`. */
-  #watch(worker: FakeWorker, call: { open: boolean; unansweredMs: number }, settle: Reply): void {
-    const watched = call;
+  /** Gives requests up whose worker has been silent for `SILENCE_MS`; runs while any is open. */
+  #watch(): void {
+    if (this.#watching || this.#open.size === 0) {
+      return;
+    }
+    this.#watching = true;
     this.#site.timeline.after(SILENCE_CHECK_MS, () => {
-      if (!watched.open) {
-        return;
-      }
-      const quiet =
-        worker.phase === 'dead' ||
-        worker.mute ||
-        this.#site.network.blocked(this.#site.domain, worker.entry.domain);
-      watched.unansweredMs = quiet ? watched.unansweredMs + SILENCE_CHECK_MS : 0;
-      if (watched.unansweredMs >= SILENCE_MS) {
-        settle({ state: 'unclear', error: 'no answer' });
-      } else {
-        this.#watch(worker, watched, settle);
-      }
+      this.#watching = false;
+      this.#open.forEach((call) => this.#check(call));
+      this.#watch();
     });
   }
 
+  #check(target: OpenCall): void {
+    const call = target;
+    const { network, domain } = this.#site;
+    const { phase, mute, entry } = call.worker;
+    const quiet = phase === 'dead' || mute || network.blocked(domain, entry.domain);
+    call.unansweredMs = quiet ? call.unansweredMs + SILENCE_CHECK_MS : 0;
+    if (call.unansweredMs >= SILENCE_MS) {
+      this.#settle(call, { state: 'unclear', error: 'no answer' });
+    }
+  }
+
   #oneWay(ref: WorkerRef, send: (worker: FakeWorker) => void): void {
     const worker = this.#byAddress(ref.address);
     this.#site.network.deliverOrDrop(this.#site.domain, worker.entry.domain, () => send(worker));
