--- /dev/null
+++ b/src/membership/simulation.ts
@@ -0,0 +1,225 @@
+/**
+ * Several memberships in virtual time over a network with latency, loss, partitions and pauses. Runs
+ * with one seed are identical. Used by the tests and by `measure.ts`.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import TinyQueue from 'tinyqueue';
+import type { RandomSource } from '../core/clock';
+import { MemberState, type Member, type MembershipMessage } from '../core/messages';
+import type { PeerOrigin } from '../peers/transport';
+import type { MembershipAction } from './actions';
+import { Membership } from './membership';
+
+/** Period of ticks. */
+const TICK_MS = 20;
+const ONE_WAY_MS = 0.5;
+
+/** Seeded random numbers. */
+export const seededRandom = (seed: number): RandomSource => {
+  const generator = xoroshiro128plus(seed);
+  return { next: () => uniformFloat64(generator) };
+};
+
+interface SimulatedHost {
+  readonly origin: PeerOrigin;
+  readonly address: string;
+  readonly membership: Membership;
+  readonly nextTickMs: number;
+}
+
+interface Delivery {
+  readonly atMs: number;
+  readonly order: number;
+  readonly from: PeerOrigin;
+  readonly to: string;
+  readonly message: MembershipMessage;
+}
+
+/** An action of one host, for observers. */
+export type Observer = (hostId: string, action: MembershipAction, nowMs: number) => void;
+
+/** Virtual network of hosts; the peer address of host `x` is `x:1`. */
+export class Simulation {
+  readonly #random: RandomSource;
+
+  readonly #observe: Observer;
+
+  readonly #hosts = new Map<string, SimulatedHost>();
+
+  readonly #pausedUntilMs = new Map<string, number>();
+
+  readonly #deliveries = new TinyQueue<Delivery>(
+    [],
+    (a, b) => a.atMs - b.atMs || a.order - b.order,
+  );
+
+  #groupOf = new Map<string, number>();
+
+  #lossFraction = 0;
+
+  #order = 0;
+
+  #nowMs = 0;
+
+  constructor(seed: number, observe: Observer = () => undefined) {
+    this.#random = seededRandom(seed);
+    this.#observe = observe;
+  }
+
+  /** Virtual time. */
+  get nowMs(): number {
+    return this.#nowMs;
+  }
+
+  /** Ids of the running hosts. */
+  get hostIds(): readonly string[] {
+    return [...this.#hosts.keys()];
+  }
+
+  /** Starts a host, or restarts it with another incarnation. */
+  start(hostId: string, incarnation: string, seeds: readonly string[], domain = 'd'): void {
+    const address = `${hostId}:1`;
+    const self: Member = {
+      hostId,
+      incarnation,
+      domain,
+      peerAddress: address,
+      state: MemberState.alive,
+      sequence: 0,
+    };
+    const seedAddresses = seeds.map((seed) => `${seed}:1`);
+    this.#pausedUntilMs.delete(hostId);
+    this.#hosts.set(hostId, {
+      origin: { hostId, incarnation },
+      address,
+      membership: new Membership(self, seedAddresses, this.#random),
+      nextTickMs: this.#nowMs + this.#random.next() * TICK_MS,
+    });
+  }
+
+  /** Ends a host without notice. */
+  kill(hostId: string): void {
+    this.#hosts.delete(hostId);
+  }
+
+  /** Holds a host; messages to it wait, as in its sockets. */
+  pause(hostId: string, durationMs: number): void {
+    this.#pausedUntilMs.set(hostId, this.#nowMs + durationMs);
+  }
+
+  /** Fraction of messages that are lost. */
+  lose(fraction: number): void {
+    this.#lossFraction = fraction;
+  }
+
+  /** Splits the hosts into groups that can't reach each other; hosts not named are in group 0. */
+  partition(groups: ReadonlyMap<string, number>): void {
+    this.#groupOf = new Map(groups);
+  }
+
+  /** Membership of a running host. */
+  membership(hostId: string): Membership {
+    const host = this.#hosts.get(hostId);
+    if (host === undefined) throw new Error(`host ${hostId} is not running`);
+    return host.membership;
+  }
+
+  /** State of a member as another host sees it; null if it is not known. */
+  view(observer: string, hostId: string): Member | null {
+    const members = this.membership(observer).members();
+    return members.find((member) => member.hostId === hostId) ?? null;
+  }
+
+  /** Whether every running host sees exactly the running hosts as alive or leaving. */
+  agreed(): boolean {
+    const running = this.hostIds.toSorted().join();
+    return this.hostIds.every((hostId) => {
+      const present = this.membership(hostId)
+        .members()
+        .filter(({ state }) => state === MemberState.alive || state === MemberState.leaving)
+        .map((member) => member.hostId);
+      return present.toSorted().join() === running;
+    });
+  }
+
+  /** Carries out the actions of a call made from outside, such as `leave`. */
+  perform(hostId: string, call: (membership: Membership) => readonly MembershipAction[]): void {
+    const host = this.#hosts.get(hostId);
+    if (host !== undefined) this.#carryOut(host, call(host.membership));
+  }
+
+  /** Runs for a time, or until the condition holds; returns the time at the end. */
+  run(durationMs: number, until: () => boolean = () => false): number {
+    const endMs = this.#nowMs + durationMs;
+    while (this.#nowMs < endMs && !until()) this.#step(endMs);
+    return this.#nowMs;
+  }
+
+  #step(endMs: number): void {
+    const host = this.#nextHost();
+    const tickMs = host === null ? endMs : this.#wakeMs(host);
+    const delivery = this.#deliveries.peek();
+    if (delivery !== undefined && delivery.atMs <= Math.min(tickMs, endMs)) {
+      this.#deliveries.pop();
+      this.#nowMs = Math.max(this.#nowMs, delivery.atMs);
+      this.#deliver(delivery);
+    } else if (host !== null && tickMs <= endMs) {
+      this.#nowMs = Math.max(this.#nowMs, tickMs);
+      this.#hosts.set(host.origin.hostId, { ...host, nextTickMs: this.#nowMs + TICK_MS });
+      this.#carryOut(host, host.membership.tick(this.#nowMs));
+    } else {
+      this.#nowMs = endMs;
+    }
+  }
+
+  #wakeMs(host: SimulatedHost): number {
+    return Math.max(host.nextTickMs, this.#pausedUntilMs.get(host.origin.hostId) ?? 0);
+  }
+
+  #nextHost(): SimulatedHost | null {
+    let next: SimulatedHost | null = null;
+    let nextMs = Infinity;
+    this.#hosts.forEach((host) => {
+      const wakeMs = this.#wakeMs(host);
+      if (wakeMs < nextMs) {
+        next = host;
+        nextMs = wakeMs;
+      }
+    });
+    return next;
+  }
+
+  #deliver(delivery: Delivery): void {
+    const host = [...this.#hosts.values()].find(({ address }) => address === delivery.to);
+    if (host === undefined) return;
+    const pausedUntilMs = this.#pausedUntilMs.get(host.origin.hostId) ?? 0;
+    if (pausedUntilMs > this.#nowMs) {
+      this.#deliveries.push({ ...delivery, atMs: pausedUntilMs });
+      return;
+    }
+    const actions = host.membership.receive(delivery.from, delivery.message, this.#nowMs);
+    this.#carryOut(host, actions);
+  }
+
+  #carryOut(host: SimulatedHost, actions: readonly MembershipAction[]): void {
+    actions.forEach((action) => {
+      this.#observe(host.origin.hostId, action, this.#nowMs);
+      if (action.type !== 'send' || this.#isLost(host.address, action.address)) return;
+      this.#order += 1;
+      this.#deliveries.push({
+        atMs: this.#nowMs + ONE_WAY_MS,
+        order: this.#order,
+        from: host.origin,
+        to: action.address,
+        message: action.message,
+      });
+    });
+  }
+
+  #isLost(from: string, to: string): boolean {
+    const group = (address: string): number =>
+      this.#groupOf.get(address.slice(0, address.lastIndexOf(':'))) ?? 0;
+    return group(from) !== group(to) || this.#random.next() < this.#lossFraction;
+  }
+}
--- /dev/null
+++ b/test/membership/membership.test.ts
@@ -0,0 +1,229 @@
+/** Guards against hosts that are missed, wrongly declared dead, or never come back. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { Member } from '../../src/core/messages';
+import { Membership, type MembershipAction } from '../../src/membership';
+import { Simulation, seededRandom } from '../../src/membership/simulation';
+
+interface Record {
+  readonly hostId: string;
+  readonly action: MembershipAction;
+  readonly nowMs: number;
+}
+
+/** Starts hosts h0 to h(n-1), which know h0 as seed, and lets them find each other. */
+const startFleet = (count: number, seed = 1): { simulation: Simulation; records: Record[] } => {
+  const records: Record[] = [];
+  const simulation = new Simulation(seed, (hostId, action, nowMs) => {
+    records.push({ hostId, action, nowMs });
+  });
+  Array.from({ length: count }, (_, index) => `h${index}`).forEach((hostId) =>
+    simulation.start(hostId, `${hostId}-1`, ['h0']),
+  );
+  simulation.run(10_000, () => simulation.agreed());
+  expect(simulation.agreed()).toEqual(true);
+  return { simulation, records };
+};
+
+const everyoneSees = (simulation: Simulation, hostId: string, state: Member['state']): boolean =>
+  simulation.hostIds
+    .filter((other) => other !== hostId)
+    .every((other) => simulation.view(other, hostId)?.state === state);
+
+const member = (hostId: string, more: Partial<Member> = {}): Member => ({
+  hostId,
+  incarnation: `${hostId}-1`,
+  domain: 'd',
+  peerAddress: `${hostId}:1`,
+  state: 'alive',
+  sequence: 0,
+  ...more,
+});
+
+const origin = (hostId: string): { hostId: string; incarnation: string } => ({
+  hostId,
+  incarnation: `${hostId}-1`,
+});
+
+describe('membership over a network', () => {
+  it('finds all hosts from one seed within 2 s', () => {
+    expect(startFleet(9).simulation.nowMs < 2000).toEqual(true);
+  });
+
+  it('declares a dead host dead everywhere within 3 s and probes it on', () => {
+    const { simulation, records } = startFleet(9);
+    simulation.kill('h4');
+    simulation.run(3000);
+    expect(everyoneSees(simulation, 'h4', 'dead')).toEqual(true);
+    const mark = records.length;
+    simulation.run(10_000);
+    const probes = records
+      .slice(mark)
+      .filter(({ action }) => action.type === 'send' && action.address === 'h4:1');
+    // Eight hosts, one probe of a dead member every 2 s each.
+    expect(probes.length >= 32 && probes.length <= 48).toEqual(true);
+  });
+
+  it('takes back a host that was paused for 5 s, which blames nobody and confirms anew', () => {
+    const { simulation, records } = startFleet(9);
+    simulation.run(1000);
+    simulation.pause('h4', 5000);
+    simulation.run(4900);
+    expect(everyoneSees(simulation, 'h4', 'dead')).toEqual(true);
+    const mark = records.length;
+    simulation.run(1500);
+    expect(simulation.agreed()).toEqual(true);
+    const own = records.slice(mark).filter(({ hostId }) => hostId === 'h4');
+    expect(own.filter(({ action }) => action.type === 'confirmed').length).toEqual(1);
+    own.forEach(({ action }) => {
+      if (action.type !== 'membersChanged') return;
+      expect(action.members.every(({ state }) => state === 'alive')).toEqual(true);
+    });
+  });
+
+  it('separates a partitioned domain and merges after healing', () => {
+    const { simulation } = startFleet(9);
+    simulation.partition(new Map(['h0', 'h1', 'h2'].map((hostId) => [hostId, 1])));
+    simulation.run(5000);
+    expect(simulation.view('h0', 'h5')?.state).toEqual('dead');
+    expect(simulation.view('h5', 'h0')?.state).toEqual('dead');
+    expect(simulation.view('h0', 'h1')?.state).toEqual('alive');
+    simulation.partition(new Map());
+    simulation.run(10_000, () => simulation.agreed());
+    expect(simulation.agreed()).toEqual(true);
+  });
+
+  it('keeps hosts present for most of the time at 10 % loss, and agrees after it', () => {
+    const { simulation, records } = startFleet(9, 7);
+    simulation.lose(0.1);
+    const mark = records.length;
+    simulation.run(60_000);
+    const changes = records
+      .slice(mark)
+      .flatMap(({ action }) => (action.type === 'membersChanged' ? [action.members] : []));
+    const withDead = changes.filter((members) => members.some(({ state }) => state === 'dead'));
+    expect(withDead.length / Math.max(1, changes.length) < 0.05).toEqual(true);
+    simulation.lose(0);
+    simulation.run(5000);
+    expect(simulation.agreed()).toEqual(true);
+  });
+
+  it('replaces a restarted host by its new incarnation, even with a lower sequence number', () => {
+    const { simulation } = startFleet(5);
+    simulation.pause('h2', 3000);
+    simulation.run(5000);
+    expect((simulation.view('h0', 'h2')?.sequence ?? 0) > 0).toEqual(true);
+    simulation.kill('h2');
+    simulation.start('h2', 'a-later-incarnation', ['h1']);
+    simulation.run(3000);
+    expect(simulation.agreed()).toEqual(true);
+    simulation.hostIds.forEach((hostId) => {
+      expect(simulation.view(hostId, 'h2')?.incarnation).toEqual('a-later-incarnation');
+    });
+  });
+
+  it('shows a leaving host everywhere within 1 s, and dead once it has stopped', () => {
+    const { simulation } = startFleet(9);
+    simulation.perform('h3', (membership) => membership.leave(simulation.nowMs));
+    simulation.run(1000);
+    expect(everyoneSees(simulation, 'h3', 'leaving')).toEqual(true);
+    simulation.kill('h3');
+    simulation.run(3000);
+    expect(everyoneSees(simulation, 'h3', 'dead')).toEqual(true);
+  });
+
+  it('goes on alone when all peers are dead, and confirms', () => {
+    const { simulation, records } = startFleet(3);
+    simulation.kill('h0');
+    simulation.kill('h1');
+    simulation.run(5000);
+    expect(simulation.view('h2', 'h0')?.state).toEqual('dead');
+    const mark = records.length;
+    simulation.pause('h2', 1000);
+    simulation.run(3000);
+    const confirmed = records.slice(mark).filter(({ action }) => action.type === 'confirmed');
+    expect(confirmed.length).toEqual(1);
+    simulation.start('h0', 'h0-2', []);
+    simulation.run(6000);
+    expect(simulation.agreed()).toEqual(true);
+  });
+});
+
+describe('membership of one host', () => {
+  const create = (seeds: readonly string[] = []): Membership =>
+    new Membership(member('a'), seeds, seededRandom(3));
+  const hello = (hostId: string, more: Partial<Member> = {}) =>
+    ({ type: 'ping', nonce: 1, updates: [member(hostId, more)], generation: 0 }) as const;
+
+  it('refutes a claim that it is dead and never lists itself so', () => {
+    const membership = create();
+    membership.tick(0);
+    const claim = member('a', { state: 'dead', sequence: 4 });
+    const ping = { ...hello('b'), updates: [member('b'), claim] };
+    const ack = membership.receive(origin('b'), ping, 10).find(({ type }) => type === 'send');
+    expect(membership.members()[0]).toEqual(member('a', { sequence: 5 }));
+    expect(ack?.type === 'send' && ack.message.type === 'ack' && ack.message.updates[0]).toEqual(
+      member('a', { sequence: 5 }),
+    );
+  });
+
+  it('reports a newer generation, and again only after a while or when it is newer still', () => {
+    const membership = create();
+    membership.setGeneration(3);
+    membership.tick(0);
+    const reports = [3, 4, 4, 5, 4].map((generation, index) => {
+      const actions = membership.receive(origin('b'), { ...hello('b'), generation }, index * 10);
+      return actions.some(({ type }) => type === 'generationSeen');
+    });
+    expect(reports).toEqual([false, true, false, true, false]);
+    membership.tick(400);
+    const later = membership.receive(origin('b'), { ...hello('b'), generation: 5 }, 600);
+    expect(later.some(({ type }) => type === 'generationSeen')).toEqual(true);
+  });
+
+  it('probes at once when a connection breaks', () => {
+    const membership = create();
+    membership.tick(0);
+    membership.receive(origin('b'), hello('b'), 10);
+    const actions = membership.connectionLost('b', 20);
+    expect(actions.map((action) => action.type === 'send' && action.address)).toEqual(['b:1']);
+    expect(membership.connectionLost('b', 21)).toEqual([]);
+    expect(membership.connectionLost('unknown', 22)).toEqual([]);
+  });
+
+  it('does not count a probe that began before a pause as a confirmation', () => {
+    const membership = create(['b:1']);
+    const pings = (actions: readonly MembershipAction[]): number[] =>
+      actions.flatMap((action) =>
+        action.type === 'send' && action.message.type === 'ping' ? [action.message.nonce] : [],
+      );
+    const [before] = pings(membership.tick(0));
+    const answer = (nonce = 0, nowMs = 0) =>
+      membership
+        .receive(origin('b'), { ...hello('b'), type: 'ack', nonce }, nowMs)
+        .some(({ type }) => type === 'confirmed');
+    expect(answer(before, 700)).toEqual(false);
+    const [after] = pings(membership.tick(710));
+    expect(answer(after, 711)).toEqual(true);
+  });
+
+  it('pings hosts from the store before it counts them as members', () => {
+    const membership = create();
+    membership.tick(0);
+    const actions = membership.learn([member('b'), member('c')], 10);
+    expect(actions.map((action) => action.type === 'send' && action.address)).toEqual([
+      'b:1',
+      'c:1',
+    ]);
+    expect(membership.members().map(({ hostId }) => hostId)).toEqual(['a']);
+  });
+
+  it('reports another process with its own host id', () => {
+    const membership = create();
+    const from = { hostId: 'a', incarnation: 'a-2' };
+    expect(membership.receive(from, hello('a', { incarnation: 'a-2' }), 0)[0]).toEqual({
+      type: 'conflict',
+      incarnation: 'a-2',
+    });
+  });
+});
