Adapt the command line test to the demo's sizes

Cause: the demo runs at least 3 hosts and workers and 5 s now, as it has three domains and five parts; the test expected the former defaults. Change: the test states the new defaults, as strictly.

--- a/test/cli/program.test.ts
+++ b/test/cli/program.test.ts
@@ -69,10 +69,10 @@
     const record = async (options: unknown) => {
       seen.push(options);
     };
-    await runCli(['demo', '--seconds', '3'], { demo: record });
+    await runCli(['demo', '--seconds', '6'], { demo: record });
     const args = ['--hosts', '127.0.0.1:1', '--hosts', '[::1]:2', '--team', 'a', '--kind', 'b'];
     await runCli(['load', ...args, '--task-ms', '50'], { load: record });
-    expect(seen[0]).toEqual({ hosts: 3, workers: 6, seconds: 3 });
+    expect(seen[0]).toEqual({ hosts: 9, workers: 12, seconds: 6 });
     const { hosts, taskMs } = seen[1] as LoadOptions;
     expect([hosts, taskMs]).toEqual([['127.0.0.1:1', '[::1]:2'], 50]);
   });
