--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -95,11 +95,10 @@
   readonly claims: readonly Claim[];
 }
 
-/** Load of one team in a domain. */
+/** Waiting tasks of one team in a domain. */
 export interface TeamLoad {
   readonly team: string;
   readonly queuedTasks: number;
-  readonly usedSlots: number;
 }
 
 /** Load of one domain as its scheduler sees it. */
@@ -109,11 +108,11 @@
   readonly capacitySlots: number;
   readonly freeSlots: number;
   readonly queuedTasks: number;
-  /** Expected wait of a new request of a team that is at its share. */
+  /** Expected wait behind all queued work, in whole milliseconds. */
   readonly waitMs: number;
   /** The largest single worker of the domain, for the refusal of impossible jobs. */
   readonly largest: Resources;
-  /** Teams with waiting or running tasks. */
+  /** Teams with waiting tasks. */
   readonly teams: readonly TeamLoad[];
 }
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -26,12 +26,11 @@
 import type { CoreOptions } from './options';
 import type { Outbox } from './outbox';
 import { SlotQueues } from './slotQueues';
+import { SummaryPace } from './summaryPace';
 import type { SchedulerView } from './views';
 import { StatusPolls } from './statusPolls';
 import { freeSlots, WorkerTable, type WorkerEntry } from './workerTable';
 
-/** Summaries become rarer with the number of hosts, to bound the traffic of the scheduler. */
-const SUMMARY_MS_PER_HOST = 8;
 /** A new scheduler waits this long for the submitters' claims, to avoid granting used slots. */
 const TAKEOVER_GRACE_MS = 30;
 
@@ -69,6 +68,8 @@
 
   readonly #polls: StatusPolls;
 
+  readonly #summaries: SummaryPace;
+
   #hosts: readonly string[] = [];
 
   #active = false;
@@ -77,8 +78,6 @@
 
   #grantsFromMs = 0;
 
-  #nextSummaryMs = 0;
-
   constructor({ domain, options, random, outbox }: SchedulerParts) {
     this.#domain = domain;
     this.#options = options;
@@ -95,6 +94,7 @@
     });
     this.#admission = new Admission(this.#shares, this.#estimates);
     this.#polls = new StatusPolls(options.statusPeriodMs);
+    this.#summaries = new SummaryPace(options.summaryPeriodMs);
   }
 
   configure(configuration: Configuration, nowMs: number): void {
@@ -199,7 +199,7 @@
     if (!this.#active) return;
     this.#poll(nowMs);
     this.#grantAll(nowMs);
-    if (nowMs >= this.#nextSummaryMs) this.#sendSummary(nowMs);
+    this.#sendSummary(nowMs);
   }
 
   /** State for operators. */
@@ -253,13 +253,10 @@
     return this.#admission.check(message, queued, load, nowMs);
   }
 
+  /** Tells all hosts of the load at once when it has changed much, else now and then. */
   #sendSummary(nowMs: number): void {
-    const periodMs = Math.max(
-      this.#options.summaryPeriodMs,
-      SUMMARY_MS_PER_HOST * this.#hosts.length,
-    );
-    this.#nextSummaryMs = nowMs + periodMs;
     const summary = this.#summary();
+    if (!this.#summaries.isDue(summary, this.#hosts.length, nowMs)) return;
     this.#hosts.forEach((host) => this.#outbox.send(host, summary));
   }
 
@@ -267,13 +264,14 @@
     const capacitySlots = this.#workers.capacity();
     const queuedTasks = this.#queues.tasks();
     const free = Math.max(0, this.#workers.totalFree() - this.#slots.reserve(capacitySlots));
+    const waitMs = capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0;
     return {
       type: 'loadSummary',
       domain: this.#domain,
       capacitySlots,
       freeSlots: queuedTasks > 0 ? 0 : free,
       queuedTasks,
-      waitMs: capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0,
+      waitMs: Math.round(waitMs),
       largest: this.#workers.largest(),
       teams: this.#teamLoads(),
     };
@@ -282,12 +280,8 @@
   #teamLoads(): readonly TeamLoad[] {
     return this.#shares
       .teams()
-      .map((team) => ({
-        team,
-        queuedTasks: this.#queues.tasksOfTeam(team),
-        usedSlots: this.#shares.usedByTeam(team),
-      }))
-      .filter(({ queuedTasks, usedSlots }) => queuedTasks + usedSlots > 0);
+      .map((team) => ({ team, queuedTasks: this.#queues.tasksOfTeam(team) }))
+      .filter(({ queuedTasks }) => queuedTasks > 0);
   }
 
   #queuedWorkMs(): number {
--- /dev/null
+++ b/src/core/summaryPace.ts
@@ -0,0 +1,48 @@
+/**
+ * Says when a load summary is worth its message. A change of a few per cent of the domain's slots is
+ * told within a short time that grows with the number of hosts, which bounds the scheduler's traffic;
+ * larger fleets have larger domains, whose load changes less in proportion. Otherwise a summary goes
+ * out at the regular period, so that the others know the domain is reachable.
+ */
+import type { LoadSummary } from './messages';
+
+/** Change of free slots or of a team's queue, as a fraction of the slots, that is told early. */
+const CHANGE_FRACTION = 0.03;
+const EARLY_MIN_MS = 50;
+const EARLY_MS_PER_HOST = 6;
+
+function changed(before: LoadSummary, after: LoadSummary): boolean {
+  const least = Math.max(1, after.capacitySlots) * CHANGE_FRACTION;
+  if (before.capacitySlots !== after.capacitySlots) return true;
+  if (Math.abs(before.freeSlots - after.freeSlots) > least) return true;
+  const queued = new Map(before.teams.map(({ team, queuedTasks }) => [team, queuedTasks]));
+  after.teams.forEach(({ team, queuedTasks }) => {
+    queued.set(team, Math.abs((queued.get(team) ?? 0) - queuedTasks));
+  });
+  return [...queued.values()].some((difference) => difference > least);
+}
+
+/** Times of a scheduler's load summaries. */
+export class SummaryPace {
+  readonly #periodMs: number;
+
+  #last: { readonly summary: LoadSummary; readonly atMs: number } | null = null;
+
+  constructor(periodMs: number) {
+    this.#periodMs = periodMs;
+  }
+
+  /** True if the summary should be sent now; it then counts as sent. */
+  isDue(summary: LoadSummary, hosts: number, nowMs: number): boolean {
+    const earlyMs = Math.max(EARLY_MIN_MS, EARLY_MS_PER_HOST * hosts);
+    const periodMs = Math.max(this.#periodMs, earlyMs);
+    const sinceMs = nowMs - (this.#last?.atMs ?? -Infinity);
+    const due = sinceMs >= periodMs || (sinceMs >= earlyMs && this.#hasChanged(summary));
+    if (due) this.#last = { summary, atMs: nowMs };
+    return due;
+  }
+
+  #hasChanged(summary: LoadSummary): boolean {
+    return this.#last === null || changed(this.#last.summary, summary);
+  }
+}
--- a/src/peers/messageCodec.ts
+++ b/src/peers/messageCodec.ts
@@ -110,7 +110,6 @@
     teams: (wire.teams ?? []).map((load) => ({
       team: name(load.team, 'team'),
       queuedTasks: quantity(load.queuedTasks ?? 0, 'queuedTasks'),
-      usedSlots: quantity(load.usedSlots ?? 0, 'usedSlots'),
     })),
   }),
   ping: (wire) => ({
