Count guaranteed slots when a job is split; try another domain only if it has room

Cause: in a flood no slot is free anywhere, and a job went to domains where its team was already at its share while others still guaranteed it slots; refused requests of the flood tried every other domain.

--- a/src/core/domainLoads.ts
+++ b/src/core/domainLoads.ts
@@ -14,6 +14,8 @@
  * the same summary, and together they must not ask for much more than there is.
  */
 const FOREIGN_FRACTION = 0.34;
+/** A slot that is guaranteed but lent out counts as this part of a free one: it comes back soon. */
+const HEADROOM_WORTH = 0.5;
 /** The own domain counts as this much emptier, as a fraction of its slots. */
 const OWN_PREFERENCE = 0.05;
 /** A waiting request moves only to a domain that is this much emptier, as a fraction of its slots. */
@@ -71,10 +73,6 @@
     return Math.max(0, usable - load.askedSlots);
   }
 
-  waitMs(domain: string, nowMs: number): number {
-    return this.#fresh(domain, nowMs)?.summary.waitMs ?? Infinity;
-  }
-
   /** True if every domain has been heard of and none has a worker of this size. */
   isImpossible(resources: Resources, domains: readonly string[], nowMs: number): boolean {
     return domains.every((domain) => {
@@ -114,6 +112,13 @@
       .map(({ domain, count }) => ({ domain, count }));
   }
 
+  /** True if a domain could take the work about at once. */
+  hasRoomFor({ team, count, resources }: Work, domain: string, nowMs: number): boolean {
+    const load = this.#fresh(domain, nowMs);
+    if (!load || !this.couldRun(domain, resources, nowMs)) return false;
+    return this.#level(domain, team, nowMs) * load.summary.capacitySlots + count <= 0;
+  }
+
   /** How many of a team's waiting tasks should move from one domain to another. */
   movable(team: string, from: string, to: string, nowMs: number): number {
     const target = this.#fresh(to, nowMs);
@@ -134,9 +139,11 @@
     const load = this.#fresh(domain, nowMs);
     if (!load) return Infinity;
     const { summary, askedSlots } = load;
-    const queued = summary.teams.find((entry) => entry.team === team)?.queuedTasks ?? 0;
+    const own = summary.teams.find((entry) => entry.team === team);
+    const queued = own?.queuedTasks ?? 0;
     const isOwn = domain === this.#ownDomain;
-    const usable = isOwn ? summary.freeSlots : summary.freeSlots * FOREIGN_FRACTION;
+    const free = isOwn ? summary.freeSlots : summary.freeSlots * FOREIGN_FRACTION;
+    const usable = Math.max(free, (own?.headroomSlots ?? 0) * HEADROOM_WORTH);
     const level = (queued + askedSlots - usable) / Math.max(1, summary.capacitySlots);
     return isOwn ? level - OWN_PREFERENCE : level;
   }
--- a/src/core/fairness.ts
+++ b/src/core/fairness.ts
@@ -78,6 +78,11 @@
     return share > 0 ? Math.max(1, share * capacity) : 0;
   }
 
+  /** Whole slots that the share guarantees beyond those in use. */
+  headroom(team: string, capacity: number): number {
+    return Math.max(0, Math.floor(this.guaranteedSlots(team, capacity) - this.usedByTeam(team)));
+  }
+
   belowShare(team: string, capacity: number): boolean {
     return this.usedByTeam(team) < this.guaranteedSlots(team, capacity);
   }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -95,10 +95,12 @@
   readonly claims: readonly Claim[];
 }
 
-/** Waiting tasks of one team in a domain. */
+/** Load of one team in a domain. */
 export interface TeamLoad {
   readonly team: string;
   readonly queuedTasks: number;
+  /** Slots that the team's share still guarantees it there. */
+  readonly headroomSlots: number;
 }
 
 /** Load of one domain as its scheduler sees it. */
@@ -112,7 +114,7 @@
   readonly waitMs: number;
   /** The largest single worker of the domain, for the refusal of impossible jobs. */
   readonly largest: Resources;
-  /** Teams with waiting tasks. */
+  /** Teams with waiting tasks; while no slot is free, all teams with a share. */
   readonly teams: readonly TeamLoad[];
 }
 
--- a/src/core/options.ts
+++ b/src/core/options.ts
@@ -53,7 +53,7 @@
   answerBytesLimit: 64 * 1024 * 1024,
   summaryPeriodMs: 200,
   statusPeriodMs: 2000,
-  reserveFraction: 0.025,
+  reserveFraction: 0.04,
   longTaskMs: 2000,
   longTaskFraction: 0.5,
   pauseGapMs: 500,
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -265,23 +265,28 @@
     const queuedTasks = this.#queues.tasks();
     const free = Math.max(0, this.#workers.totalFree() - this.#slots.reserve(capacitySlots));
     const waitMs = capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0;
+    const full = queuedTasks > 0 || free === 0;
     return {
       type: 'loadSummary',
       domain: this.#domain,
       capacitySlots,
-      freeSlots: queuedTasks > 0 ? 0 : free,
+      freeSlots: full ? 0 : free,
       queuedTasks,
       waitMs: Math.round(waitMs),
       largest: this.#workers.largest(),
-      teams: this.#teamLoads(),
+      teams: this.#teamLoads(capacitySlots, full),
     };
   }
 
-  #teamLoads(): readonly TeamLoad[] {
+  #teamLoads(capacitySlots: number, full: boolean): readonly TeamLoad[] {
     return this.#shares
       .teams()
-      .map((team) => ({ team, queuedTasks: this.#queues.tasksOfTeam(team) }))
-      .filter(({ queuedTasks }) => queuedTasks > 0);
+      .map((team) => ({
+        team,
+        queuedTasks: this.#queues.tasksOfTeam(team),
+        headroomSlots: this.#shares.headroom(team, capacitySlots),
+      }))
+      .filter(({ queuedTasks, headroomSlots }) => queuedTasks > 0 || (full && headroomSlots > 0));
   }
 
   #queuedWorkMs(): number {
--- a/src/core/slotRequester.ts
+++ b/src/core/slotRequester.ts
@@ -278,19 +278,11 @@
     this.#request(submission, { domain, count }, nowMs);
   }
 
-  /** A domain that has not refused the job and is likely to serve it in time. */
-  #otherDomain(submission: Submission, count: number, nowMs: number): string | null {
+  /** A domain that has not refused the job and has room for it, or a much shorter queue. */
+  #otherDomain({ job, refusedBy }: Submission, count: number, nowMs: number): string | null {
     if (!this.#options.guards.spill) return null;
-    const { resources, deadlineMs } = submission.job;
-    const candidates = this.#roles
-      .domains()
-      .filter(
-        (domain) =>
-          !submission.refusedBy.has(domain) &&
-          this.#loads.couldRun(domain, resources, nowMs) &&
-          (this.#loads.freeSlots(domain, nowMs) >= count ||
-            this.#loads.waitMs(domain, nowMs) < deadlineMs / 4),
-      );
-    return candidates[0] ?? null;
+    const work = { team: job.team, count, resources: job.resources };
+    const others = this.#roles.domains().filter((domain) => !refusedBy.has(domain));
+    return others.find((domain) => this.#loads.hasRoomFor(work, domain, nowMs)) ?? null;
   }
 }
--- a/src/peers/messageCodec.ts
+++ b/src/peers/messageCodec.ts
@@ -110,6 +110,7 @@
     teams: (wire.teams ?? []).map((load) => ({
       team: name(load.team, 'team'),
       queuedTasks: quantity(load.queuedTasks ?? 0, 'queuedTasks'),
+      headroomSlots: quantity(load.headroomSlots ?? 0, 'headroomSlots'),
     })),
   }),
   ping: (wire) => ({
--- a/test/peers/messageCodec.test.ts
+++ b/test/peers/messageCodec.test.ts
@@ -55,7 +55,7 @@
     queuedTasks: 17,
     waitMs: 88,
     largest: resources,
-    teams: [{ team: 'kiosk', queuedTasks: 7 }],
+    teams: [{ team: 'kiosk', queuedTasks: 7, headroomSlots: 3 }],
   },
   { type: 'ping', nonce: 4_000_000_000, updates: [member], generation: 9 },
   { type: 'ack', nonce: 0, updates: [], generation: 0 },
