--- a/src/standins/workerServer.ts
+++ b/src/standins/workerServer.ts
@@ -39,6 +39,12 @@
   return answer.state === 'unknown' ? 404 : 200;
 }
 
+/** Node 20 can't reset a socket whose shutdown is in progress, and would never close it. */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** One worker server on 127.0.0.1; `open` takes a free port, which it keeps over restarts. */
 export class WorkerServer {
   readonly model: WorkerModel;
@@ -98,7 +104,7 @@
   /** Resets all connections and, until `faults.cut` is false again, all new ones. */
   cut(): void {
     this.faults.cut = true;
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach(reset);
   }
 
   /** Stops listening and resets all connections; tasks in progress go on. */
@@ -110,7 +116,7 @@
     this.#delays.clear();
     const closed = once(server, 'close');
     server.close();
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach(reset);
     await closed;
   }
 
@@ -118,7 +124,7 @@
     // Resets are part of what this server brings about.
     socket.on('error', () => undefined);
     if (this.faults.cut) {
-      socket.resetAndDestroy();
+      reset(socket);
       return;
     }
     this.#sockets.add(socket);
@@ -207,7 +213,7 @@
 
   #send(response: ServerResponse, statusCode: number, body: unknown): void {
     if (this.faults.loseAnswers) {
-      response.socket?.resetAndDestroy();
+      if (response.socket !== null) reset(response.socket);
       return;
     }
     const text = JSON.stringify(body);
