--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -4,6 +4,7 @@
  * its sequence number.
  */
 import { MemberState, type Member } from '../core/messages';
+import type { PeerOrigin } from '../peers/transport';
 
 /** Within one sequence number, a worse state wins. */
 const RANK: Readonly<Record<MemberState, number>> = {
@@ -53,3 +54,9 @@
   state: MemberState.leaving,
   sequence: self.sequence + 1,
 });
+
+/** The sender's record of itself: a restarted host may have another address than the one known. */
+export const ownRecord = (from: PeerOrigin, updates: readonly Member[]): Member | null =>
+  updates.find(
+    ({ hostId, incarnation }) => hostId === from.hostId && incarnation === from.incarnation,
+  ) ?? null;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -11,14 +11,11 @@
 import { Composer } from './composer';
 import { Contacts } from './contacts';
 import { GenerationWatch } from './generationWatch';
-import { announcedLeaving, isPresent } from './member';
+import { announcedLeaving, isPresent, ownRecord } from './member';
 import { MemberTable } from './memberTable';
 import { DEFAULT_MEMBERSHIP_OPTIONS, type MembershipOptions } from './membershipOptions';
 import { Probes, shuffled, type Probe } from './probes';
 
-/** Members that are told at once that this host is leaving; gossip reaches the others. */
-const LEAVE_FANOUT = 3;
-
 /** Membership of one host. `nowMs` is monotonic time that goes on while the process is paused. */
 export class Membership {
   readonly #options: MembershipOptions;
@@ -113,7 +110,7 @@
     const known = this.#table.get(from.hostId);
     const isNew = known === null || !isPresent(known) || known.incarnation !== from.incarnation;
     message.updates.forEach((member) => this.#hear(member, nowMs));
-    const sender = this.#senderOf(from, message.updates);
+    const sender = ownRecord(from, message.updates) ?? known;
     if (sender === null) return this.#finish();
     this.#noteGeneration(sender, message.generation, nowMs);
     if (message.type === 'ping') {
@@ -143,7 +140,7 @@
     this.#table.setSelf(announcedLeaving(self));
     this.#composer.spread(this.#table.self);
     shuffled(this.#present(), this.#random)
-      .slice(0, LEAVE_FANOUT)
+      .slice(0, this.#options.leaveFanout)
       .forEach((member) => this.#ping(member.peerAddress, member, false, nowMs));
     return this.#finish();
   }
@@ -194,7 +191,9 @@
 
   #doubt(hostId: string, nowMs: number): void {
     const suspect = this.#table.doubt(hostId, nowMs);
-    if (suspect !== null) this.#composer.spread(suspect);
+    if (suspect === null) return;
+    this.#composer.spread(suspect);
+    this.#verify(suspect, nowMs);
   }
 
   #askHelpers(probe: Probe): void {
@@ -253,15 +252,18 @@
 
   #hear(member: Member, nowMs: number): void {
     const news = this.#table.apply(member, nowMs);
-    if (news !== null) this.#composer.spread(news);
+    if (news === null) return;
+    this.#composer.spread(news);
+    if (news.state === MemberState.suspect) this.#verify(news, nowMs);
   }
 
-  /** The sender's own record: a restarted host may have another address than the one known here. */
-  #senderOf(from: PeerOrigin, updates: readonly Member[]): Member | null {
-    const own = updates.find(
-      ({ hostId, incarnation }) => hostId === from.hostId && incarnation === from.incarnation,
-    );
-    return own ?? this.#table.get(from.hostId);
+  /**
+   * Every host that hears of a suspicion tells the suspect at once, and again with its next probe.
+   * Gossip alone takes longer than the suspicion lasts to reach the suspect and to come back.
+   */
+  #verify(suspect: Member, nowMs: number): void {
+    this.#ping(suspect.peerAddress, suspect, false, nowMs);
+    this.#probes.putFirst(suspect.hostId);
   }
 
   #answer(sender: Member, nonce: number, extra: Member | null = null): void {
--- a/src/membership/membershipOptions.ts
+++ b/src/membership/membershipOptions.ts
@@ -15,6 +15,8 @@
   readonly contactPeriodMs: number;
   /** Member records in one message, the sender's own among them. */
   readonly maxUpdates: number;
+  /** Members that are told at once that this host is leaving; gossip reaches the others. */
+  readonly leaveFanout: number;
   /** A larger gap between two ticks means that this process was paused. */
   readonly pauseGapMs: number;
   /** A generation that was reported and not put in force is reported again after this. */
@@ -31,6 +33,7 @@
   deadProbePeriodMs: 2000,
   contactPeriodMs: 1000,
   maxUpdates: 8,
+  leaveFanout: 3,
   pauseGapMs: 500,
   generationRepeatMs: 500,
   forgetDeadMs: 2 * 60 * 60 * 1000,
--- a/src/membership/probes.ts
+++ b/src/membership/probes.ts
@@ -128,6 +128,11 @@
     return this.#order.pop() ?? null;
   }
 
+  /** Makes a member the next one to be probed. */
+  putFirst(hostId: string): void {
+    this.#order.push(hostId);
+  }
+
   #nextNonce(): number {
     this.#nonce = (this.#nonce + 1) % NONCE_LIMIT;
     return this.#nonce;
--- a/src/membership/simulation.ts
+++ b/src/membership/simulation.ts
@@ -39,12 +39,17 @@
 /** An action of one host, for observers. */
 export type Observer = (hostId: string, action: MembershipAction, nowMs: number) => void;
 
+/** Runs a call of a membership; `measure.ts` times it. */
+export type Runner = <T>(call: () => T) => T;
+
 /** Virtual network of hosts; the peer address of host `x` is `x:1`. */
 export class Simulation {
   readonly #random: RandomSource;
 
   readonly #observe: Observer;
 
+  readonly #runner: Runner;
+
   readonly #hosts = new Map<string, SimulatedHost>();
 
   readonly #pausedUntilMs = new Map<string, number>();
@@ -62,9 +67,17 @@
 
   #nowMs = 0;
 
-  constructor(seed: number, observe: Observer = () => undefined) {
+  /** Null when a view has changed since the last comparison. */
+  #agreed: boolean | null = null;
+
+  constructor(
+    seed: number,
+    observe: Observer = () => undefined,
+    runner: Runner = (call) => call(),
+  ) {
     this.#random = seededRandom(seed);
     this.#observe = observe;
+    this.#runner = runner;
   }
 
   /** Virtual time. */
@@ -90,6 +103,7 @@
     };
     const seedAddresses = seeds.map((seed) => `${seed}:1`);
     this.#pausedUntilMs.delete(hostId);
+    this.#agreed = null;
     this.#hosts.set(hostId, {
       origin: { hostId, incarnation },
       address,
@@ -101,6 +115,7 @@
   /** Ends a host without notice. */
   kill(hostId: string): void {
     this.#hosts.delete(hostId);
+    this.#agreed = null;
   }
 
   /** Holds a host; messages to it wait, as in its sockets. */
@@ -133,14 +148,8 @@
 
   /** Whether every running host sees exactly the running hosts as alive or leaving. */
   agreed(): boolean {
-    const running = this.hostIds.toSorted().join();
-    return this.hostIds.every((hostId) => {
-      const present = this.membership(hostId)
-        .members()
-        .filter(({ state }) => state === MemberState.alive || state === MemberState.leaving)
-        .map((member) => member.hostId);
-      return present.toSorted().join() === running;
-    });
+    this.#agreed ??= this.#compareViews();
+    return this.#agreed;
   }
 
   /** Carries out the actions of a call made from outside, such as `leave`. */
@@ -156,6 +165,17 @@
     return this.#nowMs;
   }
 
+  #compareViews(): boolean {
+    const running = this.hostIds.toSorted().join();
+    return this.hostIds.every((hostId) => {
+      const present = this.membership(hostId)
+        .members()
+        .filter(({ state }) => state === MemberState.alive || state === MemberState.leaving)
+        .map((member) => member.hostId);
+      return present.toSorted().join() === running;
+    });
+  }
+
   #step(endMs: number): void {
     const host = this.#nextHost();
     const tickMs = host === null ? endMs : this.#wakeMs(host);
@@ -167,7 +187,10 @@
     } else if (host !== null && tickMs <= endMs) {
       this.#nowMs = Math.max(this.#nowMs, tickMs);
       this.#hosts.set(host.origin.hostId, { ...host, nextTickMs: this.#nowMs + TICK_MS });
-      this.#carryOut(host, host.membership.tick(this.#nowMs));
+      this.#carryOut(
+        host,
+        this.#runner(() => host.membership.tick(this.#nowMs)),
+      );
     } else {
       this.#nowMs = endMs;
     }
@@ -198,13 +221,16 @@
       this.#deliveries.push({ ...delivery, atMs: pausedUntilMs });
       return;
     }
-    const actions = host.membership.receive(delivery.from, delivery.message, this.#nowMs);
+    const actions = this.#runner(() =>
+      host.membership.receive(delivery.from, delivery.message, this.#nowMs),
+    );
     this.#carryOut(host, actions);
   }
 
   #carryOut(host: SimulatedHost, actions: readonly MembershipAction[]): void {
     actions.forEach((action) => {
       this.#observe(host.origin.hostId, action, this.#nowMs);
+      if (action.type === 'membersChanged') this.#agreed = null;
       if (action.type !== 'send' || this.#isLost(host.address, action.address)) return;
       this.#order += 1;
       this.#deliveries.push({
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -227,3 +227,29 @@
     });
   });
 });
+
+describe('false suspicion', () => {
+  it('is refuted before the suspect is declared dead, with any number of hosts', () => {
+    [3, 9, 36, 72].forEach((count) => {
+      const { simulation, records } = startFleet(count);
+      // The records of the start are passed on first; a suspicion must not wait behind them.
+      const target = simulation.view('h0', 'h2');
+      const mark = records.length;
+      const updates = [{ ...(target ?? member('h2')), state: 'suspect' as const }];
+      simulation.perform('h0', (membership) =>
+        membership.receive(
+          origin('h1'),
+          { type: 'ping', nonce: 1, updates, generation: 0 },
+          simulation.nowMs,
+        ),
+      );
+      expect(simulation.view('h0', 'h2')?.state).toEqual('suspect');
+      simulation.run(3000);
+      expect(simulation.agreed()).toEqual(true);
+      records.slice(mark).forEach(({ action }) => {
+        if (action.type !== 'membersChanged') return;
+        expect(action.members.some(({ state }) => state === 'dead')).toEqual(false);
+      });
+    });
+  });
+});
