Test relayed probes and the rotation of records

Cause: trial mutations that removed either were not noticed by the tests. Conclusion: both mutations are noticed now.

--- a/src/membership/measure.ts
+++ b/src/membership/measure.ts
@@ -129,15 +129,18 @@
   const run = (seed: number, inject: boolean): { bytes: number; ms: number; moved: number } => {
     let bytes = 0;
     let moved = 0;
+    // Empty until the suspicion begins.
     let schedulers: readonly (string | undefined)[] = [];
     const rolesOf = (members: readonly Member[]): readonly (string | undefined)[] =>
       DOMAINS.map((domain) => schedulerOf(domain, members)?.hostId);
     const simulation = startFleet(count, seed, (hostId, action) => {
+      if (schedulers.length === 0) return;
       if (action.type === 'send') bytes += bytesOf(hostId, encodeMessage(action.message).length);
-      if (action.type !== 'membersChanged' || schedulers.length === 0) return;
+      if (action.type !== 'membersChanged') return;
       if (rolesOf(action.members).join() !== schedulers.join()) moved += 1;
     });
-    bytes = 0;
+    // Until the updates of the start have been passed on; they would hide the extra bytes.
+    simulation.run(STEADY_MS);
     schedulers = rolesOf(simulation.membership(hostName(0)).members());
     const targetId = schedulers.find((id) => id !== hostName(0)) ?? '';
     const target = simulation.view(hostName(0), targetId);
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -155,6 +155,9 @@
   const hello = (hostId: string, more: Partial<Member> = {}) =>
     ({ type: 'ping', nonce: 1, updates: [member(hostId, more)], generation: 0 }) as const;
 
+  const sends = (actions: readonly MembershipAction[]) =>
+    actions.flatMap((action) => (action.type === 'send' ? [action] : []));
+
   it('refutes a claim that it is dead and never lists itself so', () => {
     const membership = create();
     membership.tick(0);
@@ -218,6 +221,39 @@
     expect(membership.members().map(({ hostId }) => hostId)).toEqual(['a']);
   });
 
+  it('probes on behalf of another member and passes the answer back', () => {
+    const membership = create();
+    membership.tick(0);
+    membership.receive(origin('b'), hello('b'), 10);
+    const request = { type: 'pingRequest', nonce: 77, target: member('c') } as const;
+    const [ping] = sends(membership.receive(origin('b'), request, 20));
+    expect(ping?.address).toEqual('c:1');
+    const nonce = ping?.message.nonce ?? 0;
+    const ack = { ...hello('c'), type: 'ack', nonce } as const;
+    expect(sends(membership.receive(origin('d'), ack, 21))).toEqual([]);
+    const [passed] = sends(membership.receive(origin('c'), ack, 22));
+    expect([passed?.address, passed?.message.type, passed?.message.nonce]).toEqual([
+      'b:1',
+      'ack',
+      77,
+    ]);
+  });
+
+  it('goes on telling every known member after fresh updates have been sent', () => {
+    const membership = create();
+    membership.tick(0);
+    const others = Array.from({ length: 20 }, (_, index) => member(`m${index}`));
+    others.forEach(({ hostId }) => membership.receive(origin(hostId), hello(hostId), 10));
+    const answer = (): readonly Member[] => {
+      const [ack] = sends(membership.receive(origin('m0'), hello('m0'), 10));
+      return ack?.message.type === 'ack' ? ack.message.updates : [];
+    };
+    Array.from({ length: 200 }).forEach(answer);
+    const told = Array.from({ length: 21 }).flatMap(answer);
+    expect(new Set(told.map(({ hostId }) => hostId)).size).toEqual(21);
+    expect(answer().length <= 2).toEqual(true);
+  });
+
   it('reports another process with its own host id', () => {
     const membership = create();
     const from = { hostId: 'a', incarnation: 'a-2' };
