Make the replacement age of a hanging client an option and test it

Cause: the replacement was not covered by a test; a broken connection did not start a probe while an introduction to the member was in progress. Change: option replaceClientMs, a test with a peer whose first connection hangs; only judged probes count as in progress.

--- a/src/membership/probes.ts
+++ b/src/membership/probes.ts
@@ -67,9 +67,9 @@
     return nonce;
   }
 
-  /** Whether a probe of the member is in progress. */
+  /** Whether a probe that will judge the member is in progress. */
   isProbing(hostId: string): boolean {
-    return [...this.#probes.values()].some((probe) => probe.hostId === hostId);
+    return [...this.#probes.values()].some((probe) => probe.judged && probe.hostId === hostId);
   }
 
   /** Notes the members that were asked to help. */
--- a/src/peers/peerClient.ts
+++ b/src/peers/peerClient.ts
@@ -6,12 +6,6 @@
 import { Client, connectivityState, credentials } from '@grpc/grpc-js';
 import { channelOptions, type ResolvedOptions } from './transportOptions';
 
-/**
- * Least age of a client that is replaced. grpc-js does not close the socket of a hanging attempt, so
- * replacing more often would pile up sockets.
- */
-const REPLACE_AFTER_MS = 10_000;
-
 /** Client with its own connection, created at first use. */
 export class PeerClient {
   readonly #address: string;
@@ -50,7 +44,7 @@
 
   /** Tells that a call was not connected in time. */
   connectTimedOut(): void {
-    if (performance.now() - this.#createdAtMs >= REPLACE_AFTER_MS) this.close();
+    if (performance.now() - this.#createdAtMs >= this.#options.replaceClientMs) this.close();
   }
 
   /** Closes the connection once its calls have ended. */
--- a/src/peers/transportOptions.ts
+++ b/src/peers/transportOptions.ts
@@ -16,6 +16,11 @@
   readonly maxPendingBytes?: number;
   /** A connection or stream that is not established by then is given up. */
   readonly connectTimeoutMs?: number;
+  /**
+   * Least age of a client that is replaced because its connection attempt hangs. grpc-js does not
+   * close the socket of such an attempt, so replacing more often would pile up sockets.
+   */
+  readonly replaceClientMs?: number;
   /** Limit of a status call and of a forwarded cancellation. */
   readonly callTimeoutMs?: number;
   /** Called when the stream to a peer breaks or can't be opened. */
@@ -43,6 +48,7 @@
   maxMessageBytes: 16 * 1024 * 1024,
   maxPendingBytes: 8 * 1024 * 1024,
   connectTimeoutMs: 1000,
+  replaceClientMs: 10_000,
   callTimeoutMs: 2000,
   ...options,
 });
--- a/test/peers/grpcTransport.test.ts
+++ b/test/peers/grpcTransport.test.ts
@@ -1,6 +1,6 @@
 /** Guards against lost order, wrong null answers, unbounded queues and peers that hang or misbehave. */
 import { once } from 'node:events';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { Client, Metadata, credentials } from '@grpc/grpc-js';
 import { expect } from 'earl';
@@ -27,10 +27,18 @@
   }
 };
 
-/** A TCP server that accepts connections and never answers. */
-const startSilentPeer = async (): Promise<{ address: string; close: () => void }> => {
+/** A TCP server that never answers; from `passOn` it passes new connections to that port. */
+const startSilentPeer = async (): Promise<{
+  address: string;
+  passOn: (port: number) => void;
+  close: () => void;
+}> => {
   const sockets: Socket[] = [];
-  const server = createServer((socket) => sockets.push(socket.on('error', () => undefined)));
+  let target: number | null = null;
+  const server = createServer((socket) => {
+    sockets.push(socket.on('error', () => undefined));
+    if (target !== null) socket.pipe(connect(target, '127.0.0.1')).pipe(socket);
+  });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
@@ -38,7 +46,10 @@
     sockets.forEach((socket) => socket.destroy());
     server.close();
   };
-  return { address: `127.0.0.1:${port}`, close };
+  const passOn = (to: number): void => {
+    target = to;
+  };
+  return { address: `127.0.0.1:${port}`, passOn, close };
 };
 
 describe('message stream', () => {
@@ -98,6 +109,18 @@
     await a.transport.close(0);
   });
 
+  it('reaches a peer again whose first connection hangs for ever', async () => {
+    const peer = await startSilentPeer();
+    const a = await startHost('a', { connectTimeoutMs: 30, replaceClientMs: 0 });
+    const b = await startHost('b');
+    const send = (): void => a.transport.send(peer.address, [cancel(1)]);
+    await until(() => (a.transport.drops().disconnected ?? 0) > 0, send);
+    peer.passOn(Number(b.address.split(':')[1]));
+    await until(() => b.handler.messages.length > 0, send);
+    await Promise.all([a.transport.close(0), b.transport.close(0)]);
+    peer.close();
+  });
+
   it('drops malformed batches and messages and keeps the stream', () =>
     withHosts(async (a, b) => {
       const client = new Client(b.address, credentials.createInsecure());
