Poll silent workers early and grant them nothing while they do not answer

Cause: a machine that vanished kept getting tasks until its status poll failed, up to 3 s later. Change: a worker with tasks but without a result for 400 ms is polled, and gets no task once a poll has been out for 200 ms; a worker that returns results needs no poll.

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -146,7 +146,11 @@
     if (worker.health.observeStatus(status !== null, nowMs)) {
       this.#logAvoided(worker, 'status-unanswered');
     }
-    if (!status) return;
+    if (!status) {
+      this.#polls.failed(worker);
+      return;
+    }
+    this.#polls.seen(worker, nowMs);
     if (worker.status && worker.status.incarnation !== status.incarnation) worker.health.restart();
     worker.status = status;
     const others = Math.max(0, status.running - worker.usedSlots);
@@ -297,6 +301,11 @@
   }
 
   #poll(nowMs: number): void {
+    if (this.#options.guards.health) {
+      this.#polls.markSilent(this.#workers.all(), nowMs).forEach((worker) => {
+        this.#logAvoided(worker, 'poll-unanswered');
+      });
+    }
     this.#polls.due(this.#workers.all(), nowMs).forEach((worker) => {
       this.#outbox.push({ type: 'pollStatus', workerId: worker.id, address: worker.address });
     });
@@ -315,7 +324,9 @@
     const worker = this.#workers.get(record.workerId);
     if (!worker) return;
     if (outcome === GrantOutcome.refused) worker.foreignSlots += 1;
+    if (outcome === GrantOutcome.failed) this.#polls.seen(worker, nowMs);
     if (outcome === GrantOutcome.succeeded) {
+      this.#polls.seen(worker, nowMs);
       this.#estimates.learn(record.leaf, runTimeMs);
       worker.health.observeRunTime(runTimeMs, this.#estimates.meanMs(record.leaf));
     }
--- a/src/core/statusPolls.ts
+++ b/src/core/statusPolls.ts
@@ -1,17 +1,27 @@
-/** Says which workers' status is due. A new scheduler polls faster until it knows the domain's load. */
+/**
+ * Says which workers' status is due. A worker that returns results needs no poll; one that has been
+ * silent while it runs tasks is polled soon, and gets no new task while a poll stays unanswered. A new
+ * scheduler polls faster until it knows the domain's load.
+ */
 import type { WorkerEntry } from './workerTable';
 
 const TAKEOVER_MS = 3000;
 const TAKEOVER_PERIOD_MS = 250;
 /** Workers without a first status are asked this often. */
 const UNKNOWN_PERIOD_MS = 200;
+/** A worker that runs tasks and has shown no sign of life for this long is polled. */
+const SILENCE_MS = 400;
+/** Round trips take about 1 ms, so a poll without an answer for this long is a bad sign. */
+const ANSWER_EXPECTED_MS = 200;
 
-/** Times of the last polls of a scheduler. */
+/** Times of the polls of a scheduler. */
 export class StatusPolls {
   readonly #periodMs: number;
 
   readonly #polledAtMs = new Map<string, number>();
 
+  readonly #unanswered = new Map<string, number>();
+
   #takeoverUntilMs = 0;
 
   constructor(periodMs: number) {
@@ -21,6 +31,7 @@
   startTakeover(nowMs: number): void {
     this.#takeoverUntilMs = nowMs + TAKEOVER_MS;
     this.#polledAtMs.clear();
+    this.#unanswered.clear();
   }
 
   /** True while tasks that other schedulers granted may still run. */
@@ -28,18 +39,46 @@
     return nowMs < this.#takeoverUntilMs;
   }
 
+  /** The worker has answered a poll or returned a result. */
+  seen(target: WorkerEntry, nowMs: number): void {
+    const worker = target;
+    worker.silent = false;
+    worker.seenAtMs = nowMs;
+    this.#unanswered.delete(worker.id);
+  }
+
+  /** A poll has ended without an answer. */
+  failed(worker: WorkerEntry): void {
+    this.#unanswered.delete(worker.id);
+  }
+
+  /** Marks workers whose poll has been out for too long; returns those that are newly marked. */
+  markSilent(workers: readonly WorkerEntry[], nowMs: number): readonly WorkerEntry[] {
+    const newly = workers.filter((worker) => {
+      const sentAtMs = this.#unanswered.get(worker.id);
+      return !worker.silent && sentAtMs !== undefined && nowMs - sentAtMs >= ANSWER_EXPECTED_MS;
+    });
+    newly.forEach((worker) => Object.assign(worker, { silent: true }));
+    return newly;
+  }
+
   /** The workers to poll now; they are taken as polled. */
   due(workers: readonly WorkerEntry[], nowMs: number): readonly WorkerEntry[] {
-    return workers.filter((worker) => {
+    const due = workers.filter((worker) => {
       const lastMs = this.#polledAtMs.get(worker.id);
-      if (lastMs !== undefined && nowMs - lastMs < this.#period(worker, nowMs)) return false;
-      this.#polledAtMs.set(worker.id, nowMs);
-      return true;
+      return lastMs === undefined || nowMs - lastMs >= this.#period(worker, nowMs);
+    });
+    due.forEach(({ id }) => {
+      this.#polledAtMs.set(id, nowMs);
+      if (!this.#unanswered.has(id)) this.#unanswered.set(id, nowMs);
     });
+    return due;
   }
 
   #period(worker: WorkerEntry, nowMs: number): number {
     if (worker.status === null) return UNKNOWN_PERIOD_MS;
-    return this.inTakeover(nowMs) ? TAKEOVER_PERIOD_MS : this.#periodMs;
+    if (this.inTakeover(nowMs)) return TAKEOVER_PERIOD_MS;
+    const quiet = worker.usedSlots > 0 && nowMs - worker.seenAtMs >= SILENCE_MS;
+    return quiet ? SILENCE_MS : this.#periodMs;
   }
 }
--- a/src/core/workerTable.ts
+++ b/src/core/workerTable.ts
@@ -23,6 +23,9 @@
   /** Running on the worker by its own report, but not granted by this scheduler. */
   foreignSlots: number;
   readonly slotsByHost: Map<string, number>;
+  /** Last sign of life, and whether a poll has been out for too long since. */
+  seenAtMs: number;
+  silent: boolean;
 }
 
 function add(left: Resources, right: Resources, sign: 1 | -1): Resources {
@@ -43,7 +46,7 @@
 }
 
 function usableSlots(worker: WorkerEntry): number {
-  if (worker.leaving || !worker.status) return 0;
+  if (worker.leaving || worker.silent || !worker.status) return 0;
   return worker.health.limit(worker.status.slots);
 }
 
@@ -146,6 +149,8 @@
       used: NO_RESOURCES,
       foreignSlots: 0,
       slotsByHost: new Map(),
+      seenAtMs: 0,
+      silent: false,
     });
   }
 
--- a/test/core/driver.ts
+++ b/test/core/driver.ts
@@ -78,6 +78,9 @@
 
   actions: CoreAction[] = [];
 
+  /** Statuses with which polls of workers are answered; a worker without one is silent. */
+  readonly statuses = new Map<string, WorkerStatus>();
+
   #callId = 0;
 
   constructor(hostId = 'a1', options: Partial<CoreOptions> = {}) {
@@ -105,6 +108,7 @@
     driver.setWorkers(slots.map((_, index) => `w${index}`));
     slots.forEach((count, index) => {
       const id = `w${index}`;
+      driver.statuses.set(id, status(id, count));
       driver.send({ type: 'workerStatus', workerId: id, status: status(id, count) });
     });
     driver.advance(100);
@@ -128,6 +132,10 @@
   send(event: CoreEvent): readonly CoreAction[] {
     const caused = this.core.handle(event, this.nowMs);
     this.actions.push(...caused);
+    caused.forEach((action) => {
+      const answer = action.type === 'pollStatus' ? this.statuses.get(action.workerId) : undefined;
+      if (answer) this.send({ type: 'workerStatus', workerId: answer.id, status: answer });
+    });
     return caused;
   }
 
