Give up an unclear start at once when its worker process is gone

Cause: after a worker's death its jobs were held for a whole task lease while revoke requests were refused, and their other tasks went on running for nothing. Change: a refused connection or a new incarnation in answer to revoke or inquire marks the attempt as gone, and the job fails at once.

--- a/src/bench/fakeWorker.ts
+++ b/src/bench/fakeWorker.ts
@@ -117,7 +117,7 @@
     }
     const known = this.#attempts.get(attemptId);
     if (worker.incarnation !== this.incarnation) {
-      reply({ state: 'unclear', error: 'incarnation' });
+      reply({ state: 'unclear', error: 'incarnation', gone: true });
     } else if (known === undefined || known === 'revoked') {
       this.#attempts.set(attemptId, 'revoked');
       this.#answer(reply, { state: 'notStarted', reason: 'revoked' });
@@ -133,7 +133,7 @@
     }
     const known = this.#attempts.get(attemptId);
     if (worker.incarnation !== this.incarnation || known === undefined) {
-      reply({ state: 'unclear', error: 'no such attempt' });
+      reply({ state: 'unclear', error: 'no such attempt', gone: true });
     } else if (known === 'revoked') {
       reply({ state: 'notStarted', reason: 'revoked' });
     } else if (known.result.state !== 'running' || waitMs <= 0) {
--- a/src/bench/workerCalls.ts
+++ b/src/bench/workerCalls.ts
@@ -167,6 +167,6 @@
   static #unreachable(source: Source): AttemptResult {
     return source === 'start'
       ? { state: 'notStarted', reason: 'unreachable' }
-      : { state: 'unclear', error: 'connection refused' };
+      : { state: 'unclear', error: 'connection refused', gone: true };
   }
 }
--- a/src/core/taskRunner.ts
+++ b/src/core/taskRunner.ts
@@ -120,7 +120,7 @@
         this.#running(attempt);
         break;
       default:
-        this.#unclear(attempt, source, nowMs);
+        this.#unclear(attempt, source, result.gone === true, nowMs);
     }
   }
 
@@ -190,12 +190,14 @@
     this.#outbox.push({ type: 'inquireTask', worker, attemptId, waitMs: INQUIRE_WAIT_MS });
   }
 
-  #unclear(attempt: Attempt, source: ResultSource, nowMs: number): void {
+  #unclear(attempt: Attempt, source: ResultSource, gone: boolean, nowMs: number): void {
     this.#outbox.count('starts.unclear', 1, { source });
     if (attempt.submission.answer) {
       this.#end(attempt, GrantOutcome.unknown, 0);
     } else if (source === 'start') {
       this.#ask(attempt, nowMs);
+    } else if (gone) {
+      this.#giveUp(attempt, nowMs);
     } else {
       this.#attempts.markUnclear(attempt, nowMs, nowMs + ASK_AGAIN_MS);
     }
@@ -208,7 +210,7 @@
     this.#outbox.push({ type: 'revokeTask', worker, attemptId });
   }
 
-  /** The lease has lapsed without an answer: the worker has stopped the task or is gone. */
+  /** The process on the worker is gone, or the lease has lapsed without an answer. */
   #giveUp(attempt: Attempt, nowMs: number): void {
     this.#end(attempt, GrantOutcome.unknown, 0);
     this.#fail(attempt, TaskState.unknown, 'the worker can not be reached', nowMs);
--- a/src/workers/attemptAnswer.ts
+++ b/src/workers/attemptAnswer.ts
@@ -37,6 +37,13 @@
   }
 }
 
+/** Another process answers at the worker's address; the one that got the start has ended. */
+const PROCESS_GONE: AttemptResult = {
+  state: 'unclear',
+  error: 'the worker has a new incarnation',
+  gone: true,
+};
+
 function unclear(response: WorkerResponse): AttemptResult {
   return { state: 'unclear', error: `unexpected answer with status ${response.statusCode}` };
 }
@@ -47,6 +54,7 @@
   if (body === null) return unclear(response);
   const runTimeMs = typeof body.runTimeMs === 'number' ? body.runTimeMs : 0;
   if (response.statusCode === 409 && body.state === 'refused') {
+    if (source !== 'start' && body.reason === NotStartedReason.incarnation) return PROCESS_GONE;
     return source === 'start' && isRefusal(body.reason)
       ? { state: 'notStarted', reason: body.reason }
       : unclear(response);
--- a/src/workers/httpWorkers.ts
+++ b/src/workers/httpWorkers.ts
@@ -5,6 +5,7 @@
 import type { WorkerRef } from '../core/messages';
 import { isFinal, parseAttempt, parseObject } from './attemptAnswer';
 import type { AttemptSource, WorkerResponse } from './attemptAnswer';
+import { RequestError } from './requestError';
 import { StartCall } from './startCall';
 import { WorkerPools } from './workerPools';
 import type { PoolOptions } from './workerPools';
@@ -48,6 +49,11 @@
 
 const REVOKED: AttemptResult = { state: 'notStarted', reason: NotStartedReason.revoked };
 const NO_ANSWER: AttemptResult = { state: 'unclear', error: 'the worker did not answer' };
+const NOT_LISTENING: AttemptResult = {
+  state: 'unclear',
+  error: 'no process listens at the address of the worker',
+  gone: true,
+};
 
 /** Implements `Workers`; no method rejects. */
 export class HttpWorkers implements Workers {
@@ -104,7 +110,7 @@
       path: '/v1/leases',
       body: { attemptIds, leaseMs },
     });
-    if (response?.statusCode !== 200) return false;
+    if (response instanceof RequestError || response.statusCode !== 200) return false;
     const renewed = parseObject(response.text)?.renewed;
     if (!Array.isArray(renewed)) return false;
     renewed.forEach((attemptId) => this.#calls.get(callKey(worker, String(attemptId)))?.extend());
@@ -132,7 +138,8 @@
 
   async status(address: string): Promise<WorkerStatus | null> {
     const response = await this.#request({ method: 'GET', address, path: '/v1/status' });
-    return response?.statusCode === 200 ? parseStatus(response.text) : null;
+    if (response instanceof RequestError || response.statusCode !== 200) return null;
+    return parseStatus(response.text);
   }
 
   setConnectionLimit(connections: number): void {
@@ -178,7 +185,7 @@
     request: ControlRequest,
   ): Promise<AttemptResult> {
     const response = await this.#request(request);
-    if (response === null) return NO_ANSWER;
+    if (response instanceof RequestError) return response.refused ? NOT_LISTENING : NO_ANSWER;
     const result = parseAttempt(source, response);
     if (isFinal(result)) this.#calls.get(callKey(worker, attemptId))?.settle(result);
     return result;
@@ -192,11 +199,10 @@
   ): Promise<boolean> {
     const path = taskPath(attemptId, verb);
     const response = await this.#request({ method: 'POST', address: worker.address, path, body });
-    return response?.statusCode === 200;
+    return !(response instanceof RequestError) && response.statusCode === 200;
   }
 
-  /** Null if the worker did not answer in time. */
-  async #request(request: ControlRequest): Promise<WorkerResponse | null> {
+  async #request(request: ControlRequest): Promise<WorkerResponse | RequestError> {
     const { method, address, path, body, waitMs = 0 } = request;
     try {
       // A request that waits for the end of a task must not hold up the control connection.
@@ -209,8 +215,8 @@
         signal: AbortSignal.timeout(Math.ceil(this.#options.controlTimeoutMs + waitMs)),
       });
       return { statusCode: response.statusCode, text: await response.body.text() };
-    } catch {
-      return null;
+    } catch (error) {
+      return new RequestError(error);
     }
   }
 }
--- a/src/workers/workers.ts
+++ b/src/workers/workers.ts
@@ -24,8 +24,11 @@
   | { readonly state: 'stopped'; readonly runTimeMs: number }
   /** Never started and never will: refused by the worker, revoked, or no byte was sent. */
   | { readonly state: 'notStarted'; readonly reason: NotStartedReason }
-  /** The start was sent and its fate is not known. */
-  | { readonly state: 'unclear'; readonly error: string }
+  /**
+   * The start was sent and its fate is not known. `gone` says that it never will be: the process that
+   * got the start does not run any more.
+   */
+  | { readonly state: 'unclear'; readonly error: string; readonly gone?: boolean }
   /** Only from revoke and inquire: it has started and goes on. */
   | { readonly state: 'running' };
 
--- a/test/core/submitter.test.ts
+++ b/test/core/submitter.test.ts
@@ -110,6 +110,18 @@
     expect(driver.answers(call)[0]?.outcome).toEqual('complete');
   });
 
+  it('fails the job at once when the process that got it is gone', () => {
+    const driver = Driver.ready([1, 1]);
+    const call = driver.submit(job(1));
+    const [first = ''] = idsOf(driver);
+    driver.result(first, { state: 'unclear', error: 'reset' });
+    driver.result(first, { state: 'unclear', error: 'refused', gone: true }, 'revoke');
+    expect(driver.answers(call).map(({ outcome, notRun }) => [outcome, notRun])).toEqual([
+      ['failed', false],
+    ]);
+    expect(driver.starts().length).toEqual(1);
+  });
+
   it('yields its result when the worker still has it', () => {
     const driver = Driver.ready([1]);
     const call = driver.submit(job(1));
