--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -146,7 +146,11 @@
     if (worker.health.observeStatus(status !== null, nowMs)) {
       this.#logAvoided(worker, 'status-unanswered');
     }
-    if (!status) return;
+    if (!status) {
+      this.#polls.failed(worker);
+      return;
+    }
+    this.#polls.seen(worker, nowMs);
     if (worker.status && worker.status.incarnation !== status.incarnation) worker.health.restart();
     worker.status = status;
     const others = Math.max(0, status.running - worker.usedSlots);
@@ -265,23 +269,28 @@
     const queuedTasks = this.#queues.tasks();
     const free = Math.max(0, this.#workers.totalFree() - this.#slots.reserve(capacitySlots));
     const waitMs = capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0;
+    const full = queuedTasks > 0 || free === 0;
     return {
       type: 'loadSummary',
       domain: this.#domain,
       capacitySlots,
-      freeSlots: queuedTasks > 0 ? 0 : free,
+      freeSlots: full ? 0 : free,
       queuedTasks,
       waitMs: Math.round(waitMs),
       largest: this.#workers.largest(),
-      teams: this.#teamLoads(),
+      teams: this.#teamLoads(capacitySlots, full),
     };
   }
 
-  #teamLoads(): readonly TeamLoad[] {
+  #teamLoads(capacitySlots: number, full: boolean): readonly TeamLoad[] {
     return this.#shares
       .teams()
-      .map((team) => ({ team, queuedTasks: this.#queues.tasksOfTeam(team) }))
-      .filter(({ queuedTasks }) => queuedTasks > 0);
+      .map((team) => ({
+        team,
+        queuedTasks: this.#queues.tasksOfTeam(team),
+        headroomSlots: this.#shares.headroom(team, capacitySlots),
+      }))
+      .filter(({ queuedTasks, headroomSlots }) => queuedTasks > 0 || (full && headroomSlots > 0));
   }
 
   #queuedWorkMs(): number {
@@ -292,6 +301,11 @@
   }
 
   #poll(nowMs: number): void {
+    if (this.#options.guards.health) {
+      this.#polls.markSilent(this.#workers.all(), nowMs).forEach((worker) => {
+        this.#logAvoided(worker, 'poll-unanswered');
+      });
+    }
     this.#polls.due(this.#workers.all(), nowMs).forEach((worker) => {
       this.#outbox.push({ type: 'pollStatus', workerId: worker.id, address: worker.address });
     });
@@ -310,7 +324,9 @@
     const worker = this.#workers.get(record.workerId);
     if (!worker) return;
     if (outcome === GrantOutcome.refused) worker.foreignSlots += 1;
+    if (outcome === GrantOutcome.failed) this.#polls.seen(worker, nowMs);
     if (outcome === GrantOutcome.succeeded) {
+      this.#polls.seen(worker, nowMs);
       this.#estimates.learn(record.leaf, runTimeMs);
       worker.health.observeRunTime(runTimeMs, this.#estimates.meanMs(record.leaf));
     }
--- a/src/membership/probes.ts
+++ b/src/membership/probes.ts
@@ -67,9 +67,9 @@
     return nonce;
   }
 
-  /** Whether a probe of the member is in progress. */
+  /** Whether a probe that will judge the member is in progress. */
   isProbing(hostId: string): boolean {
-    return [...this.#probes.values()].some((probe) => probe.hostId === hostId);
+    return [...this.#probes.values()].some((probe) => probe.judged && probe.hostId === hostId);
   }
 
   /** Notes the members that were asked to help. */
@@ -128,6 +128,11 @@
     return this.#order.pop() ?? null;
   }
 
+  /** Makes a member the next one to be probed. */
+  putFirst(hostId: string): void {
+    this.#order.push(hostId);
+  }
+
   #nextNonce(): number {
     this.#nonce = (this.#nonce + 1) % NONCE_LIMIT;
     return this.#nonce;
