--- a/test/bench/workload.test.ts
+++ b/test/bench/workload.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { SeededRandom } from '../../src/bench/random';
-import { SCENARIOS, scenarioOf } from '../../src/bench/scenarios';
+import { arrivalsOf, SCENARIOS, scenarioOf } from '../../src/bench/scenarios';
 import type { Arrival } from '../../src/bench/workload';
 import { ADDIS, CHADAR, mix } from '../../src/bench/workload';
 
@@ -39,6 +39,16 @@
   const joined = scenarioOf('steady-90+workers-die');
   expect(joined.load).toEqual(0.9);
   expect(joined.faults).not.toEqual(undefined);
+  const stage = {
+    model: CHADAR,
+    slots: SLOTS,
+    random: new SeededRandom(1),
+    fromMs: 4000,
+    untilMs: 6000,
+  };
+  const { base, flood } = arrivalsOf(scenarioOf('rain+cancellations'), stage);
+  expect([...base, ...flood].every(({ plan }) => plan.keyed)).toEqual(true);
+  expect(flood.length > base.length).toEqual(true);
   expect(() => scenarioOf('steady-90+nothing')).toThrow('unknown scenario nothing');
   expect(new Set(SCENARIOS.map(({ name }) => name)).size).toEqual(SCENARIOS.length);
 });
