Charge a team's share with its recent average use

Cause: a job of up to 100 tasks takes its team above its share for a moment; in a flood of more urgent work the rest of its tasks then waited until its own had ended. Change: a team is below its share if either its slots in use or their moving average over 2 s is.

--- a/src/core/fairness.ts
+++ b/src/core/fairness.ts
@@ -28,6 +28,11 @@
 
 const RANK = { [GrantRule.kindShare]: 0, [GrantRule.teamShare]: 1, [GrantRule.urgency]: 2 };
 const LEAST_URGENT = 9;
+/** Long enough for a large job of short tasks, short enough that a flood is charged soon. */
+const AVERAGE_WINDOW_MS = 2000;
+const AVERAGE_STEP_MS = 5;
+/** A moving average only comes near the value that it follows; half a slot counts as reached. */
+const AVERAGE_SLACK = 0.5;
 
 function precedes(left: readonly number[], right: readonly number[]): boolean {
   const at = left.findIndex((value, index) => value !== right[index]);
@@ -42,6 +47,11 @@
 
   readonly #usedByLeaf = new Map<string, number>();
 
+  /** Moving averages of the slots in use by team. */
+  readonly #averages = new Map<string, number>();
+
+  #averagedAtMs = 0;
+
   configure(configuration: Configuration): void {
     this.#teams = configuration.teams;
   }
@@ -64,6 +74,18 @@
     this.#usedByLeaf.set(leaf, this.usedByLeaf(leaf) + slots);
   }
 
+  /** Brings the moving averages up to date; call it before choosing. */
+  advance(nowMs: number): void {
+    const elapsedMs = nowMs - this.#averagedAtMs;
+    if (elapsedMs < AVERAGE_STEP_MS) return;
+    this.#averagedAtMs = nowMs;
+    const weight = 1 - Math.exp(-elapsedMs / AVERAGE_WINDOW_MS);
+    this.#teams.forEach((_, team) => {
+      const average = this.#averages.get(team) ?? 0;
+      this.#averages.set(team, average + weight * (this.usedByTeam(team) - average));
+    });
+  }
+
   usedByTeam(team: string): number {
     return this.#usedByTeam.get(team) ?? 0;
   }
@@ -80,11 +102,11 @@
 
   /** Whole slots that the share guarantees beyond those in use. */
   headroom(team: string, capacity: number): number {
-    return Math.max(0, Math.floor(this.guaranteedSlots(team, capacity) - this.usedByTeam(team)));
+    return Math.max(0, Math.floor(this.guaranteedSlots(team, capacity) - this.#charged(team)));
   }
 
   belowShare(team: string, capacity: number): boolean {
-    return this.usedByTeam(team) < this.guaranteedSlots(team, capacity);
+    return this.#charged(team) < this.guaranteedSlots(team, capacity);
   }
 
   withinQuota(team: string): boolean {
@@ -107,6 +129,14 @@
     return best;
   }
 
+  /**
+   * Slots that count against a team's share: those in use, or its recent average if that is less, so
+   * that a large job of a team that has used less than its share is not held up.
+   */
+  #charged(team: string): number {
+    return Math.min(this.usedByTeam(team), (this.#averages.get(team) ?? 0) + AVERAGE_SLACK);
+  }
+
   #rule(contender: Contender, capacity: number): GrantRule {
     if (!this.belowShare(contender.team, capacity)) return GrantRule.urgency;
     return this.usedByLeaf(contender.leaf) < this.#guaranteedOfKind(contender.team, capacity)
--- a/src/core/granter.ts
+++ b/src/core/granter.ts
@@ -47,6 +47,7 @@
   /** Grants all that can be granted now. */
   pass(nowMs: number): GrantsByRequest {
     this.#passed = new Map();
+    this.#parts.slots.shares.advance(nowMs);
     const blocked = new Set<string>();
     while (this.#parts.queues.tasks() > 0 && this.#grantNext(blocked, nowMs));
     return this.#passed;
