--- a/test/peers/fixtures.ts
+++ b/test/peers/fixtures.ts
@@ -106,12 +106,17 @@
   return { transport, handler, address: `127.0.0.1:${port}` };
 };
 
-/** Repeats an action until the condition holds. */
-export const until = async (condition: () => boolean, action: () => void): Promise<void> => {
+/** Repeats an action until the condition holds; fails after 1,000 attempts, so that no test hangs. */
+export const until = async (
+  condition: () => boolean,
+  action: () => void,
+  attempts = 1000,
+): Promise<void> => {
   if (condition()) return;
+  if (attempts === 0) throw new Error('the condition did not come about');
   action();
   await new Promise((resolve) => {
     setTimeout(resolve, 10);
   });
-  await until(condition, action);
+  await until(condition, action, attempts - 1);
 };
