Measure fleet use against the workers that are there

Cause: with a rack lost in a flood, its slots still counted as capacity. Change: slots lost with workers leave the denominator; the local that shadowed a function is renamed.

--- a/src/bench/figures.ts
+++ b/src/bench/figures.ts
@@ -197,12 +197,16 @@
   return Math.max(...losses.map(({ atMs }) => recoveryMs(actual, ideal, atMs, untilMs)));
 }
 
+/** Busy slot-time over that of the workers that were there. */
 function fleetUse(run: ScenarioRun): number {
   const isRain = run.scenario.name.includes('rain');
   const fromMs = run.fromMs + FILL_MS;
   const untilMs = isRain ? run.fromMs + RAIN_MS : run.untilMs;
   const busy = new SlotTime(run.record.starts, run.untilMs).between(fromMs, untilMs);
-  return busy / (run.slots * (untilMs - fromMs));
+  const changed = run.changes.map(
+    ({ atMs, slots }) => slots * Math.max(0, untilMs - Math.max(atMs, fromMs)),
+  );
+  return busy / (run.slots * (untilMs - fromMs) + sum(changed));
 }
 
 function mean(values: readonly number[]): number {
--- a/src/bench/scenarios.ts
+++ b/src/bench/scenarios.ts
@@ -301,9 +301,9 @@
   const { model, slots, random, fromMs, untilMs } = stage;
   const span = { fromMs: fromMs - WARM_UP_MS, untilMs, load: scenario.load };
   const base = scenario.others?.(stage) ?? mix(model, slots, span, random.stream('base'));
-  const flood = scenario.flood?.(stage) ?? [];
+  const extra = scenario.flood?.(stage) ?? [];
   return {
     base: scenario.change?.(base, random.stream('change')) ?? base,
-    flood: scenario.change?.(flood, random.stream('change of the flood')) ?? flood,
+    flood: scenario.change?.(extra, random.stream('change of the flood')) ?? extra,
   };
 }
--- a/test/bench/figures.test.ts
+++ b/test/bench/figures.test.ts
@@ -82,6 +82,7 @@
     untilMs: 10_000,
     slots: 2,
     clientMs: 1,
+    changes: [],
     record,
     calm: null,
     best: null,
@@ -134,6 +135,14 @@
   expect(figuresOf('p', [runOf('flood-least', record, { calm })]).throughputKept).toEqual(0.75);
 });
 
+test('fleet use counts the slots of the workers that were there', () => {
+  const record = recordOf([{ runMs: 9000, sentAtMs: 1000, tookMs: 9002, answer: COMPLETE }]);
+  const changes = [{ atMs: 4000, slots: -1 }];
+  const use = (run: ScenarioRun) => figuresOf('p', [run]).fleetUse;
+  expect(use(runOf('steady-50', record))).toEqual(0.5);
+  expect(use(runOf('steady-50', record, { changes }))).toEqual(0.75);
+});
+
 test('a refusal is late when it took over 20 ms and over half of the deadline', () => {
   const refusal = { runMs: 100, sentAtMs: 0, answer: REFUSED };
   const record = recordOf([
