List the hosts that the scheduler's tests speak for as members

Cause: the tests sent requests of hosts that the scheduler did not know, whose grants it now reclaims. Change: the driver's fleet has the members a1, b1 and c1. Conclusion: kept; no expectation was changed.

--- a/test/core/driver.ts
+++ b/test/core/driver.ts
@@ -104,7 +104,8 @@
       ...options,
     });
     driver.send({ type: 'configuration', configuration: CONFIGURATION });
-    driver.send({ type: 'members', members: [member('a1', 'd1')] });
+    const members = ['a1', 'b1', 'c1'].map((id) => member(id, 'd1'));
+    driver.send({ type: 'members', members });
     driver.setWorkers(slots.map((_, index) => `w${index}`));
     slots.forEach((count, index) => {
       const id = `w${index}`;
