--- a/src/host/callerApi.ts
+++ b/src/host/callerApi.ts
@@ -62,6 +62,8 @@
 
   #draining = false;
 
+  #aborted = false;
+
   constructor(
     service: SubmissionService,
     settings: Partial<CallerSettings>,
@@ -98,6 +100,10 @@
     );
     server.maxConnections = settings.connections;
     server.on('connection', (socket) => {
+      if (this.#aborted) {
+        socket.destroy();
+        return;
+      }
       this.#sockets.add(socket);
       socket.on('close', () => this.#sockets.delete(socket));
     });
@@ -115,8 +121,9 @@
     this.#draining = true;
   }
 
-  /** Breaks all connections; requests in progress get no answer. */
+  /** Breaks all connections, new ones too; requests in progress get no answer. */
   abort(): void {
+    this.#aborted = true;
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -9,6 +9,8 @@
 import { relaysOf, schedulerOf } from '../membership';
 import type { Log } from '../observe';
 import { GrpcTransport } from '../peers';
+import type { PeerTransport } from '../peers/transport';
+import type { TransportOptions } from '../peers/transportOptions';
 import { coreOptions, type Settings } from '../settings';
 import { EtcdStore, type Store } from '../store';
 import { HttpHostList, HttpWorkers, type Workers } from '../workers';
@@ -39,6 +41,13 @@
   });
 }
 
+/** Makes the transport to the other entry hosts. */
+export type TransportFactory = (options: TransportOptions) => PeerTransport;
+
+function createGrpcTransport(options: TransportOptions): PeerTransport {
+  return new GrpcTransport(options);
+}
+
 /** A running entry host. */
 export class EntryHost {
   readonly #settings: Settings;
@@ -49,7 +58,7 @@
 
   readonly #kernel: Kernel;
 
-  readonly #transport: GrpcTransport;
+  readonly #transport: PeerTransport;
 
   #members: readonly Member[] = [];
 
@@ -58,13 +67,17 @@
   #drainedCallback: (() => void) | null = null;
 
   /** Builds the host and opens nothing. Without `outputs` it logs and measures as its settings say. */
-  constructor(settings: Settings, outputs: HostOutputs = createOutputs(settings)) {
+  constructor(
+    settings: Settings,
+    outputs: HostOutputs = createOutputs(settings),
+    createTransport: TransportFactory = createGrpcTransport,
+  ) {
     this.#settings = settings;
     this.#outputs = outputs;
     this.#kernel = new Kernel((fault) => {
       outputs.log.error('event subscriber failed', { ...fault, error: fault.error.message });
     });
-    this.#transport = new GrpcTransport({
+    this.#transport = createTransport({
       hostId: settings.host.id,
       incarnation: this.#incarnation,
       listenAddress: settings.listen.peerAddress,
@@ -112,9 +125,10 @@
   }
 
   /** Closes at once, as a crash would: connections break and jobs in progress get no answer. */
-  abort(): Promise<void> {
+  async abort(): Promise<void> {
     this.#kernel.find<CallerApi>(ServiceName.callerApi).abort();
-    return this.#kernel.close();
+    await this.#transport.close(0);
+    await this.#kernel.close();
   }
 
   get #log(): Log {
--- a/src/standins/deployment.ts
+++ b/src/standins/deployment.ts
@@ -5,10 +5,13 @@
  */
 import { createServer, type AddressInfo } from 'node:net';
 import { once } from 'node:events';
-import { EntryHost } from '../host/entryHost';
+import { EntryHost, type TransportFactory } from '../host/entryHost';
 import type { HostOutputs } from '../host/outputs';
+import { GrpcTransport } from '../peers';
 import { checkSettings, type Settings } from '../settings';
 import { HostListServer } from './hostListServer';
+import { Partition } from './partition';
+import { PartitionedTransport } from './partitionedTransport';
 import { StoreServer } from './storeServer';
 import { WorkerServer } from './workerServer';
 
@@ -64,6 +67,9 @@
 
   readonly hosts: DeployedHost[] = [];
 
+  /** Cuts between the entry hosts. */
+  readonly partition = new Partition();
+
   readonly #createOutputs: (settings: Settings) => HostOutputs;
 
   constructor(shape: DeploymentShape, createHostOutputs: (settings: Settings) => HostOutputs) {
@@ -103,7 +109,14 @@
 
   async startHost(index: number): Promise<void> {
     const deployed = this.#deployed(index);
-    const host = new EntryHost(deployed.settings, this.#createOutputs(deployed.settings));
+    const { settings } = deployed;
+    const createTransport: TransportFactory = (options) =>
+      new PartitionedTransport(
+        new GrpcTransport(options),
+        this.partition,
+        settings.listen.peerAddress,
+      );
+    const host = new EntryHost(settings, this.#createOutputs(settings), createTransport);
     await host.open();
     deployed.host = host;
   }
@@ -123,6 +136,12 @@
     deployed.host = null;
   }
 
+  /** Cuts the entry hosts of a domain off from those of all others until `partition.heal`. */
+  cutDomain(domain: string): void {
+    const inDomain = this.hosts.filter(({ settings }) => settings.host.domain === domain);
+    this.partition.isolate(inDomain.map(({ settings }) => settings.listen.peerAddress));
+  }
+
   callerAddresses(): readonly string[] {
     return this.hosts.map(({ settings }) => settings.listen.callerAddress);
   }
