Recognize a job that reaches its issuer both directly and through another host

Cause: the issuer hashes the job's JSON to detect a reused key. A job parsed from a caller's body has the fields of its tasks in another order than one decoded from a peer's message, so the hash of the same job differed by route, and a resubmission through another host was refused as key-reused instead of joining the submission or getting its answer. Ruled out: lost precision (numbers travel as doubles, payloads as JSON text) and differing defaults (both hosts had the same configuration). Change: CoreService brings each job into one form before the core sees it. Conclusion: safe before (no second start), but no answer could be fetched through another host, which is what keys are for.

--- a/src/host/coreService.ts
+++ b/src/host/coreService.ts
@@ -21,6 +21,7 @@
 import type { DecisionLog, Metrics } from '../observe';
 import type { PeerOrigin, PeerTransport } from '../peers/transport';
 import type { HostListEntry, Workers } from '../workers';
+import { canonicalJob } from './canonicalJob';
 import type { SubmissionService } from './submissionService';
 
 /** Connections of one worker that all entry hosts share. */
@@ -81,7 +82,7 @@
   submit(key: string | null, job: JobSpec): Promise<JobAnswer> {
     const issuer = key === null ? null : this.#foreignIssuer(key);
     if (key === null || issuer === null) {
-      return this.#call((callId) => ({ type: 'submit', callId, key, job }));
+      return this.#submitHere(key, job);
     }
     return this.#forward(key, issuer, (address, incarnation) =>
       this.#parts.peers.forward(address, incarnation, key, job),
@@ -115,7 +116,7 @@
 
   /** A submission forwarded by another host; only this incarnation's core decides on it. */
   acceptForwarded(key: string, job: JobSpec): Promise<JobAnswer> {
-    return this.#call((callId) => ({ type: 'submit', callId, key, job }));
+    return this.#submitHere(key, job);
   }
 
   acceptForwardedCancel(key: string): Promise<JobAnswer> {
@@ -160,6 +161,11 @@
     return this.#parts.core.inspect(this.#parts.clock.nowMs());
   }
 
+  #submitHere(key: string | null, job: JobSpec): Promise<JobAnswer> {
+    const canonical = canonicalJob(job);
+    return this.#call((callId) => ({ type: 'submit', callId, key, job: canonical }));
+  }
+
   /** Host that issued a key, if it is another one; malformed keys are left to the core to refuse. */
   #foreignIssuer(key: string): { readonly hostId: string; readonly incarnation: string } | null {
     const parts = parseKey(key);
