Drop messages to peers without an address instead of ending the process

Cause: a starting host hears a peer's generation before the event that tells its services of that member has been delivered. The configuration service then pulls from the address '', and gRPC throws 'Could not parse target name' at the flush timer, where nothing catches it, so the process ends. Ruled out: a member without an address in the store or in gossip; the trace shows configurationPull from the host that had just started, and no other message. Change: the transport drops and counts (no-address) what goes to an address that is not of the form ip:port. The new transport test fails before. Conclusion: any host that starts in a running fleet could end at once.

--- a/src/peers/grpcTransport.ts
+++ b/src/peers/grpcTransport.ts
@@ -27,6 +27,9 @@
 } from './transportOptions';
 import { UnaryCalls } from './unaryCalls';
 
+/** gRPC throws for what it can't parse, at a time when nobody catches it. */
+const ADDRESS_FORM = /^\S+:\d{1,5}$/;
+
 interface Peer {
   readonly stream: PeerStream;
   readonly calls: UnaryCalls;
@@ -78,6 +81,10 @@
       this.#traffic.dropped(DropReason.closed, messages.length);
       return;
     }
+    if (!ADDRESS_FORM.test(peerAddress)) {
+      this.#traffic.dropped(DropReason.noAddress, messages.length);
+      return;
+    }
     this.#peer(peerAddress).stream.send(messages);
   }
 
@@ -160,6 +167,10 @@
     timeoutMs: number,
   ): Promise<Buffer | null> {
     if (this.#closed) return null;
+    if (!ADDRESS_FORM.test(peerAddress)) {
+      this.#traffic.dropped(DropReason.noAddress, 1);
+      return null;
+    }
     if (request.length > this.#options.maxMessageBytes) {
       this.#traffic.dropped(DropReason.tooLarge, 1);
       return null;
--- a/src/peers/traffic.ts
+++ b/src/peers/traffic.ts
@@ -2,6 +2,8 @@
 
 /** Why messages or calls were dropped. */
 export const DropReason = {
+  /** The address of the peer is not known, or is not of the form `ip:port`. */
+  noAddress: 'no-address',
   /** The stream broke, or could not be opened, while the messages were queued. */
   disconnected: 'disconnected',
   /** The peer reads more slowly than this host sends. */
--- a/test/peers/grpcTransport.test.ts
+++ b/test/peers/grpcTransport.test.ts
@@ -83,6 +83,18 @@
     await Promise.all([a.transport.close(0), next.transport.close(0)]);
   });
 
+  // gRPC throws for such an address at the flush, where nothing catches it: the process would end.
+  it('drops and counts what goes to a peer without a usable address', () =>
+    withHosts(async (a, b) => {
+      a.transport.send('', [cancel(1)]);
+      a.transport.send('b', [cancel(2)]);
+      expect(await a.transport.status('')).toEqual(null);
+      a.transport.send(b.address, [cancel(3)]);
+      await b.handler.received(1);
+      expect(b.handler.messages).toEqual([cancel(3)]);
+      expect(a.transport.drops()).toEqual({ 'no-address': 3 });
+    }));
+
   it('gives up a peer that accepts and never answers, within a byte limit', async () => {
     const peer = await startSilentPeer();
     const a = await startHost('a', { connectTimeoutMs: 50, maxPendingBytes: 2000 });
