--- a/test/system/fixtures.ts
+++ b/test/system/fixtures.ts
@@ -5,7 +5,11 @@
 import type { HostOutputs } from '../../src/host/outputs';
 import { NO_METRICS } from '../../src/observe';
 import { Deployment, type SettingsLines } from '../../src/standins/deployment';
-import { DeploymentCaller, type CallerJob } from '../../src/standins/deploymentCaller';
+import {
+  DeploymentCaller,
+  type CallerJob,
+  type CallRecord,
+} from '../../src/standins/deploymentCaller';
 import { checkDeployment } from '../../src/standins/deploymentCheck';
 import { DeploymentLoad, type DeploymentLoadOptions } from '../../src/standins/deploymentLoad';
 import type { StartRecord } from '../../src/standins/workerTypes';
@@ -271,3 +275,10 @@
   jobs += 1;
   return { number: jobs, ...kind, runMs };
 }
+
+/** Status code and reason of an answer, for instance `503 overloaded`; otherwise how the call ended. */
+export function shown({ answer }: CallRecord): string {
+  if (answer === null || answer === 'broken') return answer ?? 'no answer';
+  const { reason, outcome } = answer.body;
+  return `${answer.statusCode} ${reason ?? outcome}`;
+}
