--- a/src/standins/deployment.ts
+++ b/src/standins/deployment.ts
@@ -34,6 +34,16 @@
   host: EntryHost | null;
 }
 
+/** A time in which a host was gone; `toMs` is Infinity while it is. Times are of `performance.now`. */
+export interface HostOutage {
+  /** Caller address of the host. */
+  readonly host: string;
+  readonly fromMs: number;
+  toMs: number;
+  /** True for a drain, from its begin on: requests that were sent before must not break. */
+  readonly graceful: boolean;
+}
+
 /** Settings that differ from the defaults, as lines of their INI section. */
 export type SettingsLines = Readonly<Record<string, readonly string[]>>;
 
@@ -67,6 +77,9 @@
 
   readonly hosts: DeployedHost[] = [];
 
+  /** All drains and losses of hosts so far. */
+  readonly outages: HostOutage[] = [];
+
   /** Cuts between the entry hosts. */
   readonly partition = new Partition();
 
@@ -119,6 +132,9 @@
     const host = new EntryHost(settings, this.#createOutputs(settings), createTransport);
     await host.open();
     deployed.host = host;
+    this.outages
+      .filter((outage) => outage.host === settings.listen.callerAddress && outage.toMs === Infinity)
+      .forEach((outage) => Object.assign(outage, { toMs: performance.now() }));
   }
 
   /** The host is gone at once: its connections break and nobody gets an answer. */
@@ -126,12 +142,14 @@
     const deployed = this.#deployed(index);
     const { host } = deployed;
     deployed.host = null;
+    this.#noteOutage(deployed, false);
     await host?.abort();
   }
 
   /** Graceful shutdown; resolves when the host has closed. */
   async drainHost(index: number): Promise<void> {
     const deployed = this.#deployed(index);
+    this.#noteOutage(deployed, true);
     await deployed.host?.drain();
     deployed.host = null;
   }
@@ -163,6 +181,11 @@
     return deployed;
   }
 
+  #noteOutage({ settings }: DeployedHost, graceful: boolean): void {
+    const host = settings.listen.callerAddress;
+    this.outages.push({ host, fromMs: performance.now(), toMs: Infinity, graceful });
+  }
+
   async #planHosts(extra: SettingsLines): Promise<void> {
     const { domains, hostsPerDomain } = this.shape;
     const ports = await freePorts(domains.length * hostsPerDomain * 3);
--- a/src/standins/deploymentCaller.ts
+++ b/src/standins/deploymentCaller.ts
@@ -34,6 +34,9 @@
   readonly job: CallerJob;
   readonly host: string;
   readonly resubmission: boolean;
+  readonly sentAtMs: number;
+  /** Infinity until the call has ended. */
+  endedAtMs: number;
   answer: CallerAnswer | 'broken' | null;
 }
 
@@ -68,7 +71,15 @@
     job: CallerJob,
     resubmission = false,
   ): Promise<CallRecord> {
-    const call: CallRecord = { key, job, host, resubmission, answer: null };
+    const call: CallRecord = {
+      key,
+      job,
+      host,
+      resubmission,
+      sentAtMs: performance.now(),
+      endedAtMs: Infinity,
+      answer: null,
+    };
     this.calls.push(call);
     const { team, kind, deadlineMs } = job;
     const tasks = payloadsOf(job).map((payload, index) => ({
@@ -77,6 +88,7 @@
     }));
     const body = { team, kind, deadlineMs, tasks };
     call.answer = await this.#send(host, 'POST', '/v1/jobs', body, { 'idempotency-key': key });
+    call.endedAtMs = performance.now();
     return call;
   }
 
--- a/src/standins/deploymentCheck.ts
+++ b/src/standins/deploymentCheck.ts
@@ -2,6 +2,7 @@
  * Checks what callers got against the workers' own records of starts, which are the truth about what
  * ran (docs/design.md, section 2).
  */
+import type { HostOutage } from './deployment';
 import type { CallRecord, CallerAnswer } from './deploymentCaller';
 import { payloadsOf } from './deploymentCaller';
 import type { StartRecord } from './workerTypes';
@@ -18,7 +19,7 @@
   notRecognized: 'notRecognized',
   /** Each call ends with an answer or a broken connection. */
   noAnswer: 'noAnswer',
-  /** The connection of a call breaks only if its host was lost. */
+  /** The connection of a call breaks only if its host was lost, or was draining when it was sent. */
   brokenByLiveHost: 'brokenByLiveHost',
 } as const;
 export type DeploymentRule = (typeof DeploymentRule)[keyof typeof DeploymentRule];
@@ -83,23 +84,28 @@
     });
 }
 
+function mayBreak(call: CallRecord, { host, fromMs, toMs, graceful }: HostOutage): boolean {
+  const overlaps = call.sentAtMs < toMs && call.endedAtMs >= fromMs;
+  return call.host === host && overlaps && (!graceful || call.sentAtMs >= fromMs);
+}
+
 function ofCall(
   call: CallRecord,
   starts: ReadonlyMap<string, readonly string[]>,
-  lostHosts: ReadonlySet<string>,
+  outages: readonly HostOutage[],
 ): readonly DeploymentViolation[] {
   const { key, host, answer } = call;
   if (answer === null) return [{ rule: DeploymentRule.noAnswer, key, detail: `at ${host}` }];
   if (answer !== 'broken') return ofAnswer(call, answer, starts);
-  if (lostHosts.has(host)) return [];
+  if (outages.some((outage) => mayBreak(call, outage))) return [];
   return [{ rule: DeploymentRule.brokenByLiveHost, key, detail: `at ${host}` }];
 }
 
-/** Every broken rule of a run; `lostHosts` are the caller addresses of hosts that were killed. */
+/** Every broken rule of a run. */
 export function checkDeployment(
   calls: readonly CallRecord[],
   records: readonly StartRecord[],
-  lostHosts: ReadonlySet<string>,
+  outages: readonly HostOutage[],
 ): readonly DeploymentViolation[] {
   const starts = startsByTask(records);
   const doubleStarts = [...starts]
@@ -109,7 +115,7 @@
       key: task,
       detail: attempts.join(),
     }));
-  return [...doubleStarts, ...calls.flatMap((call) => ofCall(call, starts, lostHosts))];
+  return [...doubleStarts, ...calls.flatMap((call) => ofCall(call, starts, outages))];
 }
 
 /** Number of calls by what they got, for reports. */
--- a/src/standins/deploymentLoad.ts
+++ b/src/standins/deploymentLoad.ts
@@ -13,10 +13,14 @@
   readonly runMs: { readonly low: number; readonly high: number };
   /** Fraction of the jobs that go to another host than the issuer of their key. */
   readonly forwarded: number;
+  /** Fraction of the jobs that are sent twice at once, the second time through another host. */
+  readonly doubled: number;
   /** Ask each host for its readiness before it gets a key request, as a load balancer does. */
   readonly checkReady: boolean;
 }
 
+/** Jobs that are sent again at the same time. */
+const RESUBMITTED_AT_ONCE = 50;
 /** Wait of a caller that found no host with a key for it. */
 const NO_KEY_WAIT_MS = 20;
 
@@ -66,9 +70,10 @@
   }
 
   /** Sends each job again under its key through a host other than the first; resolves when answered. */
-  async resubmitAll(): Promise<readonly CallRecord[]> {
+  async resubmitAll(): Promise<void> {
     const first = this.#caller.calls.filter(({ resubmission }) => !resubmission);
-    return Promise.all(first.map((call) => this.#resubmit(call)));
+    const lanes = Array.from({ length: RESUBMITTED_AT_ONCE }, () => this.#resubmitFrom(first));
+    await Promise.all(lanes);
   }
 
   async #runCaller(): Promise<void> {
@@ -79,7 +84,7 @@
 
   async #runJob(): Promise<void> {
     const issuer = this.#random.pick(this.#hosts);
-    const { forwarded, checkReady } = this.#options;
+    const { forwarded, doubled, checkReady } = this.#options;
     const taken = !checkReady || (await this.#caller.ready(issuer));
     const key = taken ? await this.#caller.issueKey(issuer) : null;
     if (key === null) {
@@ -88,11 +93,20 @@
     }
     const goesElsewhere = this.#random.next() < forwarded;
     const host = goesElsewhere ? this.#otherThan(issuer) : issuer;
-    await this.#caller.submit(host, key, this.#nextJob());
+    const job = this.#nextJob();
+    const again = this.#random.next() < doubled ? this.#otherThan(host) : null;
+    await Promise.all([
+      this.#caller.submit(host, key, job),
+      ...(again === null ? [] : [this.#caller.submit(again, key, job, true)]),
+    ]);
   }
 
-  #resubmit({ key, job, host }: CallRecord): Promise<CallRecord> {
-    return this.#caller.submit(this.#otherThan(host), key, job, true);
+  /** Takes calls off the end of the list until it is empty. */
+  async #resubmitFrom(calls: CallRecord[]): Promise<void> {
+    const call = calls.pop();
+    if (call === undefined) return;
+    await this.#caller.submit(this.#otherThan(call.host), call.key, call.job, true);
+    await this.#resubmitFrom(calls);
   }
 
   #otherThan(host: string): string {
--- a/test/system/fixtures.ts
+++ b/test/system/fixtures.ts
@@ -50,6 +50,7 @@
   tasks: { low: 1, high: 5 },
   runMs: { low: 20, high: 200 },
   forwarded: 0.4,
+  doubled: 0.3,
   checkReady: false,
 };
 
@@ -89,9 +90,6 @@
 
   readonly caller = new DeploymentCaller();
 
-  /** Caller addresses of hosts that a test has killed. */
-  readonly lostHosts = new Set<string>();
-
   /** Decisions of all hosts, oldest first. */
   readonly trace: TracedDecision[] = [];
 
@@ -175,11 +173,6 @@
     return members.val.filter(({ state }) => state === 'alive').map(({ hostId }) => hostId);
   }
 
-  async kill(index: number): Promise<void> {
-    this.lostHosts.add(this.address(index));
-    await this.deployment.killHost(index);
-  }
-
   async keyOf(index: number): Promise<string> {
     const key = await this.caller.issueKey(this.address(index));
     if (key === null) throw new Error(`host ${index} issued no key`);
@@ -210,7 +203,7 @@
 
   /** Checks all calls against the workers' records. */
   check(): void {
-    const violations = checkDeployment(this.caller.calls, this.starts, this.lostHosts);
+    const violations = checkDeployment(this.caller.calls, this.starts, this.deployment.outages);
     const traces = violations.slice(0, SHOWN_TRACES).flatMap(({ key }) => this.#traceOf(key));
     expect({ violations, traces }).toEqual({ violations: [], traces: [] });
   }
--- a/test/system/fleet.test.ts
+++ b/test/system/fleet.test.ts
@@ -17,7 +17,7 @@
     await system.progress(JOBS_PER_PHASE);
 
     const killedId = deployment.hosts[0]?.settings.host.id ?? '';
-    await system.kill(0);
+    await system.deployment.killHost(0);
     await until('the others take the killed host for dead', async () => {
       const known = await Promise.all(system.running().map((index) => system.aliveAt(index)));
       return known.every((alive) => !alive.includes(killedId));
--- a/test/system/promises.test.ts
+++ b/test/system/promises.test.ts
@@ -71,7 +71,7 @@
 // replaced one by one. A draining host may refuse a job as not run; the caller takes the next host.
 test('an upgrade of all hosts one by one loses no request', async (t) => {
   await withSystem({ hosts: 2, workers: 6 }, async (system) => {
-    const load = system.load({ checkReady: true, forwarded: 0 });
+    const load = system.load({ checkReady: true, forwarded: 0, doubled: 0 });
     load.start();
     await upgrade(system, 0);
     await load.stop();
--- a/test/system/promisesConfiguration.test.ts
+++ b/test/system/promisesConfiguration.test.ts
@@ -55,7 +55,7 @@
     const publisher = system.running().find((index) => index !== relay) ?? 0;
     const [generation] = await Promise.all([
       system.publish(publisher, configurationWithShare(0.5)),
-      system.kill(relay),
+      system.deployment.killHost(relay),
     ]);
     await inForceEverywhere(system, generation);
   });
@@ -64,7 +64,7 @@
 // Guards against a new host that can't serve until the store is back.
 test('a host that starts while the store is down gets configuration and members from peers', async () => {
   await withSystem({ hosts: 1, workers: 2 }, async (system) => {
-    await system.kill(0);
+    await system.deployment.killHost(0);
     system.deployment.store.cut();
     await system.deployment.startHost(0);
     await system.settled();
