--- a/src/standins/deployment.ts
+++ b/src/standins/deployment.ts
@@ -5,10 +5,13 @@
  */
 import { createServer, type AddressInfo } from 'node:net';
 import { once } from 'node:events';
-import { EntryHost } from '../host/entryHost';
+import { EntryHost, type TransportFactory } from '../host/entryHost';
 import type { HostOutputs } from '../host/outputs';
+import { GrpcTransport } from '../peers';
 import { checkSettings, type Settings } from '../settings';
 import { HostListServer } from './hostListServer';
+import { Partition } from './partition';
+import { PartitionedTransport } from './partitionedTransport';
 import { StoreServer } from './storeServer';
 import { WorkerServer } from './workerServer';
 
@@ -31,6 +34,16 @@
   host: EntryHost | null;
 }
 
+/** A time in which a host was gone; `toMs` is Infinity while it is. Times are of `performance.now`. */
+export interface HostOutage {
+  /** Caller address of the host. */
+  readonly host: string;
+  readonly fromMs: number;
+  toMs: number;
+  /** True for a drain, from its begin on: requests that were sent before must not break. */
+  readonly graceful: boolean;
+}
+
 /** Settings that differ from the defaults, as lines of their INI section. */
 export type SettingsLines = Readonly<Record<string, readonly string[]>>;
 
@@ -64,6 +77,12 @@
 
   readonly hosts: DeployedHost[] = [];
 
+  /** All drains and losses of hosts so far. */
+  readonly outages: HostOutage[] = [];
+
+  /** Cuts between the entry hosts. */
+  readonly partition = new Partition();
+
   readonly #createOutputs: (settings: Settings) => HostOutputs;
 
   constructor(shape: DeploymentShape, createHostOutputs: (settings: Settings) => HostOutputs) {
@@ -103,9 +122,19 @@
 
   async startHost(index: number): Promise<void> {
     const deployed = this.#deployed(index);
-    const host = new EntryHost(deployed.settings, this.#createOutputs(deployed.settings));
+    const { settings } = deployed;
+    const createTransport: TransportFactory = (options) =>
+      new PartitionedTransport(
+        new GrpcTransport(options),
+        this.partition,
+        settings.listen.peerAddress,
+      );
+    const host = new EntryHost(settings, this.#createOutputs(settings), createTransport);
     await host.open();
     deployed.host = host;
+    this.outages
+      .filter((outage) => outage.host === settings.listen.callerAddress && outage.toMs === Infinity)
+      .forEach((outage) => Object.assign(outage, { toMs: performance.now() }));
   }
 
   /** The host is gone at once: its connections break and nobody gets an answer. */
@@ -113,16 +142,24 @@
     const deployed = this.#deployed(index);
     const { host } = deployed;
     deployed.host = null;
+    this.#noteOutage(deployed, false);
     await host?.abort();
   }
 
   /** Graceful shutdown; resolves when the host has closed. */
   async drainHost(index: number): Promise<void> {
     const deployed = this.#deployed(index);
+    this.#noteOutage(deployed, true);
     await deployed.host?.drain();
     deployed.host = null;
   }
 
+  /** Cuts the entry hosts of a domain off from those of all others until `partition.heal`. */
+  cutDomain(domain: string): void {
+    const inDomain = this.hosts.filter(({ settings }) => settings.host.domain === domain);
+    this.partition.isolate(inDomain.map(({ settings }) => settings.listen.peerAddress));
+  }
+
   callerAddresses(): readonly string[] {
     return this.hosts.map(({ settings }) => settings.listen.callerAddress);
   }
@@ -144,6 +181,11 @@
     return deployed;
   }
 
+  #noteOutage({ settings }: DeployedHost, graceful: boolean): void {
+    const host = settings.listen.callerAddress;
+    this.outages.push({ host, fromMs: performance.now(), toMs: Infinity, graceful });
+  }
+
   async #planHosts(extra: SettingsLines): Promise<void> {
     const { domains, hostsPerDomain } = this.shape;
     const ports = await freePorts(domains.length * hostsPerDomain * 3);
