Compute a domain's capacity once per grant pass, and compare failures only on failures

Change: both are computed once per pass; failures are compared only after a failure; the number of waiting tasks is kept as a count.

--- a/src/core/granter.ts
+++ b/src/core/granter.ts
@@ -28,6 +28,15 @@
   readonly estimates: RunTimeEstimates;
 }
 
+/** State of one pass; nothing else changes the slots meanwhile. */
+interface Pass {
+  readonly capacity: number;
+  freeSlots: number;
+  /** Kinds with waiting tasks that have not been set aside. */
+  leaves: readonly LeafQueue[];
+  readonly nowMs: number;
+}
+
 /** Grants by request, of one pass. */
 export type GrantsByRequest = ReadonlyMap<QueuedRequest, readonly Grant[]>;
 
@@ -46,40 +55,42 @@
 
   /** Grants all that can be granted now. */
   pass(nowMs: number): GrantsByRequest {
+    const { slots, queues } = this.#parts;
     this.#passed = new Map();
-    this.#parts.slots.shares.advance(nowMs);
-    const blocked = new Set<string>();
-    while (this.#parts.queues.tasks() > 0 && this.#grantNext(blocked, nowMs));
+    if (queues.tasks() === 0) return this.#passed;
+    slots.shares.advance(nowMs);
+    const pass: Pass = {
+      capacity: slots.workers.capacity(),
+      freeSlots: slots.workers.totalFree(),
+      leaves: queues.waiting(),
+      nowMs,
+    };
+    while (pass.freeSlots > 0 && this.#grantNext(pass));
     return this.#passed;
   }
 
   /** False when nothing more can be granted. A kind none of whose requests fits is set aside. */
-  #grantNext(blocked: Set<string>, nowMs: number): boolean {
-    const { slots } = this.#parts;
-    const totalFree = slots.workers.totalFree();
-    if (totalFree === 0) return false;
-    const capacity = slots.workers.capacity();
-    const contenders = this.#contenders(blocked, totalFree, capacity);
-    const choice = slots.shares.choose(this.#withoutLong(contenders, capacity), capacity);
+  #grantNext(pass: Pass): boolean {
+    const current = pass;
+    const { shares } = this.#parts.slots;
+    const contenders = this.#contenders(current);
+    const choice = shares.choose(this.#withoutLong(contenders, current.capacity), current.capacity);
     if (!choice) return false;
-    if (!this.#grantTo(choice, nowMs)) blocked.add(choice.contender.leaf);
+    if (this.#grantTo(choice, current.nowMs)) {
+      current.freeSlots -= 1;
+    } else {
+      current.leaves = current.leaves.filter((leaf) => leaf !== choice.contender);
+    }
     return true;
   }
 
-  #contenders(
-    blocked: ReadonlySet<string>,
-    totalFree: number,
-    capacity: number,
-  ): readonly LeafQueue[] {
-    const { slots, queues } = this.#parts;
+  #contenders({ leaves, freeSlots, capacity }: Pass): readonly LeafQueue[] {
+    const { slots } = this.#parts;
     const { shares } = slots;
-    const lendable = totalFree > slots.reserve(capacity);
-    return [...queues.leaves()].filter(
-      ({ tasks, leaf, team }) =>
-        tasks > 0 &&
-        !blocked.has(leaf) &&
-        shares.withinQuota(team) &&
-        (lendable || shares.belowShare(team, capacity)),
+    const lendable = freeSlots > slots.reserve(capacity);
+    return leaves.filter(
+      ({ tasks, team }) =>
+        tasks > 0 && shares.withinQuota(team) && (lendable || shares.belowShare(team, capacity)),
     );
   }
 
--- a/src/core/leafQueue.ts
+++ b/src/core/leafQueue.ts
@@ -72,9 +72,11 @@
     return skipped.length < limit ? head : undefined;
   }
 
-  take(request: QueuedRequest, count: number): void {
+  /** Takes up to `count` slots off a request; returns how many. */
+  take(request: QueuedRequest, count: number): number {
     const taken = Math.min(count, request.count);
     Object.assign(request, { count: request.count - taken });
     this.#tasks -= taken;
+    return taken;
   }
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -264,6 +264,7 @@
 
   /** Tells all hosts of the load at once when it has changed much, else now and then. */
   #sendSummary(nowMs: number): void {
+    if (!this.#summaries.mayBeDue(this.#hosts.length, nowMs)) return;
     const summary = this.#summary();
     if (!this.#summaries.isDue(summary, this.#hosts.length, nowMs)) return;
     this.#hosts.forEach((host) => this.#outbox.send(host, summary));
@@ -336,7 +337,9 @@
       worker.health.observeRunTime(runTimeMs, this.#estimates.meanMs(record.leaf));
     }
     this.#kindFailures.observe(record.leaf, record.workerId, outcome);
-    const peersFail = this.#kindFailures.failsElsewhere(record.leaf, record.workerId);
+    const peersFail =
+      outcome === GrantOutcome.failed &&
+      this.#kindFailures.failsElsewhere(record.leaf, record.workerId);
     if (worker.health.observe(outcome, peersFail, nowMs)) this.#logAvoided(worker, outcome);
   }
 
--- a/src/core/slotQueues.ts
+++ b/src/core/slotQueues.ts
@@ -7,10 +7,17 @@
 
   readonly #byHost = new Map<string, Map<number, QueuedRequest>>();
 
+  #tasks = 0;
+
   leaves(): IterableIterator<LeafQueue> {
     return this.#leaves.values();
   }
 
+  /** Kinds with waiting tasks. */
+  waiting(): readonly LeafQueue[] {
+    return [...this.#leaves.values()].filter(({ tasks }) => tasks > 0);
+  }
+
   leaf(key: string): LeafQueue | undefined {
     return this.#leaves.get(key);
   }
@@ -31,6 +38,7 @@
       this.#leaves.set(request.leaf, queue);
     }
     queue.push(request);
+    this.#tasks += request.count;
     const requests = this.#byHost.get(request.host) ?? new Map<number, QueuedRequest>();
     requests.set(request.requestId, request);
     this.#byHost.set(request.host, requests);
@@ -38,7 +46,7 @@
 
   /** Takes `count` slots off a request after a grant. */
   take(request: QueuedRequest, count: number): void {
-    this.#leaves.get(request.leaf)?.take(request, count);
+    this.#tasks -= this.#leaves.get(request.leaf)?.take(request, count) ?? 0;
     if (request.count === 0) this.#byHost.get(request.host)?.delete(request.requestId);
   }
 
@@ -61,14 +69,12 @@
   clear(): void {
     this.#leaves.clear();
     this.#byHost.clear();
+    this.#tasks = 0;
   }
 
+  /** All tasks that wait. */
   tasks(): number {
-    let sum = 0;
-    this.#leaves.forEach((queue) => {
-      sum += queue.tasks;
-    });
-    return sum;
+    return this.#tasks;
   }
 
   /** Tasks of one team that wait. */
--- a/src/core/summaryPace.ts
+++ b/src/core/summaryPace.ts
@@ -11,6 +11,10 @@
 const EARLY_MIN_MS = 50;
 const EARLY_MS_PER_HOST = 6;
 
+function earlyMsFor(hosts: number): number {
+  return Math.max(EARLY_MIN_MS, EARLY_MS_PER_HOST * hosts);
+}
+
 function changed(before: LoadSummary, after: LoadSummary): boolean {
   const least = Math.max(1, after.capacitySlots) * CHANGE_FRACTION;
   if (before.capacitySlots !== after.capacitySlots) return true;
@@ -32,9 +36,14 @@
     this.#periodMs = periodMs;
   }
 
+  /** False while not even a changed summary would be sent. */
+  mayBeDue(hosts: number, nowMs: number): boolean {
+    return this.#last === null || nowMs - this.#last.atMs >= earlyMsFor(hosts);
+  }
+
   /** True if the summary should be sent now; it then counts as sent. */
   isDue(summary: LoadSummary, hosts: number, nowMs: number): boolean {
-    const earlyMs = Math.max(EARLY_MIN_MS, EARLY_MS_PER_HOST * hosts);
+    const earlyMs = earlyMsFor(hosts);
     const periodMs = Math.max(this.#periodMs, earlyMs);
     const sinceMs = nowMs - (this.#last?.atMs ?? -Infinity);
     const due = sinceMs >= periodMs || (sinceMs >= earlyMs && this.#hasChanged(summary));
--- a/src/core/workerTable.ts
+++ b/src/core/workerTable.ts
@@ -188,15 +188,18 @@
     const count = this.#list.length;
     let best: WorkerEntry | null = null;
     let bestFree = 0;
+    let bestIndex = this.#cursor;
     for (let offset = 1; offset <= count; offset += 1) {
-      const worker = this.#list[(this.#cursor + offset) % count];
+      const index = (this.#cursor + offset) % count;
+      const worker = this.#list[index];
       const free = worker ? freeSlots(worker) : 0;
       if (worker && free > bestFree && admits(worker, host, resources, slotsPerHost)) {
         best = worker;
         bestFree = free;
+        bestIndex = index;
       }
     }
-    if (best) this.#cursor = this.#list.indexOf(best);
+    this.#cursor = bestIndex;
     return best;
   }
 }
