Take the ports of deployments from blocks below the ephemeral range

Cause: Deployment took free ports from the range of outgoing connections and closed them before its hosts listened; another process's connection could get one in between. A failed open also left hosts behind that had opened later, so that the process did not end. Ruled out: a host that had not released its port; the failed host was a first start. Change: PortBlock holds a block of ports by a listener on its first one, and Deployment.open waits for all hosts before it reports a failure.

--- a/src/standins/deployment.ts
+++ b/src/standins/deployment.ts
@@ -3,8 +3,6 @@
  * domains with stand-ins for the store, the host list and the workers. The demo and the system tests
  * use it; faults are switched on at the stand-ins.
  */
-import { createServer, type AddressInfo } from 'node:net';
-import { once } from 'node:events';
 import { EntryHost, type TransportFactory } from '../host/entryHost';
 import type { HostOutputs } from '../host/outputs';
 import { GrpcTransport } from '../peers';
@@ -12,6 +10,7 @@
 import { HostListServer } from './hostListServer';
 import { Partition } from './partition';
 import { PartitionedTransport } from './partitionedTransport';
+import { PortBlock } from './portBlock';
 import { StoreServer } from './storeServer';
 import { WorkerServer } from './workerServer';
 
@@ -47,20 +46,6 @@
 /** Settings that differ from the defaults, as lines of their INI section. */
 export type SettingsLines = Readonly<Record<string, readonly string[]>>;
 
-/** Takes ports that are free now, all different. */
-async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
-  await Promise.all(servers.map((server) => once(server, 'listening')));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map((server) => {
-      server.close();
-      return once(server, 'close');
-    }),
-  );
-  return ports;
-}
-
 function sectionText(name: string, lines: readonly string[]): string {
   return [`[${name}]`, ...lines].join('\n');
 }
@@ -83,6 +68,8 @@
   /** Cuts between the entry hosts. */
   readonly partition = new Partition();
 
+  #ports: PortBlock | null = null;
+
   readonly #createOutputs: (settings: Settings) => HostOutputs;
 
   constructor(shape: DeploymentShape, createHostOutputs: (settings: Settings) => HostOutputs) {
@@ -112,7 +99,10 @@
     ]);
     this.showHostList();
     await this.#planHosts(extra);
-    await Promise.all(this.hosts.map((_, index) => this.startHost(index)));
+    // All hosts are waited for, so that `close` finds those that have opened.
+    const opened = await Promise.allSettled(this.hosts.map((_, index) => this.startHost(index)));
+    const failed = opened.find(({ status }) => status === 'rejected');
+    if (failed?.status === 'rejected') throw failed.reason;
   }
 
   /** Shows the workers in the host list as they are now. */
@@ -173,6 +163,8 @@
     await Promise.all(this.workers.map((worker) => worker.close()));
     await this.hostList.close();
     await this.store.close();
+    await this.#ports?.release();
+    this.#ports = null;
   }
 
   #deployed(index: number): DeployedHost {
@@ -188,7 +180,8 @@
 
   async #planHosts(extra: SettingsLines): Promise<void> {
     const { domains, hostsPerDomain } = this.shape;
-    const ports = await freePorts(domains.length * hostsPerDomain * 3);
+    this.#ports = await PortBlock.reserve(domains.length * hostsPerDomain * 3);
+    const { ports } = this.#ports;
     const peers = ports.filter((_, index) => index % 3 === 2).map((port) => `127.0.0.1:${port}`);
     domains.forEach((domain, domainIndex) => {
       for (let number = 1; number <= hostsPerDomain; number += 1) {
