--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -129,10 +129,15 @@
     this.#grantAll(nowMs);
   }
 
-  /** Hosts that are alive; the grants of others are reclaimed after one task lease. */
-  setHosts(hosts: readonly string[], nowMs: number): void {
+  /** Hosts that are alive; others lose their requests, and their grants after one task lease. */
+  setHosts(hosts: readonly string[]): void {
     this.#hosts = hosts;
-    this.#slots.setHosts(hosts, nowMs).forEach((host) => this.#queues.dropHost(host));
+    this.#slots.setHosts(hosts);
+    const alive = new Set(hosts);
+    this.#queues
+      .hosts()
+      .filter((host) => !alive.has(host))
+      .forEach((host) => this.#queues.dropHost(host));
   }
 
   setWorkerList(entries: readonly HostListEntry[], nowMs: number): void {
@@ -259,6 +264,7 @@
 
   /** Tells all hosts of the load at once when it has changed much, else now and then. */
   #sendSummary(nowMs: number): void {
+    if (!this.#summaries.mayBeDue(this.#hosts.length, nowMs)) return;
     const summary = this.#summary();
     if (!this.#summaries.isDue(summary, this.#hosts.length, nowMs)) return;
     this.#hosts.forEach((host) => this.#outbox.send(host, summary));
@@ -331,7 +337,9 @@
       worker.health.observeRunTime(runTimeMs, this.#estimates.meanMs(record.leaf));
     }
     this.#kindFailures.observe(record.leaf, record.workerId, outcome);
-    const peersFail = this.#kindFailures.failsElsewhere(record.leaf, record.workerId);
+    const peersFail =
+      outcome === GrantOutcome.failed &&
+      this.#kindFailures.failsElsewhere(record.leaf, record.workerId);
     if (worker.health.observe(outcome, peersFail, nowMs)) this.#logAvoided(worker, outcome);
   }
 
--- a/src/standins/deployment.ts
+++ b/src/standins/deployment.ts
@@ -3,12 +3,14 @@
  * domains with stand-ins for the store, the host list and the workers. The demo and the system tests
  * use it; faults are switched on at the stand-ins.
  */
-import { createServer, type AddressInfo } from 'node:net';
-import { once } from 'node:events';
-import { EntryHost } from '../host/entryHost';
+import { EntryHost, type TransportFactory } from '../host/entryHost';
 import type { HostOutputs } from '../host/outputs';
+import { GrpcTransport } from '../peers';
 import { checkSettings, type Settings } from '../settings';
 import { HostListServer } from './hostListServer';
+import { Partition } from './partition';
+import { PartitionedTransport } from './partitionedTransport';
+import { PortBlock } from './portBlock';
 import { StoreServer } from './storeServer';
 import { WorkerServer } from './workerServer';
 
@@ -31,23 +33,19 @@
   host: EntryHost | null;
 }
 
+/** A time in which a host was gone; `toMs` is Infinity while it is. Times are of `performance.now`. */
+export interface HostOutage {
+  /** Caller address of the host. */
+  readonly host: string;
+  readonly fromMs: number;
+  toMs: number;
+  /** True for a drain, from its begin on: requests that were sent before must not break. */
+  readonly graceful: boolean;
+}
+
 /** Settings that differ from the defaults, as lines of their INI section. */
 export type SettingsLines = Readonly<Record<string, readonly string[]>>;
 
-/** Takes ports that are free now, all different. */
-async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
-  await Promise.all(servers.map((server) => once(server, 'listening')));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map((server) => {
-      server.close();
-      return once(server, 'close');
-    }),
-  );
-  return ports;
-}
-
 function sectionText(name: string, lines: readonly string[]): string {
   return [`[${name}]`, ...lines].join('\n');
 }
@@ -64,6 +62,14 @@
 
   readonly hosts: DeployedHost[] = [];
 
+  /** All drains and losses of hosts so far. */
+  readonly outages: HostOutage[] = [];
+
+  /** Cuts between the entry hosts. */
+  readonly partition = new Partition();
+
+  #ports: PortBlock | null = null;
+
   readonly #createOutputs: (settings: Settings) => HostOutputs;
 
   constructor(shape: DeploymentShape, createHostOutputs: (settings: Settings) => HostOutputs) {
@@ -93,7 +99,10 @@
     ]);
     this.showHostList();
     await this.#planHosts(extra);
-    await Promise.all(this.hosts.map((_, index) => this.startHost(index)));
+    // All hosts are waited for, so that `close` finds those that have opened.
+    const opened = await Promise.allSettled(this.hosts.map((_, index) => this.startHost(index)));
+    const failed = opened.find(({ status }) => status === 'rejected');
+    if (failed?.status === 'rejected') throw failed.reason;
   }
 
   /** Shows the workers in the host list as they are now. */
@@ -103,9 +112,19 @@
 
   async startHost(index: number): Promise<void> {
     const deployed = this.#deployed(index);
-    const host = new EntryHost(deployed.settings, this.#createOutputs(deployed.settings));
+    const { settings } = deployed;
+    const createTransport: TransportFactory = (options) =>
+      new PartitionedTransport(
+        new GrpcTransport(options),
+        this.partition,
+        settings.listen.peerAddress,
+      );
+    const host = new EntryHost(settings, this.#createOutputs(settings), createTransport);
     await host.open();
     deployed.host = host;
+    this.outages
+      .filter((outage) => outage.host === settings.listen.callerAddress && outage.toMs === Infinity)
+      .forEach((outage) => Object.assign(outage, { toMs: performance.now() }));
   }
 
   /** The host is gone at once: its connections break and nobody gets an answer. */
@@ -113,16 +132,24 @@
     const deployed = this.#deployed(index);
     const { host } = deployed;
     deployed.host = null;
+    this.#noteOutage(deployed, false);
     await host?.abort();
   }
 
   /** Graceful shutdown; resolves when the host has closed. */
   async drainHost(index: number): Promise<void> {
     const deployed = this.#deployed(index);
+    this.#noteOutage(deployed, true);
     await deployed.host?.drain();
     deployed.host = null;
   }
 
+  /** Cuts the entry hosts of a domain off from those of all others until `partition.heal`. */
+  cutDomain(domain: string): void {
+    const inDomain = this.hosts.filter(({ settings }) => settings.host.domain === domain);
+    this.partition.isolate(inDomain.map(({ settings }) => settings.listen.peerAddress));
+  }
+
   callerAddresses(): readonly string[] {
     return this.hosts.map(({ settings }) => settings.listen.callerAddress);
   }
@@ -136,6 +163,8 @@
     await Promise.all(this.workers.map((worker) => worker.close()));
     await this.hostList.close();
     await this.store.close();
+    await this.#ports?.release();
+    this.#ports = null;
   }
 
   #deployed(index: number): DeployedHost {
@@ -144,9 +173,15 @@
     return deployed;
   }
 
+  #noteOutage({ settings }: DeployedHost, graceful: boolean): void {
+    const host = settings.listen.callerAddress;
+    this.outages.push({ host, fromMs: performance.now(), toMs: Infinity, graceful });
+  }
+
   async #planHosts(extra: SettingsLines): Promise<void> {
     const { domains, hostsPerDomain } = this.shape;
-    const ports = await freePorts(domains.length * hostsPerDomain * 3);
+    this.#ports = await PortBlock.reserve(domains.length * hostsPerDomain * 3);
+    const { ports } = this.#ports;
     const peers = ports.filter((_, index) => index % 3 === 2).map((port) => `127.0.0.1:${port}`);
     domains.forEach((domain, domainIndex) => {
       for (let number = 1; number <= hostsPerDomain; number += 1) {
