--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -12,6 +12,14 @@
   readonly seconds: number;
 }
 
+/** Options of `standins`: ports as the sample settings name them, and workers per domain. */
+export interface StandinsOptions {
+  readonly storePort: number;
+  readonly hostListPort: number;
+  readonly domains: readonly string[];
+  readonly workers: number;
+}
+
 /** Options of `load`: jobs at a steady rate to the caller addresses of entry hosts. */
 export interface LoadOptions {
   readonly hosts: readonly string[];
@@ -33,6 +41,7 @@
   /** Runs an entry host until it has drained. */
   run(settings: Settings): Promise<void>;
   demo(options: DemoOptions, terminal: Terminal): Promise<void>;
+  standins(options: StandinsOptions, terminal: Terminal): Promise<void>;
   load(options: LoadOptions, terminal: Terminal): Promise<void>;
   /** Checks an operators' configuration without a host. */
   checkConfiguration(file: string, text: string): readonly Finding[];
--- a/src/cli/hostCommands.ts
+++ b/src/cli/hostCommands.ts
@@ -2,7 +2,7 @@
 import type { Command } from 'commander';
 import { loadSettings } from '../settings/settings';
 import { addressesArgument, countArgument } from './arguments';
-import type { DemoOptions, LoadOptions, ProgramContext } from './context';
+import type { DemoOptions, LoadOptions, ProgramContext, StandinsOptions } from './context';
 import { ExitCode } from './exitCode';
 import { printFindings } from './terminal';
 
@@ -26,7 +26,7 @@
   return ExitCode.findings;
 }
 
-/** Adds `run`, `settings check`, `demo` and `load`. */
+/** Adds `run`, `settings check`, `demo`, `standins` and `load`. */
 export function addHostCommands(program: Command, context: ProgramContext): void {
   program
     .command('run')
@@ -53,6 +53,17 @@
       await context.demo(options, context.terminal);
       context.exit(ExitCode.ok);
     });
+  program
+    .command('standins')
+    .description('run stand-ins for the store, the host list and the workers on loopback')
+    .option('--store-port <port>', 'port of the store', countArgument(0), 7090)
+    .option('--host-list-port <port>', 'port of the host list', countArgument(0), 7091)
+    .option('--domains <names...>', 'failure domains', ['sofia-a', 'plovdiv-b', 'varna-c'])
+    .option('--workers <count>', 'workers per domain', countArgument(1), 4)
+    .action(async (options: StandinsOptions) => {
+      await context.standins(options, context.terminal);
+      context.exit(ExitCode.ok);
+    });
   program
     .command('load')
     .description('submit jobs at a steady rate and report response times')
--- a/src/cli/waitInForce.ts
+++ b/src/cli/waitInForce.ts
@@ -7,6 +7,9 @@
 
 const POLL_MS = 200;
 
+/** Hosts out of reach are waited for this long once all others have the generation in force. */
+const UNREACHABLE_GRACE_MS = 2000;
+
 /** Time as the commands see it. */
 export interface Timer {
   nowMs(): number;
@@ -42,7 +45,10 @@
   return { exitCode: error.exitCode, hosts: 0, behind: [], unreachable: [], error };
 }
 
-/** Asks until the generation is in force everywhere or `limitMs` has passed. */
+/**
+ * Asks until the generation is in force everywhere or `limitMs` has passed. Hosts that stay out of
+ * reach, such as dead ones, hold it up for 2 s only; they are named in the outcome.
+ */
 export async function waitInForce(
   client: OperatorClient,
   generation: number,
@@ -50,9 +56,16 @@
   timer: Timer,
   terminal: Terminal,
 ): Promise<WaitOutcome> {
-  const endMs = timer.nowMs() + limitMs;
+  let endMs = timer.nowMs() + limitMs;
+  let settled = false;
   let shown = '';
 
+  function shortenWait(outcome: WaitOutcome): void {
+    const settles = outcome.error === undefined && outcome.behind.length === 0;
+    if (settles && !settled) endMs = Math.min(endMs, timer.nowMs() + UNREACHABLE_GRACE_MS);
+    settled ||= settles;
+  }
+
   async function poll(): Promise<WaitOutcome> {
     const outcome = await ask(client, generation);
     const missing = outcome.behind.length + outcome.unreachable.length;
@@ -62,6 +75,7 @@
         : `generation ${generation}: ${outcome.error.message}`;
     if (line !== shown) terminal.progress(line);
     shown = line;
+    shortenWait(outcome);
     if (outcome.exitCode === ExitCode.ok || timer.nowMs() >= endMs) return outcome;
     await timer.sleep(POLL_MS);
     return poll();
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
 import { runProgram, STANDARD_TERMINAL, type ProgramContext } from './cli';
 import { runDemo } from './cli/demo';
 import { runLoad } from './cli/loadCommand';
+import { runStandins } from './cli/standinsCommand';
 import { parseConfiguration } from './configuration';
 import { EntryHost } from './host/entryHost';
 import type { Settings } from './settings';
@@ -21,9 +22,16 @@
   });
 }
 
+/** A reader such as `head` may close the pipe early; that ends the command without an error. */
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code !== 'EPIPE') throw error;
+  process.exit(0);
+});
+
 const context: ProgramContext = {
   run: runHost,
   demo: runDemo,
+  standins: runStandins,
   load: runLoad,
   checkConfiguration: (file, text) => {
     const parsed = parseConfiguration(file, text);
--- a/src/standins/hostListServer.ts
+++ b/src/standins/hostListServer.ts
@@ -44,9 +44,10 @@
     this.#versions.push({ atMs: this.#nowMs(), entries });
   }
 
-  async open(): Promise<void> {
+  /** Listens; port 0 takes a free one. */
+  async open(port = 0): Promise<void> {
     const server = createServer((request, response) => this.#answer(request, response));
-    server.listen(0, '127.0.0.1');
+    server.listen(port, '127.0.0.1');
     await once(server, 'listening');
     this.#server = server;
   }
--- a/test/cli/runCli.ts
+++ b/test/cli/runCli.ts
@@ -31,6 +31,7 @@
     {
       run: async () => {},
       demo: async () => {},
+      standins: async () => {},
       load: async () => {},
       checkConfiguration: () => [],
       terminal: { out: (text) => out.push(text), progress: (text) => progress.push(text) },
