--- a/test/core/schedulerGuards.test.ts
+++ b/test/core/schedulerGuards.test.ts
@@ -166,9 +166,9 @@
       health.tick(nowMs);
       states.push(health.state);
     };
-    Array.from({ length: 5 }).forEach(() => health.observe('failed', false, 0));
+    Array.from({ length: 5 }).forEach(() => health.observe('failed', false, 0, 0));
     look(1000);
-    health.observe('failed', false, 1000);
+    health.observe('failed', false, 1000, 1000);
     look(2500);
     look(3000);
     expect(states).toEqual([WorkerState.probation, WorkerState.avoided, WorkerState.probation]);
