--- a/src/core/health.ts
+++ b/src/core/health.ts
@@ -40,6 +40,9 @@
 
   #failuresInRow = 0;
 
+  /** Time of the first failure of the row; successes of tasks granted earlier say nothing on it. */
+  #failingSinceMs = -Infinity;
+
   #successes = 0;
 
   #avoidMs = FIRST_AVOID_MS;
@@ -76,12 +79,13 @@
   }
 
   /**
-   * Accounts for one finished grant. `peersFail` says that tasks of the same kind fail elsewhere too,
+   * Accounts for one finished grant. Tasks that were granted before a worker began to fail may still
+   * succeed and must not clear it, so the time of the grant matters. `peersFail` says that tasks of the same kind fail elsewhere too,
    * so that the kind and not the worker is at fault. True if the worker is avoided from now on.
    */
-  observe(outcome: GrantOutcome, peersFail: boolean, nowMs: number): boolean {
+  observe(outcome: GrantOutcome, peersFail: boolean, grantedAtMs: number, nowMs: number): boolean {
     if (outcome === GrantOutcome.succeeded) {
-      this.#succeed();
+      if (grantedAtMs >= this.#failingSinceMs) this.#succeed();
       return false;
     }
     if (!this.#guards.health) return false;
@@ -90,6 +94,7 @@
       return this.#avoid(nowMs);
     }
     if (outcome !== GrantOutcome.failed || peersFail) return false;
+    if (this.#failuresInRow === 0) this.#failingSinceMs = nowMs;
     this.#failuresInRow += 1;
     const tolerated = this.#state === WorkerState.probation ? 1 : FAILURES_TO_AVOID;
     return this.#failuresInRow >= tolerated && this.#avoid(nowMs);
@@ -116,6 +121,7 @@
   /** The process on the worker was restarted: what was held against it is void. */
   restart(): void {
     this.#failuresInRow = 0;
+    this.#failingSinceMs = -Infinity;
     this.#ratio = 1;
     this.#ratioSamples = 0;
     this.#successes = 0;
@@ -141,6 +147,7 @@
     const first = this.#state !== WorkerState.avoided;
     if (!first) return false;
     this.#state = WorkerState.avoided;
+    this.#failingSinceMs = nowMs;
     this.#avoidedUntilMs = nowMs + this.#avoidMs;
     this.#avoidMs = Math.min(LONGEST_AVOID_MS, this.#avoidMs * 2);
     this.#failuresInRow = 0;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -171,14 +171,14 @@
       this.#refuse(host, message, refusal);
       return;
     }
-    const { team, kind, requestId, resources, begun, count } = message;
+    const { team, kind, requestId, resources, count } = message;
     const leaf = leafKey(team, kind);
     const idealMs = this.#options.guards.learnedRunTimes
       ? this.#estimates.longestMs(leaf, message.jobTasks)
       : 0;
     const arrivedAtMs = nowMs - message.waitedMs;
     const dueAtMs = arrivedAtMs + idealMs;
-    const request = { host, requestId, leaf, resources, arrivedAtMs, dueAtMs, begun, count };
+    const request = { host, requestId, leaf, resources, arrivedAtMs, dueAtMs, count };
     this.#queues.add(request, team, kind);
     this.#grantAll(nowMs);
   }
@@ -340,7 +340,10 @@
     const peersFail =
       outcome === GrantOutcome.failed &&
       this.#kindFailures.failsElsewhere(record.leaf, record.workerId);
-    if (worker.health.observe(outcome, peersFail, nowMs)) this.#logAvoided(worker, outcome);
+    const { grantedAtMs } = record;
+    if (worker.health.observe(outcome, peersFail, grantedAtMs, nowMs)) {
+      this.#logAvoided(worker, outcome);
+    }
   }
 
   #logAvoided(worker: WorkerEntry, reason: string): void {
--- a/test/core/scheduler.test.ts
+++ b/test/core/scheduler.test.ts
@@ -132,6 +132,21 @@
     expect(tried.length).toEqual(1);
   });
 
+  it('that fail are not trusted again because of tasks that began before', () => {
+    const driver = Driver.ready([8, 8]);
+    driver.submit(job(16));
+    const early = driver.starts().filter(({ worker }) => worker.id === 'w0');
+    driver.advance(10);
+    early.slice(0, 5).forEach(({ start }) => {
+      driver.result(start.attemptId, { state: 'failed', error: 'x', runTimeMs: 1 });
+    });
+    driver.advance(1100);
+    early.slice(5).forEach(({ start }) => driver.succeed(start.attemptId));
+    driver.actions = [];
+    driver.submit(job(8));
+    expect(driver.starts().filter(({ worker }) => worker.id === 'w0').length).toEqual(1);
+  });
+
   it('are not blamed for a kind that fails on all of them', () => {
     const driver = Driver.ready([8, 8, 8]);
     for (let step = 0; step < 200; step += 1) {
