Keep waiting requests by host; try a worker on probation at once

Cause: a host at its limit of slots per worker filled the head of a kind's queue, and only 4 requests were tried, so the requests of other hosts were not reached (scenario of a burst: 30 of 80 slots free with 346 tasks queued). A worker on probation offered one slot and was chosen only when the others were nearly full. Change: a queue per host within each kind, hosts that can't be served are passed over for the rest of the pass; an idle worker on probation is chosen first. The bench's balancer gives keys their own turns, since every other host issued none at even counts of hosts.

--- a/src/bench/callers.ts
+++ b/src/bench/callers.ts
@@ -45,15 +45,18 @@
   /** Calls without an answer. */
   readonly #open = new Map<number, CallRecord>();
 
+  /** Turns of the balancer; keys have their own, so that jobs with keys do not skip every other host. */
   #turn = 0;
 
+  #keyTurn = 0;
+
   constructor(site: CallerSite) {
     this.#site = site;
   }
 
   /** Submits a new job; returns the id of the call, or null if no host is ready. */
   submit(plan: JobPlan): number | null {
-    const issuer = plan.keyed ? this.#nextHost((host) => host.phase === 'up') : null;
+    const issuer = plan.keyed ? this.#nextIssuer() : null;
     if (plan.keyed && issuer === null) {
       return null;
     }
@@ -215,12 +218,18 @@
     return this.#site.hosts.find((host) => host.id === id) ?? null;
   }
 
-  #nextHost(usable: (host: EntryHost) => boolean = () => true): EntryHost | null {
-    const ready = this.#site.hosts.filter((host) => host.ready && usable(host));
+  #nextHost(): EntryHost | null {
+    const ready = this.#site.hosts.filter((host) => host.ready);
     this.#turn += 1;
     return ready[this.#turn % ready.length] ?? null;
   }
 
+  #nextIssuer(): EntryHost | null {
+    const ready = this.#site.hosts.filter((host) => host.ready && host.phase === 'up');
+    this.#keyTurn += 1;
+    return ready[this.#keyTurn % ready.length] ?? null;
+  }
+
   #keyedJob(jobId: number): JobRecord {
     const job = this.#site.record.job(jobId);
     if (job.key === null) {
--- a/src/core/granter.ts
+++ b/src/core/granter.ts
@@ -15,8 +15,8 @@
 
 /** Grant ids start at a random number, so that those of two schedulers do not meet. */
 const GRANT_ID_RANGE = 2 ** 52;
-/** A request that fits on no worker now does not block this many requests behind it. */
-const REQUESTS_TRIED_PER_QUEUE = 4;
+/** Requests that fit on no worker now hold up those of their host behind this many. */
+const REQUESTS_TRIED_PER_HOST = 4;
 
 /** What a granter works on. */
 export interface GranterParts {
@@ -34,6 +34,8 @@
   freeSlots: number;
   /** Kinds with waiting tasks that have not been set aside. */
   leaves: readonly LeafQueue[];
+  /** Hosts, by kind, whose requests fit on no worker now. */
+  readonly blockedHosts: Map<string, Set<string>>;
   readonly nowMs: number;
 }
 
@@ -63,6 +65,7 @@
       capacity: slots.workers.capacity(),
       freeSlots: slots.workers.totalFree(),
       leaves: queues.waiting(),
+      blockedHosts: new Map(),
       nowMs,
     };
     while (pass.freeSlots > 0 && this.#grantNext(pass));
@@ -76,7 +79,7 @@
     const contenders = this.#contenders(current);
     const choice = shares.choose(this.#withoutLong(contenders, current.capacity), current.capacity);
     if (!choice) return false;
-    if (this.#grantTo(choice, current.nowMs)) {
+    if (this.#grantTo(choice, current)) {
       current.freeSlots -= 1;
     } else {
       current.leaves = current.leaves.filter((leaf) => leaf !== choice.contender);
@@ -107,14 +110,18 @@
     return longSlots >= capacity * options.longTaskFraction ? short : contenders;
   }
 
-  #grantTo(choice: Choice<LeafQueue>, nowMs: number): boolean {
+  #grantTo(choice: Choice<LeafQueue>, { blockedHosts, nowMs }: Pass): boolean {
     const { slots } = this.#parts;
+    const { leaf } = choice.contender;
+    const blocked = blockedHosts.get(leaf) ?? new Set();
+    blockedHosts.set(leaf, blocked);
     const slotsPerHost = slots.slotsPerHost();
     let worker: WorkerEntry | null = null;
-    const request = choice.contender.firstWhere(({ host, resources }) => {
+    const accepts = ({ host, resources }: QueuedRequest) => {
       worker = slots.workers.choose(host, resources, slotsPerHost);
       return worker !== null;
-    }, REQUESTS_TRIED_PER_QUEUE);
+    };
+    const request = choice.contender.firstWhere(accepts, REQUESTS_TRIED_PER_HOST, blocked);
     if (!request || !worker) return false;
     this.#grant(request, worker, choice, nowMs);
     return true;
--- a/src/core/leafQueue.ts
+++ b/src/core/leafQueue.ts
@@ -14,11 +14,46 @@
   readonly resources: Resources;
   readonly dueAtMs: number;
   readonly arrivedAtMs: number;
-  readonly begun: boolean;
   count: number;
 }
 
-/** Requests of one kind of one team. */
+type Heap = TinyQueue<QueuedRequest>;
+
+function createHeap(): Heap {
+  return new TinyQueue<QueuedRequest>([], (a, b) => a.dueAtMs - b.dueAtMs);
+}
+
+/** The first request that still wants slots; those that do not are dropped. */
+function headOf(heap: Heap): QueuedRequest | undefined {
+  let head = heap.peek();
+  while (head && head.count === 0) {
+    heap.pop();
+    head = heap.peek();
+  }
+  return head;
+}
+
+/** The first of up to `tries` requests that is accepted; the heap is left as it was. */
+function firstIn(
+  heap: Heap,
+  accepts: (request: QueuedRequest) => boolean,
+  tries: number,
+): QueuedRequest | undefined {
+  const skipped: QueuedRequest[] = [];
+  let head = headOf(heap);
+  while (head && skipped.length < tries && !accepts(head)) {
+    heap.pop();
+    skipped.push(head);
+    head = headOf(heap);
+  }
+  skipped.forEach((request) => heap.push(request));
+  return skipped.length < tries ? head : undefined;
+}
+
+/**
+ * Requests of one kind of one team, kept by host: a host whose requests can't be served now, because
+ * it has its limit of slots per worker, must not hold up those of the others.
+ */
 export class LeafQueue {
   readonly leaf: string;
 
@@ -26,7 +61,7 @@
 
   readonly kind: string;
 
-  #heap = new TinyQueue<QueuedRequest>([], (a, b) => a.dueAtMs - b.dueAtMs);
+  readonly #heaps = new Map<string, Heap>();
 
   #tasks = 0;
 
@@ -42,34 +77,35 @@
   }
 
   push(request: QueuedRequest): void {
-    this.#heap.push(request);
+    const heap = this.#heaps.get(request.host) ?? createHeap();
+    heap.push(request);
+    this.#heaps.set(request.host, heap);
     this.#tasks += request.count;
   }
 
-  /** The request that is served next. */
+  /** The request that is due first. */
   peek(): QueuedRequest | undefined {
-    let head = this.#heap.peek();
-    while (head && head.count === 0) {
-      this.#heap.pop();
-      head = this.#heap.peek();
-    }
-    return head;
+    return this.#earliest(new Set());
   }
 
-  /** Sets the requests aside that come first but can't be placed; returns the next one that can. */
+  /**
+   * The request that is due first among those accepted; of each host up to `tries` are tried. Hosts
+   * without one are added to `blocked`, which is not looked at again.
+   */
   firstWhere(
     accepts: (request: QueuedRequest) => boolean,
-    limit: number,
+    tries: number,
+    blocked: Set<string>,
   ): QueuedRequest | undefined {
-    const skipped: QueuedRequest[] = [];
-    let head = this.peek();
-    while (head && skipped.length < limit && !accepts(head)) {
-      this.#heap.pop();
-      skipped.push(head);
-      head = this.peek();
+    let head = this.#earliest(blocked);
+    while (head) {
+      const heap = this.#heaps.get(head.host);
+      const found = heap && firstIn(heap, accepts, tries);
+      if (found) return found;
+      blocked.add(head.host);
+      head = this.#earliest(blocked);
     }
-    skipped.forEach((request) => this.#heap.push(request));
-    return skipped.length < limit ? head : undefined;
+    return undefined;
   }
 
   /** Takes up to `count` slots off a request; returns how many. */
@@ -79,4 +115,15 @@
     this.#tasks -= taken;
     return taken;
   }
+
+  #earliest(blocked: ReadonlySet<string>): QueuedRequest | undefined {
+    let earliest: QueuedRequest | undefined;
+    this.#heaps.forEach((heap, host) => {
+      if (blocked.has(host)) return;
+      const head = headOf(heap);
+      if (head === undefined) this.#heaps.delete(host);
+      else if (!earliest || head.dueAtMs < earliest.dueAtMs) earliest = head;
+    });
+    return earliest;
+  }
 }
--- a/src/core/workerTable.ts
+++ b/src/core/workerTable.ts
@@ -4,7 +4,7 @@
  */
 import type { HostListEntry } from '../workers/hostList';
 import type { WorkerStatus } from '../workers/workers';
-import { WorkerHealth, type HealthGuards } from './health';
+import { WorkerHealth, WorkerState, type HealthGuards } from './health';
 import type { Resources } from './job';
 import type { WorkerRef } from './messages';
 
@@ -55,6 +55,12 @@
   return Math.max(0, usableSlots(worker) - worker.usedSlots - worker.foreignSlots);
 }
 
+function preference(worker: WorkerEntry): number {
+  const free = freeSlots(worker);
+  const onTrial = worker.health.state === WorkerState.probation && worker.usedSlots === 0;
+  return free > 0 && onTrial ? Infinity : free;
+}
+
 /** Accounts for one grant to a host. */
 export function occupy(worker: WorkerEntry, host: string, resources: Resources): void {
   const entry = worker;
@@ -182,7 +188,8 @@
 
   /**
    * The worker with the most free slots that has room for the resources and a connection left for the
-   * host; the search starts behind the last choice, so that equal workers take turns.
+   * host; the search starts behind the last choice, so that equal workers take turns. An idle worker
+   * on probation goes first: its one task decides whether it can be used again.
    */
   choose(host: string, resources: Resources, slotsPerHost: number): WorkerEntry | null {
     const count = this.#list.length;
@@ -192,7 +199,7 @@
     for (let offset = 1; offset <= count; offset += 1) {
       const index = (this.#cursor + offset) % count;
       const worker = this.#list[index];
-      const free = worker ? freeSlots(worker) : 0;
+      const free = worker ? preference(worker) : 0;
       if (worker && free > bestFree && admits(worker, host, resources, slotsPerHost)) {
         best = worker;
         bestFree = free;
