--- a/src/standins/deploymentCaller.ts
+++ b/src/standins/deploymentCaller.ts
@@ -10,7 +10,8 @@
   readonly number: number;
   readonly team: string;
   readonly kind: string;
-  readonly deadlineMs: number;
+  /** Left to the kind's default if undefined. */
+  readonly deadlineMs: number | undefined;
   readonly runMs: readonly number[];
 }
 
--- a/src/standins/deploymentFaults.ts
+++ b/src/standins/deploymentFaults.ts
@@ -2,6 +2,7 @@
  * Random faults against a deployment, from a seed. Each part of the system has a lane of its own in
  * which one fault follows the other, so that faults of different parts coincide.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { SeededRandom } from '../bench/random';
 import type { Deployment } from './deployment';
 import type { WorkerServer } from './workerServer';
@@ -62,7 +63,7 @@
 
   readonly #random: SeededRandom;
 
-  #stopping = false;
+  readonly #stop = new AbortController();
 
   #lanes: Promise<unknown> = Promise.resolve();
 
@@ -87,13 +88,13 @@
 
   /** Resolves when the faults in progress have ended. */
   async stop(): Promise<void> {
-    this.#stopping = true;
+    this.#stop.abort();
     await this.#lanes;
   }
 
   async #run(lane: Lane, random: SeededRandom): Promise<void> {
-    await pause(between(random, lane.gapMs));
-    if (this.#stopping) return;
+    await this.#gap(between(random, lane.gapMs));
+    if (this.#stop.signal.aborted) return;
     const [name, fault] = random.pick(Object.entries(lane.faults));
     const label = `${lane.name} ${name}`;
     this.counts[label] = (this.counts[label] ?? 0) + 1;
@@ -101,6 +102,12 @@
     await this.#run(lane, random);
   }
 
+  /** Waits between two faults; the stop ends it. */
+  async #gap(delayMs: number): Promise<void> {
+    const { signal } = this.#stop;
+    await sleep(delayMs, undefined, { signal }).catch(() => undefined);
+  }
+
   #hostLane(): Lane {
     const deployment = this.#deployment;
     const replace =
--- a/test/system/promises.test.ts
+++ b/test/system/promises.test.ts
@@ -5,6 +5,8 @@
 import { countAnswers } from '../../src/standins/deploymentCheck';
 import { jobOf, SETTLE, UNLOCK, until, withSystem, type SystemUnderTest } from './fixtures';
 
+/** Forwarded tasks run on when a closing transport no longer waits, so the drain itself must wait. */
+const LONG_TASK_MS = 3500;
 const LEAVE_GRACE_MS = 3000;
 const LOAD_AFTER_GRACE_MS = 1000;
 
@@ -33,8 +35,8 @@
 // forwarded a job to it.
 test('drain answers all requests in progress, forwarded ones too', async () => {
   await withSystem({ hosts: 1, workers: 4 }, async (system) => {
-    const direct = submitTo(system, 5, 0, 0, 1000);
-    const forwarded = submitTo(system, 5, 0, 1, 1000);
+    const direct = submitTo(system, 5, 0, 0, 500);
+    const forwarded = submitTo(system, 5, 0, 1, LONG_TASK_MS);
     await until('all tasks have started', () => system.starts.length === 20);
     const drained = system.deployment.drainHost(0);
     expect(await system.caller.ready(system.address(0))).toEqual(false);
