End callers and drains with their deployment, so that a failed test ends

Cause: when a test failed in the middle, its callers went on against closed connections, and a drain of a host that was then aborted waited for answers that nobody gives any more; the process did not end. Change: the load stops when its caller is closed; a drain stops waiting when the host is aborted.

--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -66,6 +66,8 @@
 
   #drainedCallback: (() => void) | null = null;
 
+  #aborted = false;
+
   /** Builds the host and opens nothing. Without `outputs` it logs and measures as its settings say. */
   constructor(
     settings: Settings,
@@ -126,6 +128,7 @@
 
   /** Closes at once, as a crash would: connections break and jobs in progress get no answer. */
   async abort(): Promise<void> {
+    this.#aborted = true;
     this.#kernel.find<CallerApi>(ServiceName.callerApi).abort();
     await this.#transport.close(0);
     await this.#kernel.close();
@@ -337,7 +340,7 @@
   }
 
   async #allAnswered(): Promise<void> {
-    if (this.#core.pending() === 0) return;
+    if (this.#aborted || this.#core.pending() === 0) return;
     await pause(DRAIN_CHECK_MS);
     await this.#allAnswered();
   }
--- a/src/standins/deploymentCaller.ts
+++ b/src/standins/deploymentCaller.ts
@@ -51,8 +51,14 @@
   /** All submissions so far, in the order in which they were sent. */
   readonly calls: CallRecord[] = [];
 
+  #closed = false;
+
   readonly #agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
 
+  get closed(): boolean {
+    return this.#closed;
+  }
+
   /** True if the host says that it takes jobs. */
   async ready(host: string): Promise<boolean> {
     const answer = await this.#send(host, 'GET', '/readyz');
@@ -94,6 +100,7 @@
   }
 
   close(): Promise<void> {
+    this.#closed = true;
     return this.#agent.destroy();
   }
 
--- a/src/standins/deploymentLoad.ts
+++ b/src/standins/deploymentLoad.ts
@@ -30,7 +30,7 @@
   });
 }
 
-/** Callers that run until `stop`. */
+/** Callers that run until `stop`, or until their calls can no longer be sent. */
 export class DeploymentLoad {
   readonly #caller: DeploymentCaller;
 
@@ -77,7 +77,7 @@
   }
 
   async #runCaller(): Promise<void> {
-    if (this.#stopping) return;
+    if (this.#stopping || this.#caller.closed) return;
     await this.#runJob();
     await this.#runCaller();
   }
