--- a/src/bench/slopes.ts
+++ b/src/bench/slopes.ts
@@ -1,14 +1,14 @@
 /**
  * Measures how CPU, memory and bytes grow with the size of a deployment; docs/CAPACITY.md works its
  * figures out from these slopes. Run with `npx tsx src/bench/slopes.ts`, optionally with the names of
- * the parts to run: decisions, log, messages, memory, membership, wire, control, http.
+ * the parts to run: decisions, log, messages, memory, membership, wire, control, rest, http.
  */
 import { mkdir, writeFile } from 'node:fs/promises';
 import { cpus } from 'node:os';
 import { join } from 'node:path';
 import { controlRows } from './slopesControl';
 import { decisionRows } from './slopesDecisions';
-import { httpRows } from './slopesHttp';
+import { httpRows, restRows } from './slopesHttp';
 import { logRows } from './slopesLog';
 import { membershipRows } from './slopesMembership';
 import { memoryRows } from './slopesMemory';
@@ -29,6 +29,7 @@
   ['membership', membershipRows],
   ['wire', wireRows],
   ['control', controlRows],
+  ['rest', restRows],
   ['http', httpRows],
 ]);
 
--- a/src/bench/slopesHttp.ts
+++ b/src/bench/slopesHttp.ts
@@ -11,9 +11,12 @@
 import { mainThreadCpuUs } from './slopesMeter';
 import { rowOf, type SlopeRow } from './slopesRow';
 import { SlopesSite } from './slopesSite';
+import type { StandinShape } from './slopesStandins';
 
 const GROUP = 'entry hosts over HTTP';
-const DOMAINS_TODAY = DOMAINS.slice(0, 3);
+const TODAY = { domains: DOMAINS.slice(0, 3), workersPerDomain: 10 };
+const SIX_DOMAINS = { domains: DOMAINS, workersPerDomain: 5 };
+const ONE_DOMAIN = DOMAINS.slice(0, 1);
 const LOAD_MS = 5000;
 const IDLE_MS = 6000;
 const RUN_MS = 50;
@@ -80,12 +83,11 @@
 
 async function withSite<T>(
   hosts: number,
-  domains: readonly string[],
+  shape: StandinShape,
   decisions: number,
   use: (site: SlopesSite) => Promise<T>,
 ): Promise<T> {
   const file = await open('/dev/null', 'w');
-  const shape = { domains, workersPerDomain: Math.floor(30 / domains.length) };
   const site = await SlopesSite.open(hosts, shape, outputsTo(file.fd, decisions));
   try {
     return await use(site);
@@ -95,12 +97,13 @@
   }
 }
 
-async function idleRow(hosts: number): Promise<SlopeRow> {
-  const runs = await withSite(hosts, hosts > 9 ? DOMAINS : DOMAINS_TODAY, 1, () =>
+async function idleRow(hosts: number, shape: StandinShape): Promise<SlopeRow> {
+  const runs = await withSite(hosts, shape, 1, () =>
     sequence([idleUsPerS, idleUsPerS, idleUsPerS]),
   );
   const percent = runs.map((us) => (us / US_PER_S / hosts) * 100);
-  return rowOf(GROUP, `idle, ${hosts} hosts, per host`, '% of a core', percent);
+  const workers = `${shape.workersPerDomain} workers in each of ${shape.domains.length}`;
+  return rowOf(GROUP, `idle, ${hosts} hosts, ${workers}, per host`, '% of a core', percent);
 }
 
 const CASES: readonly LoadCase[] = [
@@ -117,7 +120,7 @@
   decisions: number,
   cases: readonly LoadCase[],
 ): Promise<readonly SlopeRow[]> {
-  return withSite(3, DOMAINS_TODAY, decisions, async (site) => {
+  return withSite(3, TODAY, decisions, async (site) => {
     const idleUs = await idleUsPerS();
     return sequence(
       cases.map((load) => async () => {
@@ -133,13 +136,23 @@
   });
 }
 
-/** All rows of the entry hosts over HTTP. */
+/** Rows of hosts at rest: control alone. */
+export function restRows(): Promise<readonly SlopeRow[]> {
+  return sequence([
+    ...[3, 9].map((hosts) => () => idleRow(hosts, TODAY)),
+    ...[18, 36].map((hosts) => () => idleRow(hosts, SIX_DOMAINS)),
+    ...[10, 165].map(
+      (workersPerDomain) => () => idleRow(3, { domains: ONE_DOMAIN, workersPerDomain }),
+    ),
+  ]);
+}
+
+/** Rows of hosts under load. */
 export async function httpRows(): Promise<readonly SlopeRow[]> {
-  const idle = await sequence([3, 9, 18, 36].map((hosts) => () => idleRow(hosts)));
   const all = await loadRows(1, CASES);
   const none = await loadRows(
     0,
     CASES.filter(({ jobsPerS }) => jobsPerS === 300),
   );
-  return [...idle, ...all, ...none];
+  return [...all, ...none];
 }
