Poll only workers without results, claim more rarely, drop payloads of finished jobs

Cause: the slopes showed 37 KB/s of status polls and 18 KB/s of claims at a scheduler of 165 workers, and 3.4 KB kept for each finished job of 4 tasks, most of it payload. Change: results of a worker replace its regular poll, idle workers are polled every 30 ms times the workers of the domain, a refused start polls at once; claims wait 25 ms per attempt if that is more than 5 s; a finished submission keeps only its answer.

--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -328,7 +328,10 @@
   #judge(record: GrantRecord, { outcome, runTimeMs }: SlotRelease, nowMs: number): void {
     const worker = this.#workers.get(record.workerId);
     if (!worker) return;
-    if (outcome === GrantOutcome.refused) worker.foreignSlots += 1;
+    if (outcome === GrantOutcome.refused) {
+      worker.foreignSlots += 1;
+      this.#polls.urge(worker);
+    }
     if (outcome === GrantOutcome.failed) this.#polls.seen(worker, nowMs);
     if (outcome === GrantOutcome.succeeded) {
       this.#polls.seen(worker, nowMs);
--- a/src/core/statusPolls.ts
+++ b/src/core/statusPolls.ts
@@ -11,6 +11,8 @@
 const UNKNOWN_PERIOD_MS = 200;
 /** A worker that runs tasks and has shown no sign of life for this long is polled. */
 const SILENCE_MS = 400;
+/** Idle workers are polled less often in a large domain, which bounds the scheduler's traffic. */
+const IDLE_MS_PER_WORKER = 30;
 /** Round trips take about 1 ms, so a poll without an answer for this long is a bad sign. */
 const ANSWER_EXPECTED_MS = 200;
 
@@ -47,6 +49,11 @@
     this.#unanswered.delete(worker.id);
   }
 
+  /** The worker refused a start: its status is not what was thought. */
+  urge(worker: WorkerEntry): void {
+    if (!this.#unanswered.has(worker.id)) this.#polledAtMs.delete(worker.id);
+  }
+
   /** A poll has ended without an answer. */
   failed(worker: WorkerEntry): void {
     this.#unanswered.delete(worker.id);
@@ -64,9 +71,13 @@
 
   /** The workers to poll now; they are taken as polled. */
   due(workers: readonly WorkerEntry[], nowMs: number): readonly WorkerEntry[] {
+    const idlePeriodMs = Math.max(this.#periodMs, IDLE_MS_PER_WORKER * workers.length);
     const due = workers.filter((worker) => {
       const lastMs = this.#polledAtMs.get(worker.id);
-      return lastMs === undefined || nowMs - lastMs >= this.#period(worker, nowMs);
+      if (lastMs === undefined) return true;
+      const periodMs = this.#urgentPeriod(worker, nowMs);
+      if (periodMs !== null) return nowMs - lastMs >= periodMs;
+      return nowMs - Math.max(lastMs, worker.seenAtMs) >= idlePeriodMs;
     });
     due.forEach(({ id }) => {
       this.#polledAtMs.set(id, nowMs);
@@ -75,10 +86,11 @@
     return due;
   }
 
-  #period(worker: WorkerEntry, nowMs: number): number {
+  /** Period of polls that results do not replace; null if there is no need for them. */
+  #urgentPeriod(worker: WorkerEntry, nowMs: number): number | null {
     if (worker.status === null) return UNKNOWN_PERIOD_MS;
     if (this.inTakeover(nowMs)) return TAKEOVER_PERIOD_MS;
     const quiet = worker.usedSlots > 0 && nowMs - worker.seenAtMs >= SILENCE_MS;
-    return quiet ? SILENCE_MS : this.#periodMs;
+    return quiet ? SILENCE_MS : null;
   }
 }
--- a/src/core/submission.ts
+++ b/src/core/submission.ts
@@ -15,7 +15,8 @@
 export class Submission {
   readonly key: string;
 
-  readonly job: JobSpec;
+  /** Without its tasks once the submission is finished. */
+  job: JobSpec;
 
   readonly bodyHash: string;
 
@@ -37,10 +38,10 @@
 
   answer: JobAnswer | null = null;
 
-  readonly #runs: TaskRun[];
+  #runs: TaskRun[];
 
   /** Indices of queued tasks, the longest declared one last, where it is taken first. */
-  readonly #queue: number[];
+  #queue: number[];
 
   #succeeded = 0;
 
@@ -118,6 +119,14 @@
     run.error = error;
   }
 
+  /** Gives the answer; payloads and task states are not needed any more and take most of the memory. */
+  finish(answer: JobAnswer): void {
+    this.answer = answer;
+    this.job = { ...this.job, tasks: [] };
+    this.#runs = [];
+    this.#queue = [];
+  }
+
   /** States of all tasks for an answer given now; a task in progress is of unknown outcome. */
   reports(): readonly TaskReport[] {
     return this.#runs.map((run, index) => {
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -30,6 +30,8 @@
 /** Refusals at half of the deadline are due this much earlier, so that ticks do not make them late. */
 const HALF_MARGIN_MS = 20;
 const CLAIMS_PERIOD_MS = 5000;
+/** Claims list every attempt, so they become rarer with their number. */
+const CLAIMS_MS_PER_ATTEMPT = 25;
 
 const FAILURE_REASONS: Partial<Record<TaskState, Reason>> = {
   [TaskState.failed]: Reason.taskFailed,
@@ -192,7 +194,8 @@
     this.#retries.place(nowMs);
     this.#requester.tick(nowMs);
     if (nowMs < this.#nextClaimsMs) return;
-    this.#nextClaimsMs = nowMs + CLAIMS_PERIOD_MS;
+    this.#nextClaimsMs =
+      nowMs + Math.max(CLAIMS_PERIOD_MS, CLAIMS_MS_PER_ATTEMPT * this.#runner.size);
     this.#roles.domains().forEach((domain) => this.#claim(domain));
   }
 
@@ -334,7 +337,7 @@
 
   #finish(submission: Submission, answer: JobAnswer): void {
     const finished = submission;
-    finished.answer = answer;
+    finished.finish(answer);
     this.#requester.withdraw(finished);
     this.#runner.stopAll(finished);
     this.#table.finish(finished);
