Keep the answer of a refused key; split answers and load reports off

Cause: a key that was refused as not run, for example for an unknown team, could be taken into use later by a repeated request, which made the refusal untrue. Change: a verified key is taken into use before the job is refused, so that each call with it gets the same answer; AnswerDesk and LoadReporter in files of their own.

--- /dev/null
+++ b/src/core/answerDesk.ts
@@ -0,0 +1,42 @@
+/** Hands answers to calls, and logs and counts each answer to a submission. */
+import { refusalAnswer } from './answers';
+import type { JobAnswer, Reason } from './job';
+import type { Outbox } from './outbox';
+import type { Submission } from './submission';
+
+/** Answers of one host. */
+export class AnswerDesk {
+  readonly #outbox: Outbox;
+
+  constructor(outbox: Outbox) {
+    this.#outbox = outbox;
+  }
+
+  answer(callId: number, answer: JobAnswer): void {
+    this.#outbox.push({ type: 'answer', callId, answer });
+  }
+
+  /** Refuses a call whose key can't be taken into use. */
+  refuse(callId: number, key: string, reason: Reason): void {
+    const answer = refusalAnswer(key, reason);
+    this.#outbox.count('jobs.refused', 1, { reason });
+    this.#outbox.decide('answer', reason, { key, outcome: answer.outcome, notRun: answer.notRun });
+    this.answer(callId, answer);
+  }
+
+  /** Answers all calls that wait for a submission. */
+  finish(submission: Submission, answer: JobAnswer): void {
+    submission.callIds.forEach((callId) => this.answer(callId, answer));
+    submission.callIds.clear();
+    const { team, kind } = submission.job;
+    const { outcome, notRun, reason } = answer;
+    this.#outbox.count('jobs.answered', 1, reason ? { outcome, reason } : { outcome });
+    this.#outbox.decide('answer', reason ?? outcome, {
+      key: submission.key,
+      team,
+      kind,
+      outcome,
+      notRun,
+    });
+  }
+}
--- /dev/null
+++ b/src/core/loadReporter.ts
@@ -0,0 +1,78 @@
+/** Sums up the load of a domain for the submitters, and says when they should be told. */
+import type { DomainSlots } from './domainSlots';
+import type { RunTimeEstimates } from './estimates';
+import type { LoadSummary, TeamLoad } from './messages';
+import type { SlotQueues } from './slotQueues';
+import { SummaryPace } from './summaryPace';
+
+/** Load summaries of one scheduler. */
+export class LoadReporter {
+  readonly #domain: string;
+
+  readonly #slots: DomainSlots;
+
+  readonly #queues: SlotQueues;
+
+  readonly #estimates: RunTimeEstimates;
+
+  readonly #pace: SummaryPace;
+
+  constructor(
+    domain: string,
+    periodMs: number,
+    slots: DomainSlots,
+    queues: SlotQueues,
+    estimates: RunTimeEstimates,
+  ) {
+    this.#domain = domain;
+    this.#slots = slots;
+    this.#queues = queues;
+    this.#estimates = estimates;
+    this.#pace = new SummaryPace(periodMs);
+  }
+
+  /** The summary to send to all hosts now; null while none is due. */
+  summaryDue(hosts: number, nowMs: number): LoadSummary | null {
+    if (!this.#pace.mayBeDue(hosts, nowMs)) return null;
+    const summary = this.#summary();
+    return this.#pace.isDue(summary, hosts, nowMs) ? summary : null;
+  }
+
+  #summary(): LoadSummary {
+    const { workers } = this.#slots;
+    const capacitySlots = workers.capacity();
+    const queuedTasks = this.#queues.tasks();
+    const free = Math.max(0, workers.totalFree() - this.#slots.reserve(capacitySlots));
+    const full = queuedTasks > 0 || free === 0;
+    const waitMs = capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0;
+    return {
+      type: 'loadSummary',
+      domain: this.#domain,
+      capacitySlots,
+      freeSlots: full ? 0 : free,
+      queuedTasks,
+      waitMs: Math.round(waitMs),
+      largest: workers.largest(),
+      teams: this.#teamLoads(capacitySlots, full),
+    };
+  }
+
+  #teamLoads(capacitySlots: number, full: boolean): readonly TeamLoad[] {
+    const { shares } = this.#slots;
+    return shares
+      .teams()
+      .map((team) => ({
+        team,
+        queuedTasks: this.#queues.tasksOfTeam(team),
+        headroomSlots: shares.headroom(team, capacitySlots),
+      }))
+      .filter(({ queuedTasks, headroomSlots }) => queuedTasks > 0 || (full && headroomSlots > 0));
+  }
+
+  #queuedWorkMs(): number {
+    return [...this.#queues.leaves()].reduce(
+      (sum, { tasks, leaf }) => sum + tasks * this.#estimates.meanMs(leaf),
+      0,
+    );
+  }
+}
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -15,21 +15,14 @@
 import { Granter } from './granter';
 import { Reason } from './job';
 import { KindFailures } from './kindFailures';
-import {
-  GrantOutcome,
-  type LoadSummary,
-  type SlotClaims,
-  type SlotRelease,
-  type SlotRequest,
-  type TeamLoad,
-} from './messages';
+import { LoadReporter } from './loadReporter';
+import { GrantOutcome, type SlotClaims, type SlotRelease, type SlotRequest } from './messages';
 import type { CoreOptions } from './options';
 import type { Outbox } from './outbox';
 import { SlotQueues } from './slotQueues';
-import { SummaryPace } from './summaryPace';
 import type { SchedulerView } from './views';
 import { StatusPolls } from './statusPolls';
-import { freeSlots, WorkerTable, type WorkerEntry } from './workerTable';
+import { conditionOf, WorkerTable, type WorkerEntry } from './workerTable';
 
 /** A new scheduler waits this long for the submitters' claims, to avoid granting used slots. */
 const TAKEOVER_GRACE_MS = 30;
@@ -68,7 +61,7 @@
 
   readonly #polls: StatusPolls;
 
-  readonly #summaries: SummaryPace;
+  readonly #reporter: LoadReporter;
 
   #hosts: readonly string[] = [];
 
@@ -94,7 +87,13 @@
     });
     this.#admission = new Admission(this.#shares, this.#estimates);
     this.#polls = new StatusPolls(options.statusPeriodMs);
-    this.#summaries = new SummaryPace(options.summaryPeriodMs);
+    this.#reporter = new LoadReporter(
+      domain,
+      options.summaryPeriodMs,
+      this.#slots,
+      this.#queues,
+      this.#estimates,
+    );
   }
 
   configure(configuration: Configuration, nowMs: number): void {
@@ -208,7 +207,8 @@
     if (!this.#active) return;
     this.#poll(nowMs);
     this.#grantAll(nowMs);
-    this.#sendSummary(nowMs);
+    const summary = this.#reporter.summaryDue(this.#hosts.length, nowMs);
+    if (summary) this.#hosts.forEach((host) => this.#outbox.send(host, summary));
   }
 
   /** State for operators. */
@@ -227,16 +227,7 @@
         meanRunTimeMs: this.#estimates.meanMs(queue.leaf),
         oldestArrivalMs: queue.peek()?.arrivedAtMs ?? null,
       })),
-      workers: this.#workers.all().map((worker) => ({
-        id: worker.id,
-        rack: worker.status?.rack ?? '',
-        address: worker.address,
-        state: worker.leaving ? 'leaving' : worker.health.state,
-        slots: worker.status?.slots ?? 0,
-        usedSlots: worker.usedSlots,
-        freeSlots: freeSlots(worker),
-        runTimeRatio: worker.health.runTimeRatio,
-      })),
+      workers: this.#workers.all().map(conditionOf),
     };
   }
 
@@ -262,50 +253,6 @@
     return this.#admission.check(message, queued, load, nowMs);
   }
 
-  /** Tells all hosts of the load at once when it has changed much, else now and then. */
-  #sendSummary(nowMs: number): void {
-    if (!this.#summaries.mayBeDue(this.#hosts.length, nowMs)) return;
-    const summary = this.#summary();
-    if (!this.#summaries.isDue(summary, this.#hosts.length, nowMs)) return;
-    this.#hosts.forEach((host) => this.#outbox.send(host, summary));
-  }
-
-  #summary(): LoadSummary {
-    const capacitySlots = this.#workers.capacity();
-    const queuedTasks = this.#queues.tasks();
-    const free = Math.max(0, this.#workers.totalFree() - this.#slots.reserve(capacitySlots));
-    const waitMs = capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0;
-    const full = queuedTasks > 0 || free === 0;
-    return {
-      type: 'loadSummary',
-      domain: this.#domain,
-      capacitySlots,
-      freeSlots: full ? 0 : free,
-      queuedTasks,
-      waitMs: Math.round(waitMs),
-      largest: this.#workers.largest(),
-      teams: this.#teamLoads(capacitySlots, full),
-    };
-  }
-
-  #teamLoads(capacitySlots: number, full: boolean): readonly TeamLoad[] {
-    return this.#shares
-      .teams()
-      .map((team) => ({
-        team,
-        queuedTasks: this.#queues.tasksOfTeam(team),
-        headroomSlots: this.#shares.headroom(team, capacitySlots),
-      }))
-      .filter(({ queuedTasks, headroomSlots }) => queuedTasks > 0 || (full && headroomSlots > 0));
-  }
-
-  #queuedWorkMs(): number {
-    return [...this.#queues.leaves()].reduce(
-      (sum, { tasks, leaf }) => sum + tasks * this.#estimates.meanMs(leaf),
-      0,
-    );
-  }
-
   #poll(nowMs: number): void {
     if (this.#options.guards.health) {
       this.#polls.markSilent(this.#workers.all(), nowMs).forEach((worker) => {
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -4,13 +4,8 @@
  */
 import { createHash } from 'node:crypto';
 import type { Configuration, KindPolicy } from '../configuration/policy';
-import {
-  completeAnswer,
-  earlyAnswer,
-  keyReusedAnswer,
-  refusalAnswer,
-  unusedKeyAnswer,
-} from './answers';
+import { completeAnswer, earlyAnswer, keyReusedAnswer, unusedKeyAnswer } from './answers';
+import { AnswerDesk } from './answerDesk';
 import type { CoreEvent } from './events';
 import { Deadlines, DueKind } from './deadlines';
 import { Outcome, Reason, TaskState, type JobAnswer, type JobSpec } from './job';
@@ -25,6 +20,7 @@
 import { SubmissionTable } from './submissionTable';
 import { TaskRunner } from './taskRunner';
 import type { SubmitterView } from './views';
+import { NO_RESOURCES } from './workerTable';
 
 const HALF = 0.5;
 /** Refusals at half of the deadline are due this much earlier, so that ticks do not make them late. */
@@ -47,6 +43,9 @@
   return createHash('sha256').update(JSON.stringify(body)).digest('base64');
 }
 
+/** Stands in for a job that was cancelled before it arrived. */
+const NO_JOB: JobSpec = { team: '', kind: '', deadlineMs: 0, resources: NO_RESOURCES, tasks: [] };
+
 /** What a submitter is built from. */
 export interface SubmitterParts {
   readonly domain: string;
@@ -73,6 +72,8 @@
 
   readonly #retries: RetryQueue;
 
+  readonly #desk: AnswerDesk;
+
   #configuration: Configuration | null = null;
 
   #roles = Roles.none();
@@ -92,6 +93,7 @@
         this.#slotsRefused(submission, reason, retryAfterMs, nowMs),
     });
     this.#retries = new RetryQueue(options, this.#requester);
+    this.#desk = new AnswerDesk(outbox);
     this.#runner = new TaskRunner(options, outbox, {
       succeeded: (submission) => this.#taskSucceeded(submission),
       failed: (submission, state) => this.#taskFailed(submission, state),
@@ -125,12 +127,12 @@
     const policy = this.#configuration?.teams.get(job.team)?.kinds.get(job.kind);
     const key = event.key ?? (policy?.idempotent ? this.#issuer.issue(nowMs) : null);
     if (key === null) {
-      this.#refuseCall(callId, '', this.#reasonWithoutKey(job, policy));
+      this.#desk.refuse(callId, '', this.#reasonWithoutKey(job, policy));
       return;
     }
     const verified = this.#issuer.verify(key, nowMs);
     if (verified.err) {
-      this.#refuseCall(callId, key, verified.val);
+      this.#desk.refuse(callId, key, verified.val);
       return;
     }
     const known = this.#table.get(key);
@@ -138,12 +140,10 @@
       this.#join(known, callId, hashOf(job));
       return;
     }
-    const refusal = this.#refusalOnArrival(job, policy);
-    if (refusal) {
-      this.#refuseCall(callId, key, refusal);
-      return;
-    }
-    this.#accept(callId, key, job, verified.val.expiresAtMs, nowMs);
+    const submission = this.#open(callId, key, job, hashOf(job), verified.val.expiresAtMs, nowMs);
+    const refusal = this.#refusalOnArrival(submission, policy, nowMs);
+    if (refusal) this.#finishEarly(submission, Outcome.refused, refusal);
+    else this.#accept(submission, nowMs);
   }
 
   /** Cancels; a key that was not used yet can't be used any more. */
@@ -152,21 +152,22 @@
     const known = this.#table.get(key);
     if (known) {
       known.callIds.add(callId);
-      if (known.answer) this.#answerCall(callId, known.answer);
+      if (known.answer) this.#desk.answer(callId, known.answer);
       else this.#finishEarly(known, Outcome.cancelled, Reason.cancelled);
     } else if (verified.err) {
-      this.#refuseCall(callId, key, verified.val);
+      this.#desk.refuse(callId, key, verified.val);
     } else {
-      this.#bury(callId, key, verified.val.expiresAtMs, nowMs);
+      const unused = this.#open(callId, key, NO_JOB, '', verified.val.expiresAtMs, nowMs);
+      this.#finishEarly(unused, Outcome.cancelled, Reason.cancelled);
     }
   }
 
   await(callId: number, key: string): void {
     const known = this.#table.get(key);
     if (!known) {
-      this.#answerCall(callId, unusedKeyAnswer(key));
+      this.#desk.answer(callId, unusedKeyAnswer(key));
     } else if (known.answer) {
-      this.#answerCall(callId, known.answer);
+      this.#desk.answer(callId, known.answer);
     } else {
       known.callIds.add(callId);
     }
@@ -218,52 +219,50 @@
     return this.#configuration.teams.has(job.team) ? Reason.unknownKind : Reason.unknownTeam;
   }
 
-  #refusalOnArrival(job: JobSpec, policy: KindPolicy | undefined): Reason | null {
+  #refusalOnArrival(
+    submission: Submission,
+    policy: KindPolicy | undefined,
+    nowMs: number,
+  ): Reason | null {
     if (this.#draining) return Reason.draining;
-    return policy ? null : this.#unknownWork(job);
+    if (!policy) return this.#unknownWork(submission.job);
+    return this.#requester.isImpossible(submission, nowMs) ? Reason.impossibleJob : null;
   }
 
   #join(known: Submission, callId: number, bodyHash: string): void {
     if (known.bodyHash !== bodyHash && known.bodyHash !== '') {
-      this.#answerCall(callId, keyReusedAnswer(known.key));
+      this.#desk.answer(callId, keyReusedAnswer(known.key));
       return;
     }
     this.#outbox.decide('join', 'same-key', { key: known.key });
-    if (known.answer) this.#answerCall(callId, known.answer);
+    if (known.answer) this.#desk.answer(callId, known.answer);
     else known.callIds.add(callId);
   }
 
-  #accept(callId: number, key: string, job: JobSpec, expiresAtMs: number, nowMs: number): void {
-    const submission = new Submission(key, job, hashOf(job), nowMs, expiresAtMs);
+  /** Takes a key into use. From now on each call with this key gets the same answer. */
+  #open(
+    callId: number,
+    key: string,
+    job: JobSpec,
+    bodyHash: string,
+    expiresAtMs: number,
+    nowMs: number,
+  ): Submission {
+    const submission = new Submission(key, job, bodyHash, nowMs, expiresAtMs);
     submission.callIds.add(callId);
     this.#table.add(submission);
     this.#deadlines.add(expiresAtMs, key, DueKind.expiry);
-    if (this.#requester.isImpossible(submission, nowMs)) {
-      this.#finishEarly(submission, Outcome.refused, Reason.impossibleJob);
-      return;
-    }
+    return submission;
+  }
+
+  #accept(submission: Submission, nowMs: number): void {
+    const { key, job } = submission;
     const halfMs = Math.max(0, job.deadlineMs * HALF - HALF_MARGIN_MS);
     this.#deadlines.add(nowMs + halfMs, key, DueKind.half);
     this.#deadlines.add(submission.deadlineAtMs, key, DueKind.full);
     this.#requester.place(submission, job.tasks.length, nowMs);
   }
 
-  /** Remembers a cancellation that came before the submission itself. */
-  #bury(callId: number, key: string, expiresAtMs: number, nowMs: number): void {
-    const job: JobSpec = {
-      team: '',
-      kind: '',
-      deadlineMs: 0,
-      resources: { cores: 0, memoryMb: 0, accelerators: 0 },
-      tasks: [],
-    };
-    const submission = new Submission(key, job, '', nowMs, expiresAtMs);
-    submission.callIds.add(callId);
-    this.#table.add(submission);
-    this.#deadlines.add(expiresAtMs, key, DueKind.expiry);
-    this.#finishEarly(submission, Outcome.cancelled, Reason.cancelled);
-  }
-
   #start(submission: Submission, grant: Grant, domain: string, nowMs: number): boolean {
     if (!submission.begun && nowMs >= submission.arrivedAtMs + submission.job.deadlineMs * HALF) {
       this.#finishEarly(submission, Outcome.refused, Reason.overloaded);
@@ -341,27 +340,6 @@
     this.#requester.withdraw(finished);
     this.#runner.stopAll(finished);
     this.#table.finish(finished);
-    finished.callIds.forEach((callId) => this.#answerCall(callId, answer));
-    finished.callIds.clear();
-    const { team, kind } = finished.job;
-    this.#outbox.count('jobs.answered', 1, { outcome: answer.outcome });
-    this.#outbox.decide('answer', answer.reason ?? answer.outcome, {
-      key: finished.key,
-      team,
-      kind,
-      outcome: answer.outcome,
-      notRun: answer.notRun,
-    });
-  }
-
-  #refuseCall(callId: number, key: string, reason: Reason): void {
-    const answer = refusalAnswer(key, reason);
-    this.#outbox.count('jobs.refused', 1, { reason });
-    this.#outbox.decide('answer', reason, { key, outcome: answer.outcome, notRun: answer.notRun });
-    this.#answerCall(callId, answer);
-  }
-
-  #answerCall(callId: number, answer: JobAnswer): void {
-    this.#outbox.push({ type: 'answer', callId, answer });
+    this.#desk.finish(finished, answer);
   }
 }
--- a/src/core/workerTable.ts
+++ b/src/core/workerTable.ts
@@ -7,6 +7,7 @@
 import { WorkerHealth, WorkerState, type HealthGuards } from './health';
 import type { Resources } from './job';
 import type { WorkerRef } from './messages';
+import type { WorkerCondition } from './views';
 
 /** No resources besides the slot. */
 export const NO_RESOURCES: Resources = { cores: 0, memoryMb: 0, accelerators: 0 };
@@ -100,6 +101,22 @@
   return fitsTotal(add(status, worker.used, -1), resources);
 }
 
+/** The worker as operators see it. */
+export function conditionOf(worker: WorkerEntry): WorkerCondition {
+  const { id, address, health, status, usedSlots } = worker;
+  const judged = worker.silent ? 'silent' : health.state;
+  return {
+    id,
+    rack: status?.rack ?? '',
+    address,
+    state: worker.leaving ? 'leaving' : judged,
+    slots: status?.slots ?? 0,
+    usedSlots,
+    freeSlots: freeSlots(worker),
+    runTimeRatio: health.runTimeRatio,
+  };
+}
+
 /** The workers known to a scheduler. */
 export class WorkerTable {
   readonly #guards: HealthGuards;
--- a/test/core/submitter.test.ts
+++ b/test/core/submitter.test.ts
@@ -203,6 +203,24 @@
     expect(driver.starts()).toEqual([]);
   });
 
+  it('that was refused as not run never runs later, when its work has become known', () => {
+    const driver = Driver.ready([2]);
+    const key = driver.key();
+    const spec = job(1, { team: 'green' });
+    const first = driver.submit(spec, key);
+    const red = CONFIGURATION.teams.get('red');
+    if (!red) throw new Error('no team red');
+    const teams = new Map([...CONFIGURATION.teams, ['green', { ...red, name: 'green' }] as const]);
+    driver.send({ type: 'configuration', configuration: { ...CONFIGURATION, teams } });
+    const second = driver.submit(spec, key);
+    const answers = [first, second].map((call) => driver.answers(call)[0]);
+    expect(answers.map((answer) => [answer?.reason, answer?.notRun])).toEqual([
+      ['unknown-team', true],
+      ['unknown-team', true],
+    ]);
+    expect(driver.starts()).toEqual([]);
+  });
+
   it('with a damaged signature is refused', () => {
     const driver = Driver.ready([2]);
     const key = driver.key();
