Leave out of load summaries what nobody reads

Cause: since jobs are spread by team, the queued tasks and the wait of the whole domain were read by nothing.

--- a/src/core/loadReporter.ts
+++ b/src/core/loadReporter.ts
@@ -1,6 +1,5 @@
 /** Sums up the load of a domain for the submitters, and says when they should be told. */
 import type { DomainSlots } from './domainSlots';
-import type { RunTimeEstimates } from './estimates';
 import type { LoadSummary, TeamLoad } from './messages';
 import type { SlotQueues } from './slotQueues';
 import { SummaryPace } from './summaryPace';
@@ -13,21 +12,12 @@
 
   readonly #queues: SlotQueues;
 
-  readonly #estimates: RunTimeEstimates;
-
   readonly #pace: SummaryPace;
 
-  constructor(
-    domain: string,
-    periodMs: number,
-    slots: DomainSlots,
-    queues: SlotQueues,
-    estimates: RunTimeEstimates,
-  ) {
+  constructor(domain: string, periodMs: number, slots: DomainSlots, queues: SlotQueues) {
     this.#domain = domain;
     this.#slots = slots;
     this.#queues = queues;
-    this.#estimates = estimates;
     this.#pace = new SummaryPace(periodMs);
   }
 
@@ -41,17 +31,13 @@
   #summary(): LoadSummary {
     const { workers } = this.#slots;
     const capacitySlots = workers.capacity();
-    const queuedTasks = this.#queues.tasks();
     const free = Math.max(0, workers.totalFree() - this.#slots.reserve(capacitySlots));
-    const full = queuedTasks > 0 || free === 0;
-    const waitMs = capacitySlots > 0 ? this.#queuedWorkMs() / capacitySlots : 0;
+    const full = this.#queues.tasks() > 0 || free === 0;
     return {
       type: 'loadSummary',
       domain: this.#domain,
       capacitySlots,
       freeSlots: full ? 0 : free,
-      queuedTasks,
-      waitMs: Math.round(waitMs),
       largest: workers.largest(),
       teams: this.#teamLoads(capacitySlots, full),
     };
@@ -68,11 +54,4 @@
       }))
       .filter(({ queuedTasks, headroomSlots }) => queuedTasks > 0 || (full && headroomSlots > 0));
   }
-
-  #queuedWorkMs(): number {
-    return [...this.#queues.leaves()].reduce(
-      (sum, { tasks, leaf }) => sum + tasks * this.#estimates.meanMs(leaf),
-      0,
-    );
-  }
 }
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -108,9 +108,6 @@
   readonly domain: string;
   readonly capacitySlots: number;
   readonly freeSlots: number;
-  readonly queuedTasks: number;
-  /** Expected wait behind all queued work, in whole milliseconds. */
-  readonly waitMs: number;
   /** The largest single worker of the domain, for the refusal of impossible jobs. */
   readonly largest: Resources;
   /** Teams with waiting tasks; while no slot is free, all teams with a share. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -87,13 +87,7 @@
     });
     this.#admission = new Admission(this.#shares, this.#estimates);
     this.#polls = new StatusPolls(options.statusPeriodMs);
-    this.#reporter = new LoadReporter(
-      domain,
-      options.summaryPeriodMs,
-      this.#slots,
-      this.#queues,
-      this.#estimates,
-    );
+    this.#reporter = new LoadReporter(domain, options.summaryPeriodMs, this.#slots, this.#queues);
   }
 
   configure(configuration: Configuration, nowMs: number): void {
--- a/src/peers/messageCodec.ts
+++ b/src/peers/messageCodec.ts
@@ -103,8 +103,6 @@
     domain: name(wire.domain, 'domain'),
     capacitySlots: quantity(wire.capacitySlots ?? 0, 'capacitySlots'),
     freeSlots: quantity(wire.freeSlots ?? 0, 'freeSlots'),
-    queuedTasks: quantity(wire.queuedTasks ?? 0, 'queuedTasks'),
-    waitMs: quantity(wire.waitMs ?? 0, 'waitMs'),
     largest: resourcesOf(wire.largest),
     teams: (wire.teams ?? []).map((load) => ({
       team: name(load.team, 'team'),
--- a/test/peers/messageCodec.test.ts
+++ b/test/peers/messageCodec.test.ts
@@ -52,8 +52,6 @@
     domain: 'd',
     capacitySlots: 240,
     freeSlots: 0,
-    queuedTasks: 17,
-    waitMs: 88,
     largest: resources,
     teams: [{ team: 'kiosk', queuedTasks: 7, headroomSlots: 3 }],
   },
