Tell a job's answer at any host; report queues, slots and response times

Cause: an inquiry by key at a host that had not issued it was answered as outcome unknown without asking the issuer; metrics had no queue lengths and no response times.

--- a/src/bench/slopesWire.ts
+++ b/src/bench/slopesWire.ts
@@ -76,6 +76,7 @@
     },
     onForward: () => Promise.reject(new Error('not used')),
     onForwardCancel: () => Promise.reject(new Error('not used')),
+    onForwardAwait: () => Promise.reject(new Error('not used')),
     onStatus: () => null,
   };
   const target = `127.0.0.1:${await to.listen(handler)}`;
--- a/src/host/coreService.ts
+++ b/src/host/coreService.ts
@@ -22,8 +22,10 @@
 import type { PeerOrigin, PeerTransport } from '../peers/transport';
 import type { HostListEntry, Workers } from '../workers';
 import { canonicalJob } from './canonicalJob';
+import { reportGauges } from './gauges';
 import type { SubmissionService } from './submissionService';
 
+const GAUGE_PERIOD_MS = 1000;
 /** Connections of one worker that all entry hosts share. */
 const WORKER_CONNECTIONS = 60;
 
@@ -60,6 +62,8 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  #gaugeTimer: NodeJS.Timeout | null = null;
+
   #members: ReadonlyMap<string, Member> = new Map();
 
   #configuration: Configuration | null = null;
@@ -72,10 +76,15 @@
 
   async open(): Promise<void> {
     this.#timer = setInterval(() => this.#dispatch({ type: 'tick' }), TICK_MS);
+    this.#gaugeTimer = setInterval(
+      () => reportGauges(this.inspect(), this.#parts.metrics),
+      GAUGE_PERIOD_MS,
+    );
   }
 
   async close(): Promise<void> {
     if (this.#timer) clearInterval(this.#timer);
+    if (this.#gaugeTimer) clearInterval(this.#gaugeTimer);
     this.#timer = null;
   }
 
@@ -91,15 +100,18 @@
 
   cancel(key: string): Promise<JobAnswer> {
     const issuer = this.#foreignIssuer(key);
-    if (issuer === null) return this.#call((callId) => ({ type: 'cancel', callId, key }));
+    if (issuer === null) return this.acceptForwardedCancel(key);
     return this.#forward(key, issuer, (address, incarnation) =>
       this.#parts.peers.forwardCancel(address, incarnation, key),
     );
   }
 
   awaitAnswer(key: string): Promise<JobAnswer> {
-    if (this.#foreignIssuer(key) !== null) return Promise.resolve(unknownOutcome(key));
-    return this.#call((callId) => ({ type: 'await', callId, key }));
+    const issuer = this.#foreignIssuer(key);
+    if (issuer === null) return this.acceptForwardedAwait(key);
+    return this.#forward(key, issuer, (address, incarnation) =>
+      this.#parts.peers.forwardAwait(address, incarnation, key),
+    );
   }
 
   issueKeys(count: number): readonly string[] {
@@ -123,6 +135,10 @@
     return this.#call((callId) => ({ type: 'cancel', callId, key }));
   }
 
+  acceptForwardedAwait(key: string): Promise<JobAnswer> {
+    return this.#call((callId) => ({ type: 'await', callId, key }));
+  }
+
   receive(from: PeerOrigin, messages: readonly SlotMessage[]): void {
     this.#dispatch({ type: 'peerMessages', from, messages });
   }
@@ -163,7 +179,16 @@
 
   #submitHere(key: string | null, job: JobSpec): Promise<JobAnswer> {
     const canonical = canonicalJob(job);
-    return this.#call((callId) => ({ type: 'submit', callId, key, job: canonical }));
+    const answer = this.#call((callId) => ({ type: 'submit', callId, key, job: canonical }));
+    this.#measure(job, answer);
+    return answer;
+  }
+
+  async #measure({ team, kind }: JobSpec, pending: Promise<JobAnswer>): Promise<void> {
+    const { clock, metrics } = this.#parts;
+    const startedAtMs = clock.nowMs();
+    const { outcome } = await pending;
+    metrics.timing('jobs.response', clock.nowMs() - startedAtMs, { team, kind, outcome });
   }
 
   /** Host that issued a key, if it is another one; malformed keys are left to the core to refuse. */
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -178,6 +178,7 @@
         configuration: (from, message) => this.#configuration.receive(from.hostId, message),
         forward: (key, job) => this.#core.acceptForwarded(key, job),
         forwardCancel: (key) => this.#core.acceptForwardedCancel(key),
+        forwardAwait: (key) => this.#core.acceptForwardedAwait(key),
         status: () => this.#operators.peerStatus(),
       }),
     );
--- /dev/null
+++ b/src/host/gauges.ts
@@ -0,0 +1,18 @@
+/** Figures of the state of a host, reported once a second. */
+import type { HostView } from '../core';
+import type { Metrics } from '../observe';
+
+/** Reports the submitter's figures, and those of the queues while the host schedules its domain. */
+export function reportGauges({ submitter, scheduler }: HostView, metrics: Metrics): void {
+  metrics.gauge('submissions.pending', submitter.pending);
+  metrics.gauge('submissions.kept', submitter.submissions);
+  metrics.gauge('attempts.in_progress', submitter.attemptsInProgress);
+  if (!scheduler.active) return;
+  scheduler.queues.forEach(({ team, kind, queuedTasks, usedSlots }) => {
+    metrics.gauge('queue.tasks', queuedTasks, { team, kind });
+    metrics.gauge('slots.used', usedSlots, { team, kind });
+  });
+  const usable = scheduler.workers.filter(({ state }) => state === 'active').length;
+  metrics.gauge('workers.known', scheduler.workers.length);
+  metrics.gauge('workers.active', usable);
+}
--- a/src/host/peerService.ts
+++ b/src/host/peerService.ts
@@ -18,6 +18,7 @@
   configuration(from: PeerOrigin, message: ConfigurationMessage): void;
   forward(key: string, job: JobSpec): Promise<JobAnswer>;
   forwardCancel(key: string): Promise<JobAnswer>;
+  forwardAwait(key: string): Promise<JobAnswer>;
   status(): unknown;
 }
 
@@ -71,6 +72,10 @@
     return this.#receivers.forwardCancel(key);
   }
 
+  onForwardAwait(key: string): Promise<JobAnswer> {
+    return this.#receivers.forwardAwait(key);
+  }
+
   onStatus(): unknown {
     return this.#receivers.status();
   }
--- a/src/peers/grpcTransport.ts
+++ b/src/peers/grpcTransport.ts
@@ -7,17 +7,19 @@
 import type { JobAnswer, JobSpec } from '../core/job';
 import type { PeerMessage } from '../core/messages';
 import {
+  FORWARD_AWAIT_PATH,
   FORWARD_CANCEL_PATH,
   FORWARD_PATH,
   IncomingCalls,
   PEERS_SERVICE,
   STATUS_PATH,
 } from './incomingCalls';
-import { decodeAnswer, decodeStatus, encodeForward, encodeForwardCancel } from './jobCodec';
+import { decodeAnswer, decodeStatus, encodeForward, encodeForwardKey } from './jobCodec';
 import { PeerStream } from './peerStream';
 import { DropReason, Traffic, type TypeTraffic } from './traffic';
 import type { PeerHandler, PeerTransport } from './transport';
 import {
+  AWAIT_TIMEOUT_MS,
   FORWARD_MARGIN_MS,
   IDLE_PEER_MS,
   channelOptions,
@@ -96,25 +98,18 @@
   ): Promise<JobAnswer | null> {
     const request = encodeForward({ incarnation, key, job });
     const timeoutMs = job.deadlineMs + FORWARD_MARGIN_MS;
-    const reply = await this.#call(peerAddress, 'forward', FORWARD_PATH, request, timeoutMs);
-    return this.#decoded(reply, decodeAnswer);
+    return this.#ask(peerAddress, 'forward', FORWARD_PATH, request, timeoutMs);
   }
 
-  async forwardCancel(
-    peerAddress: string,
-    incarnation: string,
-    key: string,
-  ): Promise<JobAnswer | null> {
-    const request = encodeForwardCancel({ incarnation, key });
+  forwardCancel(peerAddress: string, incarnation: string, key: string): Promise<JobAnswer | null> {
     const { callTimeoutMs } = this.#options;
-    const reply = await this.#call(
-      peerAddress,
-      'forwardCancel',
-      FORWARD_CANCEL_PATH,
-      request,
-      callTimeoutMs,
-    );
-    return this.#decoded(reply, decodeAnswer);
+    const call = encodeForwardKey({ incarnation, key });
+    return this.#ask(peerAddress, 'forwardCancel', FORWARD_CANCEL_PATH, call, callTimeoutMs);
+  }
+
+  forwardAwait(peerAddress: string, incarnation: string, key: string): Promise<JobAnswer | null> {
+    const call = encodeForwardKey({ incarnation, key });
+    return this.#ask(peerAddress, 'forwardAwait', FORWARD_AWAIT_PATH, call, AWAIT_TIMEOUT_MS);
   }
 
   /** Null if the peer can't be reached or doesn't answer in time. */
@@ -159,6 +154,18 @@
     await this.#drain(untilMs);
   }
 
+  /** Asks the issuer of a key; null if its answer can't be had. */
+  async #ask(
+    peerAddress: string,
+    type: string,
+    path: string,
+    request: Buffer,
+    timeoutMs: number,
+  ): Promise<JobAnswer | null> {
+    const reply = await this.#call(peerAddress, type, path, request, timeoutMs);
+    return this.#decoded(reply, decodeAnswer);
+  }
+
   async #call(
     peerAddress: string,
     type: string,
--- a/src/peers/incomingCalls.ts
+++ b/src/peers/incomingCalls.ts
@@ -18,7 +18,7 @@
 import { wasabiyoke } from './generated/peers';
 import {
   decodeForward,
-  decodeForwardCancel,
+  decodeForwardKey,
   encodeAnswer,
   encodeStatus,
   type ForwardedCall,
@@ -33,6 +33,7 @@
 
 export const FORWARD_PATH = '/wasabiyoke.peers.Peers/Forward';
 export const FORWARD_CANCEL_PATH = '/wasabiyoke.peers.Peers/ForwardCancel';
+export const FORWARD_AWAIT_PATH = '/wasabiyoke.peers.Peers/ForwardAwait';
 export const STATUS_PATH = '/wasabiyoke.peers.Peers/Status';
 
 type Unary = ServerUnaryCall<Buffer, Buffer>;
@@ -55,6 +56,7 @@
   stream: method(STREAM_PATH, true),
   forward: method(FORWARD_PATH, false),
   forwardCancel: method(FORWARD_CANCEL_PATH, false),
+  forwardAwait: method(FORWARD_AWAIT_PATH, false),
   status: method(STATUS_PATH, false),
 };
 
@@ -95,7 +97,14 @@
         this.#unary(call, reply, 'forward', () => this.#forward(call.request));
       },
       forwardCancel: (call: Unary, reply: Reply) => {
-        this.#unary(call, reply, 'forwardCancel', () => this.#forwardCancel(call.request));
+        this.#unary(call, reply, 'forwardCancel', () =>
+          this.#forwardKey(call.request, (key) => this.#handler.onForwardCancel(key)),
+        );
+      },
+      forwardAwait: (call: Unary, reply: Reply) => {
+        this.#unary(call, reply, 'forwardAwait', () =>
+          this.#forwardKey(call.request, (key) => this.#handler.onForwardAwait(key)),
+        );
       },
       status: (call: Unary, reply: Reply) => {
         this.#unary(call, reply, 'status', async () => encodeStatus(this.#handler.onStatus()));
@@ -197,11 +206,14 @@
     return this.#answer(await this.#handler.onForward(call.key, call.job));
   }
 
-  async #forwardCancel(request: Buffer): Promise<Buffer | status> {
-    const call = decodeForwardCancel(request);
+  async #forwardKey(
+    request: Buffer,
+    handle: (key: string) => Promise<JobAnswer>,
+  ): Promise<Buffer | status> {
+    const call = decodeForwardKey(request);
     const refusal = this.#refusal(call);
     if (call === null || refusal !== null) return refusal ?? status.INVALID_ARGUMENT;
-    return this.#answer(await this.#handler.onForwardCancel(call.key));
+    return this.#answer(await handle(call.key));
   }
 
   /** A call for another incarnation is refused: this process can't know what that one started. */
--- a/src/peers/jobCodec.ts
+++ b/src/peers/jobCodec.ts
@@ -14,7 +14,7 @@
 import { wasabiyoke } from './generated/peers';
 import { name, oneOf, present, quantity, resourcesOf } from './validation';
 
-const { AnswerReply, ForwardCancelRequest, ForwardRequest, StatusReply } = wasabiyoke.peers;
+const { AnswerReply, ForwardKeyRequest, ForwardRequest, StatusReply } = wasabiyoke.peers;
 
 /** A call about a submission that the incarnation issued. */
 export interface ForwardedCall {
@@ -90,14 +90,14 @@
     };
   });
 
-/** Encodes a forwarded cancellation. */
-export const encodeForwardCancel = (call: ForwardedCall): Buffer =>
-  Buffer.from(ForwardCancelRequest.encode({ ...call }).finish());
+/** Encodes a forwarded cancellation or inquiry. */
+export const encodeForwardKey = (call: ForwardedCall): Buffer =>
+  Buffer.from(ForwardKeyRequest.encode({ ...call }).finish());
 
-/** Decodes a forwarded cancellation. */
-export const decodeForwardCancel = (bytes: Uint8Array): ForwardedCall | null =>
+/** Decodes a forwarded cancellation or inquiry. */
+export const decodeForwardKey = (bytes: Uint8Array): ForwardedCall | null =>
   attempt(() => {
-    const wire = ForwardCancelRequest.decode(bytes);
+    const wire = ForwardKeyRequest.decode(bytes);
     return {
       incarnation: name(wire.incarnation, 'incarnation'),
       key: name(wire.key, 'key'),
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -18,6 +18,8 @@
   onForward(key: string, job: JobSpec): Promise<JobAnswer>;
   /** A cancellation of a submission whose key this host issued. */
   onForwardCancel(key: string): Promise<JobAnswer>;
+  /** An inquiry about a submission whose key this host issued; resolves with its answer. */
+  onForwardAwait(key: string): Promise<JobAnswer>;
   /** State of this host as JSON, for operators who ask through another host. */
   onStatus(): unknown;
 }
@@ -36,6 +38,7 @@
     job: JobSpec,
   ): Promise<JobAnswer | null>;
   forwardCancel(peerAddress: string, incarnation: string, key: string): Promise<JobAnswer | null>;
+  forwardAwait(peerAddress: string, incarnation: string, key: string): Promise<JobAnswer | null>;
   status(peerAddress: string): Promise<unknown>;
   /** Bytes sent and received per message type since the start. */
   traffic(): Readonly<
--- a/src/peers/transportOptions.ts
+++ b/src/peers/transportOptions.ts
@@ -39,6 +39,8 @@
 export const IDLE_PEER_MS = 60_000;
 /** Added to a job's deadline for the answer of the issuer, which fails the job at its deadline. */
 export const FORWARD_MARGIN_MS = 1000;
+/** Above the longest deadline that the callers' interface accepts. */
+export const AWAIT_TIMEOUT_MS = 610_000;
 
 /** Fills in the defaults. */
 export const resolveOptions = (options: TransportOptions): ResolvedOptions => ({
--- a/src/standins/partitionedTransport.ts
+++ b/src/standins/partitionedTransport.ts
@@ -44,6 +44,10 @@
     return this.#call(peerAddress, () => this.#inner.forwardCancel(peerAddress, incarnation, key));
   }
 
+  forwardAwait(peerAddress: string, incarnation: string, key: string): Promise<JobAnswer | null> {
+    return this.#call(peerAddress, () => this.#inner.forwardAwait(peerAddress, incarnation, key));
+  }
+
   status(peerAddress: string): Promise<unknown> {
     return this.#call(peerAddress, () => this.#inner.status(peerAddress));
   }
--- a/test/peers/fixtures.ts
+++ b/test/peers/fixtures.ts
@@ -71,6 +71,10 @@
     return { ...(await (this.#reply?.() ?? answer)), key, outcome: 'cancelled' };
   }
 
+  async onForwardAwait(key: string): Promise<JobAnswer> {
+    return { ...(await (this.#reply?.() ?? answer)), key };
+  }
+
   onStatus(): unknown {
     return { host: 'served', jobs: this.jobs.length };
   }
--- a/test/peers/grpcTransport.test.ts
+++ b/test/peers/grpcTransport.test.ts
@@ -200,6 +200,8 @@
     withHosts(async (a, b) => {
       expect(await a.transport.forward(b.address, 'b-0', 'k', job)).toEqual(null);
       expect(await a.transport.forwardCancel(b.address, 'b-0', 'k')).toEqual(null);
+      expect((await a.transport.forwardAwait(b.address, 'b-1', 'k'))?.key).toEqual('k');
+      expect(await a.transport.forwardAwait(b.address, 'b-0', 'k')).toEqual(null);
       expect(b.handler.jobs).toEqual([]);
     }));
 
--- a/test/peers/messageCodec.test.ts
+++ b/test/peers/messageCodec.test.ts
@@ -8,7 +8,7 @@
 import {
   decodeAnswer,
   decodeForward,
-  decodeForwardCancel,
+  decodeForwardKey,
   decodeStatus,
   encodeAnswer,
   encodeForward,
@@ -108,7 +108,7 @@
       fc.property(fc.oneof(fc.uint8Array({ maxLength: 200 }), mutated), (bytes) => {
         decodeMessage(bytes);
         decodeForward(bytes);
-        decodeForwardCancel(bytes);
+        decodeForwardKey(bytes);
         decodeAnswer(bytes);
         decodeStatus(bytes);
       }),
--- a/test/system/promises.test.ts
+++ b/test/system/promises.test.ts
@@ -1,6 +1,7 @@
 /** What the fleet promises when hosts drain, are upgraded, and workers leave. */
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { request } from 'undici';
 import type { CallRecord } from '../../src/standins/deploymentCaller';
 import { countAnswers } from '../../src/standins/deploymentCheck';
 import { jobOf, SETTLE, UNLOCK, until, withSystem, type SystemUnderTest } from './fixtures';
@@ -60,6 +61,23 @@
   });
 });
 
+// Guards against a lost answer that can be had only at the one host that the balancer may not choose.
+test('any host tells the answer of a finished job by its key', async () => {
+  await withSystem({ hosts: 1, workers: 2 }, async (system) => {
+    const key = await system.keyOf(0);
+    await system.caller.submit(system.address(0), key, jobOf(SETTLE, [20]));
+    const answers = await Promise.all(
+      [0, 1, 2].map(async (index) => {
+        const { statusCode, body } = await request(
+          `http://${system.address(index)}/v1/jobs/${encodeURIComponent(key)}`,
+        );
+        return [statusCode, ((await body.json()) as { outcome?: string }).outcome];
+      }),
+    );
+    expect(answers).toEqual(Array(3).fill([200, 'complete']));
+  });
+});
+
 async function upgrade(system: SystemUnderTest, index: number): Promise<void> {
   if (index >= system.hosts.length) return;
   await system.deployment.drainHost(index);
