Do not call a job impossible before any domain is known

Cause: with no domain known, every domain was taken to be unable to run the job, so a job that arrived before the first members event was refused as impossible. Change: without a domain nothing is impossible; the job waits for a scheduler. Figures: the new test fails before the change and passes after.

--- a/src/core/domainLoads.ts
+++ b/src/core/domainLoads.ts
@@ -75,6 +75,7 @@
 
   /** True if every domain has been heard of and none has a worker of this size. */
   isImpossible(resources: Resources, domains: readonly string[], nowMs: number): boolean {
+    if (domains.length === 0) return false;
     return domains.every((domain) => {
       const load = this.#fresh(domain, nowMs);
       return (
@@ -139,11 +140,11 @@
     const load = this.#fresh(domain, nowMs);
     if (!load) return Infinity;
     const { summary, askedSlots } = load;
-    const own = summary.teams.find((entry) => entry.team === team);
-    const queued = own?.queuedTasks ?? 0;
+    const teamLoad = summary.teams.find((entry) => entry.team === team);
+    const queued = teamLoad?.queuedTasks ?? 0;
     const isOwn = domain === this.#ownDomain;
     const free = isOwn ? summary.freeSlots : summary.freeSlots * FOREIGN_FRACTION;
-    const usable = Math.max(free, (own?.headroomSlots ?? 0) * HEADROOM_WORTH);
+    const usable = Math.max(free, (teamLoad?.headroomSlots ?? 0) * HEADROOM_WORTH);
     const level = (queued + askedSlots - usable) / Math.max(1, summary.capacitySlots);
     return isOwn ? level - OWN_PREFERENCE : level;
   }
--- a/test/core/submitter.test.ts
+++ b/test/core/submitter.test.ts
@@ -1,7 +1,7 @@
 /** Guards the invariants of submissions: one start, true refusals, whole answers, one answer a call. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { CONFIGURATION, Driver, job, member } from './driver';
+import { CONFIGURATION, Driver, job, member, status } from './driver';
 
 function idsOf(driver: Driver): string[] {
   return driver.starts().map(({ start }) => start.attemptId);
@@ -73,6 +73,18 @@
     ]);
   });
 
+  it('that arrives before the members are known waits for a scheduler', () => {
+    const driver = new Driver('a1');
+    driver.send({ type: 'configuration', configuration: CONFIGURATION });
+    const call = driver.submit(job(1));
+    expect(driver.answers(call)).toEqual([]);
+    driver.send({ type: 'members', members: [member('a1', 'd1')] });
+    driver.statuses.set('w0', status('w0', 1));
+    driver.setWorkers(['w0']);
+    driver.advance(100);
+    expect(driver.starts().length).toEqual(1);
+  });
+
   it('that no worker could ever run is refused at once', () => {
     const driver = Driver.ready([4]);
     const call = driver.submit(job(1, { resources: { cores: 1, memoryMb: 1, accelerators: 1 } }));
