Pace claims by the domain's slots

Cause: claims of all grants every 5 s are 18 KB/s at the scheduler of a domain of 1,320 slots, whatever the number of hosts; the pace by a host's own attempts did not act at 72 hosts. Change: 14 ms per slot of the domain if that is more than 5 s; the slopes program takes its periods from the code.

--- a/src/bench/slopesControl.ts
+++ b/src/bench/slopesControl.ts
@@ -2,6 +2,9 @@
  * Bytes a second of control, sent and received, that one host spends in each role at several numbers
  * of hosts. Worked out from the rows that the parts `messages`, `membership` and `wire` have measured.
  */
+import { claimsPeriodMs } from '../core/claimPace';
+import { DEFAULT_OPTIONS } from '../core/options';
+import { idlePollPeriodMs } from '../core/statusPolls';
 import { SLOTS } from './slopesFleet';
 import { rowOf, type SlopeRow } from './slopesRow';
 import { summaryRate } from './slopesSummary';
@@ -9,9 +12,7 @@
 
 const GROUP = 'control bytes';
 const SEED = 1;
-const CLAIMS_PERIOD_S = 5;
 const COMPARE_PERIOD_S = 2;
-const STATUS_PERIOD_S = 2;
 const CHANGES_PER_S = 3500 / 86_400;
 const RELAYS = 2;
 
@@ -38,6 +39,14 @@
   readonly bytesPerS: number;
 }
 
+function claimsPeriodS(workers: number): number {
+  return claimsPeriodMs(workers * SLOTS) / 1000;
+}
+
+function pollPeriodS(workers: number): number {
+  return idlePollPeriodMs(workers, DEFAULT_OPTIONS.statusPeriodMs) / 1000;
+}
+
 function figuresOf(rows: readonly SlopeRow[]): Figures {
   return (name) => {
     const row = rows.find((candidate) => candidate.name === name);
@@ -60,7 +69,7 @@
       name: 'load summaries received',
       bytesPerS: domains * (summary.bytesPerS + summary.messagesPerS * batch),
     },
-    { name: 'claims sent, all slots in use', bytesPerS: claims / CLAIMS_PERIOD_S },
+    { name: 'claims sent, all slots in use', bytesPerS: claims / claimsPeriodS(workers) },
     {
       name: 'configuration compared with peers',
       bytesPerS: (2 * (figure('configurationPull, size') + batch)) / COMPARE_PERIOD_S,
@@ -84,10 +93,11 @@
       name: 'load summaries sent',
       bytesPerS: (hosts - 1) * (summary.bytesPerS + summary.messagesPerS * batch),
     },
-    { name: 'claims received, all slots in use', bytesPerS: claims / CLAIMS_PERIOD_S },
+    { name: 'claims received, all slots in use', bytesPerS: claims / claimsPeriodS(workers) },
     {
-      name: 'status polls',
-      bytesPerS: (workers * figure('status poll of a worker')) / STATUS_PERIOD_S,
+      // Results of a worker replace its polls, so this is the figure of a domain at rest.
+      name: 'status polls at rest',
+      bytesPerS: (workers * figure('status poll of a worker')) / pollPeriodS(workers),
     },
   ];
 }
--- a/src/core/domainLoads.ts
+++ b/src/core/domainLoads.ts
@@ -64,6 +64,10 @@
     if (load) load.askedSlots += count;
   }
 
+  capacitySlots(domain: string, nowMs: number): number {
+    return this.#fresh(domain, nowMs)?.summary.capacitySlots ?? 0;
+  }
+
   /** Slots that this host may count on in a domain. */
   freeSlots(domain: string, nowMs: number): number {
     const load = this.#fresh(domain, nowMs);
--- a/src/core/slotRequester.ts
+++ b/src/core/slotRequester.ts
@@ -82,6 +82,11 @@
     );
   }
 
+  /** Slots of a domain as its scheduler last told; 0 if it is not heard of. */
+  capacitySlots(domain: string, nowMs: number): number {
+    return this.#loads.capacitySlots(domain, nowMs);
+  }
+
   isImpossible(submission: Submission, nowMs: number): boolean {
     return this.#loads.isImpossible(submission.job.resources, this.#roles.domains(), nowMs);
   }
--- a/src/core/statusPolls.ts
+++ b/src/core/statusPolls.ts
@@ -16,6 +16,11 @@
 /** Round trips take about 1 ms, so a poll without an answer for this long is a bad sign. */
 const ANSWER_EXPECTED_MS = 200;
 
+/** Period of the polls of a worker that runs nothing, in a domain of `workers` workers. */
+export function idlePollPeriodMs(workers: number, leastMs: number): number {
+  return Math.max(leastMs, IDLE_MS_PER_WORKER * workers);
+}
+
 /** Times of the polls of a scheduler. */
 export class StatusPolls {
   readonly #periodMs: number;
@@ -71,7 +76,7 @@
 
   /** The workers to poll now; they are taken as polled. */
   due(workers: readonly WorkerEntry[], nowMs: number): readonly WorkerEntry[] {
-    const idlePeriodMs = Math.max(this.#periodMs, IDLE_MS_PER_WORKER * workers.length);
+    const idlePeriodMs = idlePollPeriodMs(workers.length, this.#periodMs);
     const due = workers.filter((worker) => {
       const lastMs = this.#polledAtMs.get(worker.id);
       if (lastMs === undefined) return true;
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -6,6 +6,7 @@
 import type { Configuration, KindPolicy } from '../configuration/policy';
 import { completeAnswer, earlyAnswer, keyReusedAnswer, unusedKeyAnswer } from './answers';
 import { AnswerDesk } from './answerDesk';
+import { ClaimPace } from './claimPace';
 import type { CoreEvent } from './events';
 import { Deadlines, DueKind } from './deadlines';
 import { Outcome, Reason, TaskState, type JobAnswer, type JobSpec } from './job';
@@ -25,9 +26,6 @@
 const HALF = 0.5;
 /** Refusals at half of the deadline are due this much earlier, so that ticks do not make them late. */
 const HALF_MARGIN_MS = 20;
-const CLAIMS_PERIOD_MS = 5000;
-/** Claims list every attempt, so they become rarer with their number. */
-const CLAIMS_MS_PER_ATTEMPT = 25;
 
 const FAILURE_REASONS: Partial<Record<TaskState, Reason>> = {
   [TaskState.failed]: Reason.taskFailed,
@@ -80,7 +78,7 @@
 
   #draining = false;
 
-  #nextClaimsMs = 0;
+  readonly #claims = new ClaimPace();
 
   constructor({ domain, options, outbox, issuer }: SubmitterParts) {
     this.#options = options;
@@ -194,10 +192,12 @@
     this.#runner.tick(nowMs);
     this.#retries.place(nowMs);
     this.#requester.tick(nowMs);
-    if (nowMs < this.#nextClaimsMs) return;
-    this.#nextClaimsMs =
-      nowMs + Math.max(CLAIMS_PERIOD_MS, CLAIMS_MS_PER_ATTEMPT * this.#runner.size);
-    this.#roles.domains().forEach((domain) => this.#claim(domain));
+    this.#roles
+      .domains()
+      .filter((domain) =>
+        this.#claims.isDue(domain, this.#requester.capacitySlots(domain, nowMs), nowMs),
+      )
+      .forEach((domain) => this.#claim(domain));
   }
 
   inspect(): SubmitterView {
