Test that a worker on probation goes first; drop a guard that stands twice

Cause: the mutation check showed a test whose other worker was full, a guard in RetryQueue that finished submissions make needless, and a mutant whose text had gone. Change: the test frees the other worker; the guard is gone; two mutants follow the code, one is new (a refused key is taken into use). The mutants are listed in scripts/mutantsCore.ts and scripts/mutantsOther.ts.

--- a/scripts/mutantsCore.ts
+++ b/scripts/mutantsCore.ts
@@ -53,6 +53,7 @@
     ],
   ]),
   ...mutantsOf('src/core/submission.ts', TESTS, [
+    ['asks for slots for retries of answered jobs', 'this.#queue = [];', ''],
     [
       'says "not run" after a start was sent',
       'return this.#begun > 0;',
@@ -89,8 +90,13 @@
     ['takes new jobs while draining', 'if (this.#draining) return Reason.draining;', ''],
     [
       'forgets a cancellation that came first',
-      'this.#bury(callId, key, verified.val.expiresAtMs, nowMs);',
-      'this.#refuseCall(callId, key, Reason.cancelled);',
+      "const unused = this.#open(callId, key, NO_JOB, '', verified.val.expiresAtMs, nowMs);\n      this.#finishEarly(unused, Outcome.cancelled, Reason.cancelled);",
+      'this.#desk.refuse(callId, key, Reason.cancelled);',
+    ],
+    [
+      'takes no key into use that it refuses',
+      'if (refusal) this.#finishEarly(submission, Outcome.refused, refusal);',
+      'if (refusal) { this.#finishEarly(submission, Outcome.refused, refusal); this.#table.expire(key); }',
     ],
     ['leaves slot requests of answered jobs', 'this.#requester.withdraw(finished);', ''],
     ['uses grants from before a pause', 'this.#requester.reissue(nowMs);', ''],
@@ -147,13 +153,6 @@
       'notRun: true, reason: Reason.keyReused',
     ],
   ]),
-  ...mutantsOf('src/core/retryQueue.ts', TESTS, [
-    [
-      'asks for slots for retries of answered jobs',
-      'if (submission.answer) {',
-      'if (submission.answer === undefined) {',
-    ],
-  ]),
   ...mutantsOf('src/core/retryBudget.ts', TESTS, [
     ['retries without budget', 'if (this.#tokens < 1) return false;', ''],
   ]),
--- a/src/core/retryQueue.ts
+++ b/src/core/retryQueue.ts
@@ -33,13 +33,9 @@
     this.place(nowMs);
   }
 
-  /** Requests slots for what the budget allows. */
+  /** Requests slots for what the budget allows. A finished submission has no queued tasks left. */
   place(nowMs: number): void {
     this.#waiting.forEach((submission) => {
-      if (submission.answer) {
-        this.#waiting.delete(submission);
-        return;
-      }
       const missing = submission.queuedTasks - this.#requester.waiting(submission);
       const allowed = this.#allow(missing, nowMs);
       if (allowed > 0) this.#requester.place(submission, allowed, nowMs);
--- a/test/core/scheduler.test.ts
+++ b/test/core/scheduler.test.ts
@@ -135,9 +135,9 @@
   it('on probation are tried at once, although others have more free slots', () => {
     const driver = Driver.ready([8, 8]);
     driver.submit(job(16));
-    const failing = driver.starts().filter(({ worker }) => worker.id === 'w0');
-    failing.forEach(({ start }) => {
-      driver.result(start.attemptId, { state: 'failed', error: 'x', runTimeMs: 1 });
+    driver.starts().forEach(({ start, worker }) => {
+      if (worker.id === 'w1') driver.succeed(start.attemptId);
+      else driver.result(start.attemptId, { state: 'failed', error: 'x', runTimeMs: 1 });
     });
     driver.advance(1100);
     driver.actions = [];
