Put the fields of EntryHost together

Cause: a field stood between methods, and the demo had a destructuring without use. Change: moved and simplified.

--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -191,7 +191,7 @@
   }
 
   #summarize(report: LoadReport): void {
-    const { terminal } = { terminal: this.#terminal };
+    const terminal = this.#terminal;
     terminal.out('');
     reportLines(report).forEach((line) => terminal.out(line));
     const starts = this.#deployment.workers.flatMap(({ model }) => model.record);
--- a/src/host/entryHost.ts
+++ b/src/host/entryHost.ts
@@ -60,6 +60,23 @@
 
   readonly #transport: PeerTransport;
 
+  readonly #operators = new OperatorFacade({
+    identity: () => ({ ...this.#settings.host, incarnation: this.#incarnation }),
+    clock: MONOTONIC_CLOCK,
+    core: () => this.#core,
+    configuration: () => this.#configuration,
+    peers: () => this.#transport,
+    members: () => this.#members,
+    schedulerOf: (domain) => schedulerOf(domain, this.#members)?.hostId ?? null,
+    isRelay: () =>
+      relaysOf(this.#settings.host.domain, this.#members).some(
+        ({ hostId }) => hostId === this.#settings.host.id,
+      ),
+    drain: () => {
+      this.drain();
+    },
+  });
+
   #members: readonly Member[] = [];
 
   #draining: Promise<void> | null = null;
@@ -296,23 +313,6 @@
     });
   }
 
-  readonly #operators = new OperatorFacade({
-    identity: () => ({ ...this.#settings.host, incarnation: this.#incarnation }),
-    clock: MONOTONIC_CLOCK,
-    core: () => this.#core,
-    configuration: () => this.#configuration,
-    peers: () => this.#transport,
-    members: () => this.#members,
-    schedulerOf: (domain) => schedulerOf(domain, this.#members)?.hostId ?? null,
-    isRelay: () =>
-      relaysOf(this.#settings.host.domain, this.#members).some(
-        ({ hostId }) => hostId === this.#settings.host.id,
-      ),
-    drain: () => {
-      this.drain();
-    },
-  });
-
   #subscribe(): void {
     this.#kernel.subscribe('membersChanged', 'host', (members) => {
       this.#members = members;
