--- a/scripts/mutantsCore.ts
+++ b/scripts/mutantsCore.ts
@@ -91,7 +91,7 @@
     [
       'forgets a cancellation that came first',
       "const unused = this.#open(callId, key, NO_JOB, '', verified.val.expiresAtMs, nowMs);\n      this.#finishEarly(unused, Outcome.cancelled, Reason.cancelled);",
-      'this.#desk.refuse(callId, key, Reason.cancelled);',
+      'this.#responder.refuse(callId, key, Reason.cancelled);',
     ],
     [
       'takes no key into use that it refuses',
--- a/src/core/answerDesk.ts
+++ b/src/core/responder.ts
@@ -5,7 +5,7 @@
 import type { Submission } from './submission';
 
 /** Answers of one host. */
-export class AnswerDesk {
+export class Responder {
   readonly #outbox: Outbox;
 
   constructor(outbox: Outbox) {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -271,7 +271,7 @@
     if (!worker) return;
     if (outcome === GrantOutcome.refused) {
       worker.foreignSlots += 1;
-      this.#polls.urge(worker);
+      this.#polls.pollSoon(worker);
     }
     if (outcome === GrantOutcome.failed) this.#polls.seen(worker, nowMs);
     if (outcome === GrantOutcome.succeeded) {
--- a/src/core/statusPolls.ts
+++ b/src/core/statusPolls.ts
@@ -55,7 +55,7 @@
   }
 
   /** The worker refused a start: its status is not what was thought. */
-  urge(worker: WorkerEntry): void {
+  pollSoon(worker: WorkerEntry): void {
     if (!this.#unanswered.has(worker.id)) this.#polledAtMs.delete(worker.id);
   }
 
--- a/src/core/submitter.ts
+++ b/src/core/submitter.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import type { Configuration, KindPolicy } from '../configuration/policy';
 import { completeAnswer, earlyAnswer, keyReusedAnswer, unusedKeyAnswer } from './answers';
-import { AnswerDesk } from './answerDesk';
+import { Responder } from './responder';
 import { ClaimPace } from './claimPace';
 import type { CoreEvent } from './events';
 import { Deadlines, DueKind } from './deadlines';
@@ -70,7 +70,7 @@
 
   readonly #retries: RetryQueue;
 
-  readonly #desk: AnswerDesk;
+  readonly #responder: Responder;
 
   #configuration: Configuration | null = null;
 
@@ -91,7 +91,7 @@
         this.#slotsRefused(submission, reason, retryAfterMs, nowMs),
     });
     this.#retries = new RetryQueue(options, this.#requester);
-    this.#desk = new AnswerDesk(outbox);
+    this.#responder = new Responder(outbox);
     this.#runner = new TaskRunner(options, outbox, {
       succeeded: (submission) => this.#taskSucceeded(submission),
       failed: (submission, state) => this.#taskFailed(submission, state),
@@ -125,12 +125,12 @@
     const policy = this.#configuration?.teams.get(job.team)?.kinds.get(job.kind);
     const key = event.key ?? (policy?.idempotent ? this.#issuer.issue(nowMs) : null);
     if (key === null) {
-      this.#desk.refuse(callId, '', this.#reasonWithoutKey(job, policy));
+      this.#responder.refuse(callId, '', this.#reasonWithoutKey(job, policy));
       return;
     }
     const verified = this.#issuer.verify(key, nowMs);
     if (verified.err) {
-      this.#desk.refuse(callId, key, verified.val);
+      this.#responder.refuse(callId, key, verified.val);
       return;
     }
     const known = this.#table.get(key);
@@ -150,10 +150,10 @@
     const known = this.#table.get(key);
     if (known) {
       known.callIds.add(callId);
-      if (known.answer) this.#desk.answer(callId, known.answer);
+      if (known.answer) this.#responder.answer(callId, known.answer);
       else this.#finishEarly(known, Outcome.cancelled, Reason.cancelled);
     } else if (verified.err) {
-      this.#desk.refuse(callId, key, verified.val);
+      this.#responder.refuse(callId, key, verified.val);
     } else {
       const unused = this.#open(callId, key, NO_JOB, '', verified.val.expiresAtMs, nowMs);
       this.#finishEarly(unused, Outcome.cancelled, Reason.cancelled);
@@ -163,9 +163,9 @@
   await(callId: number, key: string): void {
     const known = this.#table.get(key);
     if (!known) {
-      this.#desk.answer(callId, unusedKeyAnswer(key));
+      this.#responder.answer(callId, unusedKeyAnswer(key));
     } else if (known.answer) {
-      this.#desk.answer(callId, known.answer);
+      this.#responder.answer(callId, known.answer);
     } else {
       known.callIds.add(callId);
     }
@@ -231,11 +231,11 @@
 
   #join(known: Submission, callId: number, bodyHash: string): void {
     if (known.bodyHash !== bodyHash && known.bodyHash !== '') {
-      this.#desk.answer(callId, keyReusedAnswer(known.key));
+      this.#responder.answer(callId, keyReusedAnswer(known.key));
       return;
     }
     this.#outbox.decide('join', 'same-key', { key: known.key });
-    if (known.answer) this.#desk.answer(callId, known.answer);
+    if (known.answer) this.#responder.answer(callId, known.answer);
     else known.callIds.add(callId);
   }
 
@@ -340,6 +340,6 @@
     this.#requester.withdraw(finished);
     this.#runner.stopAll(finished);
     this.#table.finish(finished);
-    this.#desk.finish(finished, answer);
+    this.#responder.finish(finished, answer);
   }
 }
