Drop old results in constant time per answer

Cause: past the byte limit each finished job went again through all answers that had been dropped before, found on reading the change; nothing tested the dropping. Change: the bytes of kept answers stand in a map of their own, from which a dropped answer is removed; a test and two mutants.

--- a/scripts/mutantsCore.ts
+++ b/scripts/mutantsCore.ts
@@ -121,6 +121,14 @@
       'this.#table.expire(submission.key);',
     ],
   ]),
+  ...mutantsOf('src/core/submissionTable.ts', TESTS, [
+    [
+      'forgets a submission whose results it drops',
+      'this.#dropResults(next.value);',
+      'this.#byKey.delete(next.value);',
+    ],
+    ['drops no results', 'while (this.#bytes > this.#bytesLimit) {', 'while (this.#bytes < 0) {'],
+  ]),
   ...mutantsOf('src/core/submissionKey.ts', TESTS, [
     [
       'accepts expired keys',
--- a/src/core/submissionTable.ts
+++ b/src/core/submissionTable.ts
@@ -5,19 +5,14 @@
 import { Outcome, Reason } from './job';
 import type { Submission } from './submission';
 
-interface Kept {
-  readonly submission: Submission;
-  readonly bytes: number;
-}
-
 /** Submissions by key. */
 export class SubmissionTable {
   readonly #bytesLimit: number;
 
   readonly #byKey = new Map<string, Submission>();
 
-  /** Finished submissions, oldest first. */
-  readonly #finished = new Map<string, Kept>();
+  /** Bytes of the answers that are kept with their results, oldest first. */
+  readonly #keptBytes = new Map<string, number>();
 
   #bytes = 0;
 
@@ -49,38 +44,42 @@
   finish(submission: Submission): void {
     this.#pending -= 1;
     const bytes = JSON.stringify(submission.answer).length;
-    this.#finished.set(submission.key, { submission, bytes });
+    this.#keptBytes.set(submission.key, bytes);
     this.#bytes += bytes;
     this.#dropOldest();
   }
 
   /** Forgets a finished submission whose key has expired. */
   expire(key: string): void {
-    const kept = this.#finished.get(key);
-    if (!kept) return;
-    this.#bytes -= kept.bytes;
-    this.#finished.delete(key);
+    this.#forgetBytes(key);
     this.#byKey.delete(key);
   }
 
+  /** An answer that was dropped is not looked at again, so the work per answer stays constant. */
   #dropOldest(): void {
-    const oldest = this.#finished.entries();
+    const oldest = this.#keptBytes.keys();
     while (this.#bytes > this.#bytesLimit) {
       const next = oldest.next();
       if (next.done) return;
-      const [key, { submission, bytes }] = next.value;
-      const dropped = {
-        outcome: Outcome.unknown,
-        key,
-        notRun: false,
-        reason: Reason.answerDropped,
-        tasks: [],
-      };
-      if (submission.answer && submission.answer.tasks.length > 0) {
-        submission.answer = dropped;
-        this.#finished.set(key, { submission, bytes: 0 });
-        this.#bytes -= bytes;
-      }
+      this.#forgetBytes(next.value);
+      this.#dropResults(next.value);
     }
   }
+
+  #forgetBytes(key: string): void {
+    this.#bytes -= this.#keptBytes.get(key) ?? 0;
+    this.#keptBytes.delete(key);
+  }
+
+  #dropResults(key: string): void {
+    const submission = this.#byKey.get(key);
+    if (!submission?.answer || submission.answer.tasks.length === 0) return;
+    submission.answer = {
+      outcome: Outcome.unknown,
+      key,
+      notRun: false,
+      reason: Reason.answerDropped,
+      tasks: [],
+    };
+  }
 }
--- a/test/core/submitter.test.ts
+++ b/test/core/submitter.test.ts
@@ -233,6 +233,24 @@
     expect(driver.starts()).toEqual([]);
   });
 
+  it('whose results were dropped to save memory is told so and never runs again', () => {
+    const driver = Driver.ready([4], { answerBytesLimit: 300 });
+    const keys = Array.from({ length: 3 }, () => driver.key());
+    keys.forEach((key) => {
+      driver.submit(job(1, { kind: 'once' }), key);
+      driver.succeed(idsOf(driver).at(-1) ?? '');
+    });
+    const again = keys.map((key) => driver.submit(job(1, { kind: 'once' }), key));
+    const [first, , last] = again.map((call) => driver.answers(call)[0]);
+    expect([first?.outcome, first?.reason, first?.notRun]).toEqual([
+      'unknown',
+      'answer-dropped',
+      false,
+    ]);
+    expect(last?.outcome).toEqual('complete');
+    expect(driver.starts().length).toEqual(3);
+  });
+
   it('with a damaged signature is refused', () => {
     const driver = Driver.ready([2]);
     const key = driver.key();
