--- a/test/core/driver.ts
+++ b/test/core/driver.ts
@@ -3,7 +3,12 @@
 import type { CoreAction, CoreEvent } from '../../src/core/events';
 import { HostCore } from '../../src/core/hostCore';
 import type { JobAnswer, JobSpec } from '../../src/core/job';
-import { MemberState, type Member, type SlotMessage } from '../../src/core/messages';
+import {
+  MemberState,
+  type Member,
+  type SlotMessage,
+  type SlotRequest,
+} from '../../src/core/messages';
 import { DEFAULT_OPTIONS, type CoreOptions } from '../../src/core/options';
 import type { AttemptResult, WorkerStatus } from '../../src/workers/workers';
 
@@ -13,7 +18,7 @@
   return { hostId, incarnation: `${hostId}1`, domain, peerAddress: '', state, sequence: 0 };
 }
 
-function team(name: string, share: number, urgency: number): TeamPolicy {
+function teamPolicy(name: string, share: number, urgency: number): TeamPolicy {
   const kinds = [
     { name: 'fast', urgency, idempotent: true, deadlineMs: 10_000 },
     { name: 'once', urgency, idempotent: false, deadlineMs: 10_000 },
@@ -31,8 +36,8 @@
   generation: 1,
   publicationId: 'p1',
   teams: new Map([
-    ['red', team('red', 0.5, 5)],
-    ['blue', team('blue', 0.3, 0)],
+    ['red', teamPolicy('red', 0.5, 5)],
+    ['blue', teamPolicy('blue', 0.3, 0)],
   ]),
 };
 
@@ -47,6 +52,24 @@
   };
 }
 
+export const RESOURCES = { cores: 1, memoryMb: 1, accelerators: 0 };
+
+/** A slot request as another host sends it. */
+export function request(requestId: number, team: string, count: number): SlotRequest {
+  return {
+    type: 'slotRequest',
+    requestId,
+    team,
+    kind: 'fast',
+    count,
+    resources: RESOURCES,
+    deadlineMs: 60_000,
+    jobTasks: count,
+    begun: false,
+    waitedMs: 0,
+  };
+}
+
 export function status(
   id: string,
   slots: number,
--- a/test/core/scheduler.test.ts
+++ b/test/core/scheduler.test.ts
@@ -1,29 +1,11 @@
 /** Guards the scheduler: shares, urgency, worker health, leaving workers, lost and moved state. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { CONFIGURATION, Driver, job, member, status } from './driver';
-import type { SlotRequest } from '../../src/core/messages';
+import { CONFIGURATION, Driver, job, member, request, RESOURCES, status } from './driver';
 
 /** After this time the moving averages equal the slots in use. */
 const AVERAGE_SETTLED_MS = 20_000;
 
-const RESOURCES = { cores: 1, memoryMb: 1, accelerators: 0 };
-
-function request(requestId: number, team: string, count: number): SlotRequest {
-  return {
-    type: 'slotRequest',
-    requestId,
-    team,
-    kind: 'fast',
-    count,
-    resources: RESOURCES,
-    deadlineMs: 60_000,
-    jobTasks: count,
-    begun: false,
-    waitedMs: 0,
-  };
-}
-
 /** Grants by request id, sent to other hosts so far. */
 function granted(driver: Driver): Map<number, number> {
   const counts = new Map<number, number>();
--- a/test/core/schedulerGuards.test.ts
+++ b/test/core/schedulerGuards.test.ts
@@ -3,24 +3,9 @@
 import { expect } from 'earl';
 import type { Configuration, TeamPolicy } from '../../src/configuration/policy';
 import { WorkerHealth, WorkerState } from '../../src/core/health';
-import type { GrantOutcome, SlotRequest } from '../../src/core/messages';
+import type { GrantOutcome } from '../../src/core/messages';
 import { DEFAULT_OPTIONS } from '../../src/core/options';
-import { CONFIGURATION, Driver, job, member, status } from './driver';
-
-function request(requestId: number, team: string, count: number): SlotRequest {
-  return {
-    type: 'slotRequest',
-    requestId,
-    team,
-    kind: 'fast',
-    count,
-    resources: { cores: 1, memoryMb: 1, accelerators: 0 },
-    deadlineMs: 60_000,
-    jobTasks: count,
-    begun: false,
-    waitedMs: 0,
-  };
-}
+import { CONFIGURATION, Driver, job, member, request, status } from './driver';
 
 function grantIds(driver: Driver, requestId: number): readonly number[] {
   return driver
