--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -6,32 +6,15 @@
 import { chmod, copyFile, mkdir, rm, stat, writeFile } from 'node:fs/promises';
 import { join, resolve } from 'node:path';
 import { parseArgs, promisify } from 'node:util';
-import { build } from 'esbuild';
+import { bundle, ROOT } from './bundle';
 
 const NAME = 'wasabiyoke';
-const ROOT = resolve(__dirname, '..');
 
 /** Marks the place in the node binary that tells it to run the injected program. */
 const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 const execute = promisify(execFile);
 
-async function bundle(entry: string, outfile: string): Promise<void> {
-  await build({
-    entryPoints: [entry],
-    outfile,
-    absWorkingDir: ROOT,
-    nodePaths: [join(ROOT, 'node_modules')],
-    bundle: true,
-    platform: 'node',
-    format: 'cjs',
-    target: 'node20',
-    mainFields: ['module', 'main'],
-    legalComments: 'eof',
-    logLevel: 'warning',
-  });
-}
-
 /** Writes the blob that is injected into the binary. */
 async function writeBlob(script: string, blob: string, configFile: string): Promise<void> {
   const config = { main: script, output: blob, disableExperimentalSEAWarning: true };
--- /dev/null
+++ b/src/cells/run.ts
@@ -0,0 +1,75 @@
+/** One run of a task on a worker, from the decision to start it until its end is known. */
+import type { TaskShape } from './job';
+
+/** What is known of a run. */
+export const RunState = {
+  /** The start has been sent and not been answered yet. */
+  starting: 'starting',
+  running: 'running',
+  /** The start had no answer; the worker's list of runs will tell. */
+  unclear: 'unclear',
+  /** A stop has been sent; its processor is in use until the end is listed. */
+  stopping: 'stopping',
+} as const;
+export type RunState = (typeof RunState)[keyof typeof RunState];
+
+/** A run; `task` and `run` together name it. */
+export interface Run {
+  readonly task: string;
+  readonly run: number;
+  readonly workerId: string;
+  /** Known only once a submitter has claimed a run that was found on a worker. */
+  shape: TaskShape;
+  queue: string;
+  readonly jobId: string;
+  /** Batch that waits for it; null for a run that was found and is not claimed. */
+  batchId: string | null;
+  state: RunState;
+  readonly startedAtMs: number;
+  /** Run time that is expected on this worker. */
+  expectedMs: number;
+  /** When the worker confirmed the start; null until then. */
+  confirmedAtMs: number | null;
+  /** A start that arrives after this time is refused, because its lease is over. */
+  readonly startExpiresMs: number;
+  /** When a stop was last sent, and when the worker confirmed one; null until then. */
+  stopSentAtMs: number | null;
+  stopConfirmedAtMs: number | null;
+  /** Last progress that the worker reported, when it said so, and when it last changed. */
+  percent: number;
+  reportedAtMs: number;
+  progressAtMs: number;
+}
+
+/** What a run starts with. */
+export interface RunSeed {
+  readonly task: string;
+  readonly run: number;
+  readonly workerId: string;
+  readonly shape: TaskShape;
+  readonly queue: string;
+  readonly jobId: string;
+  readonly batchId: string | null;
+  readonly expectedMs: number;
+  readonly startExpiresMs: number;
+}
+
+/** A run whose start is sent now. */
+export function createRun(seed: RunSeed, nowMs: number): Run {
+  return {
+    ...seed,
+    state: RunState.starting,
+    startedAtMs: nowMs,
+    confirmedAtMs: null,
+    stopSentAtMs: null,
+    stopConfirmedAtMs: null,
+    percent: 0,
+    reportedAtMs: nowMs,
+    progressAtMs: nowMs,
+  };
+}
+
+/** Key of a run in maps. */
+export function runKey(task: string, run: number): string {
+  return `${task}#${run}`;
+}
--- /dev/null
+++ b/src/cells/runLedger.ts
@@ -0,0 +1,290 @@
+/**
+ * The runs of a cell: what was started where, and what the workers say became of it. A worker's lists
+ * are the truth; a run is only held to be over when the worker says so, when it has started anew, or
+ * when every lease that it was ever given has ended. Until then its task starts nowhere else.
+ */
+import {
+  RunEnd,
+  StartAnswer,
+  type CellAction,
+  type EndedEntry,
+  type RunningEntry,
+  type WorkerReport,
+} from './actions';
+import type { TaskShape } from './job';
+import { createRun, runKey, RunState, type Run } from './run';
+import { CellWorker, type WorkerEntry } from './worker';
+
+/** What a run's batch hears. */
+export interface RunEvents {
+  started(run: Run): void;
+  ended(run: Run, end: RunEnd, worker: CellWorker, nowMs: number): void;
+  /** It has provably not been executed and never will be. */
+  notStarted(run: Run, answer: StartAnswer, nowMs: number): void;
+}
+
+/** An end of a run that nobody waited for when it was listed. */
+interface UnclaimedEnd {
+  readonly end: RunEnd;
+  readonly run: number;
+  readonly seenAtMs: number;
+}
+
+/** Time for which a submitter may still claim the end of a run that the previous owner started. */
+const UNCLAIMED_KEPT_MS = 3000;
+/** A stop that is not confirmed is sent again after this time. */
+const STOP_AGAIN_MS = 200;
+/** The list of runs does not tell what a run needs; the worker refuses what does not fit beside it. */
+const UNKNOWN_SHAPE: TaskShape = {
+  cpuMillis: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  requiredLabel: null,
+  preferredRack: null,
+  tasksPerWorker: null,
+};
+/** Pause after a worker had no room, was late, or called itself unhealthy. */
+const REST_MS: Partial<Record<StartAnswer, number>> = {
+  [StartAnswer.noRoom]: 20,
+  [StartAnswer.late]: 50,
+  [StartAnswer.unhealthy]: 300,
+  [StartAnswer.restarted]: 50,
+};
+
+/** Runs of one cell, by worker. */
+export class RunLedger {
+  readonly workers = new Map<string, CellWorker>();
+
+  readonly #events: RunEvents;
+
+  readonly #push: (action: CellAction) => void;
+
+  readonly #unclaimedEnds = new Map<string, UnclaimedEnd>();
+
+  constructor(events: RunEvents, push: (action: CellAction) => void) {
+    this.#events = events;
+    this.#push = push;
+  }
+
+  /** Adds, updates and drops workers by the platform's list. One that has runs stays until they end. */
+  setWorkers(entries: readonly WorkerEntry[], nowMs: number): void {
+    const listed = new Set(entries.map(({ id }) => id));
+    entries.forEach((entry) => this.#listWorker(entry, nowMs));
+    this.workers.forEach((worker, id) => {
+      if (listed.has(id)) return;
+      const missing = worker;
+      missing.missingSinceMs ??= nowMs;
+    });
+  }
+
+  /** Drops workers that have been missing from the list for `graceMs` and run nothing. */
+  dropMissing(graceMs: number, nowMs: number): void {
+    this.workers.forEach((worker, id) => {
+      const { missingSinceMs } = worker;
+      const missing = worker;
+      missing.gone = missingSinceMs !== null && nowMs - missingSinceMs >= graceMs;
+      if (!worker.gone || worker.runs.size > 0) return;
+      this.workers.delete(id);
+      this.#push({ type: 'unfollow', workerId: id });
+    });
+  }
+
+  add(run: Run): void {
+    this.workers.get(run.workerId)?.runs.set(runKey(run.task, run.run), run);
+  }
+
+  find(task: string): Run | null {
+    const runs = [...this.workers.values()].flatMap((worker) => [...worker.runs.values()]);
+    return runs.find((run) => run.task === task && run.state !== RunState.stopping) ?? null;
+  }
+
+  /** The end of a task that a previous owner started; it can be claimed once. */
+  takeUnclaimedEnd(task: string): UnclaimedEnd | null {
+    const end = this.#unclaimedEnds.get(task) ?? null;
+    this.#unclaimedEnds.delete(task);
+    return end;
+  }
+
+  stop(run: Run, nowMs: number): void {
+    const stopped = run;
+    stopped.state = RunState.stopping;
+    stopped.stopSentAtMs = nowMs;
+    const { workerId, task, run: number } = run;
+    this.#push({ type: 'stop', workerId, task, run: number });
+  }
+
+  startAnswered(key: string, workerId: string, answer: StartAnswer, nowMs: number): void {
+    const worker = this.workers.get(workerId);
+    const run = worker?.runs.get(key);
+    if (!worker || !run) return;
+    if (answer === StartAnswer.accepted) {
+      this.#confirm(run, nowMs);
+    } else if (answer === StartAnswer.unclear) {
+      if (run.state === RunState.starting) run.state = RunState.unclear;
+    } else if (answer === StartAnswer.fenced) {
+      this.#push({ type: 'stepDown', workerId });
+    } else {
+      worker.runs.delete(key);
+      worker.restUntilMs = Math.max(worker.restUntilMs, nowMs + (REST_MS[answer] ?? 0));
+      this.#events.notStarted(run, answer, nowMs);
+    }
+  }
+
+  /** A worker has confirmed a stop: a start that comes later is refused. */
+  stopConfirmed(key: string, workerId: string, nowMs: number): void {
+    const run = this.workers.get(workerId)?.runs.get(key);
+    if (run) run.stopConfirmedAtMs ??= nowMs;
+  }
+
+  report(workerId: string, report: WorkerReport, nowMs: number): void {
+    const worker = this.workers.get(workerId);
+    if (!worker) return;
+    worker.reachable = true;
+    worker.reported = true;
+    report.ended.forEach((entry) => this.#end(worker, entry, nowMs));
+    const listed = new Set(report.running.map(({ task, run }) => runKey(task, run)));
+    report.running.forEach((entry) => this.#progress(worker, entry, nowMs));
+    this.#checkAbsent(worker, listed, report.sentAtMs, nowMs);
+  }
+
+  /** The worker does not answer. Its runs may go on until its leases end. */
+  silent(workerId: string): void {
+    const worker = this.workers.get(workerId);
+    if (worker) worker.reachable = false;
+  }
+
+  /** Another process has taken the worker's place: what ran there before is over. */
+  restarted(workerId: string, nowMs: number): void {
+    const worker = this.workers.get(workerId);
+    if (!worker) return;
+    const runs = [...worker.runs.values()];
+    worker.restart(worker.entry);
+    runs.forEach((run) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
+  }
+
+  renewed(workerId: string, leasesEndMs: number): void {
+    const worker = this.workers.get(workerId);
+    if (worker) worker.leasesEndMs = Math.max(worker.leasesEndMs, leasesEndMs);
+  }
+
+  /** Ends the runs of unreachable workers whose leases are over, and forgets old unclaimed ends. */
+  tick(nowMs: number): void {
+    this.workers.forEach((worker) => {
+      worker.health.tick(nowMs);
+      if (!worker.reachable && worker.runs.size > 0 && nowMs >= worker.leasesEndMs) {
+        this.#lapseAll(worker, nowMs);
+      }
+    });
+    this.#unclaimedEnds.forEach(({ seenAtMs }, task) => {
+      if (nowMs - seenAtMs > UNCLAIMED_KEPT_MS) this.#unclaimedEnds.delete(task);
+    });
+  }
+
+  #listWorker(entry: WorkerEntry, nowMs: number): void {
+    const known = this.workers.get(entry.id);
+    if (!known) {
+      this.workers.set(entry.id, new CellWorker(entry));
+      this.#push({ type: 'follow', workerId: entry.id, address: entry.address });
+      return;
+    }
+    known.missingSinceMs = null;
+    const moved = known.entry.address !== entry.address;
+    known.entry = entry;
+    if (moved) {
+      this.restarted(entry.id, nowMs);
+      this.#push({ type: 'unfollow', workerId: entry.id });
+      this.#push({ type: 'follow', workerId: entry.id, address: entry.address });
+    }
+  }
+
+  #confirm(run: Run, nowMs: number): void {
+    const confirmed = run;
+    confirmed.confirmedAtMs ??= nowMs;
+    if (run.state === RunState.stopping) return;
+    const first = run.state !== RunState.running;
+    confirmed.state = RunState.running;
+    if (first) this.#events.started(run);
+  }
+
+  #progress(worker: CellWorker, entry: RunningEntry, nowMs: number): void {
+    const run = worker.runs.get(runKey(entry.task, entry.run));
+    if (!run) {
+      this.#adopt(worker, entry, nowMs);
+      return;
+    }
+    this.#confirm(run, nowMs);
+    const stopLost = run.state === RunState.stopping && run.stopConfirmedAtMs === null;
+    if (stopLost && nowMs - (run.stopSentAtMs ?? 0) > STOP_AGAIN_MS) this.stop(run, nowMs);
+    if (entry.percent !== run.percent) run.progressAtMs = nowMs;
+    run.percent = entry.percent;
+    run.reportedAtMs = nowMs;
+  }
+
+  /** Takes over a run that a previous owner started; a submitter may claim it. */
+  #adopt(worker: CellWorker, entry: RunningEntry, nowMs: number): void {
+    this.#push({
+      type: 'decision',
+      decision: 'run-adopted',
+      fields: { task: entry.task, run: entry.run, worker: worker.entry.id },
+    });
+    const run = createRun(
+      {
+        task: entry.task,
+        run: entry.run,
+        workerId: worker.entry.id,
+        shape: UNKNOWN_SHAPE,
+        queue: '',
+        jobId: entry.task.split('.')[0] ?? '',
+        batchId: null,
+        expectedMs: 0,
+        startExpiresMs: nowMs,
+      },
+      nowMs,
+    );
+    this.add(run);
+    this.#confirm(run, nowMs);
+  }
+
+  #end(worker: CellWorker, { task, run: number, end }: EndedEntry, nowMs: number): void {
+    const key = runKey(task, number);
+    const run = worker.runs.get(key);
+    if (!run) {
+      this.#unclaimedEnds.set(task, { end, run: number, seenAtMs: nowMs });
+      return;
+    }
+    worker.runs.delete(key);
+    if (run.batchId === null) this.#unclaimedEnds.set(task, { end, run: number, seenAtMs: nowMs });
+    else this.#events.ended(run, end, worker, nowMs);
+  }
+
+  /** Deals with runs that a list lacks although it was asked for after their start. */
+  #checkAbsent(
+    worker: CellWorker,
+    listed: ReadonlySet<string>,
+    sentAtMs: number,
+    nowMs: number,
+  ): void {
+    [...worker.runs.entries()].forEach(([key, run]) => {
+      if (listed.has(key)) return;
+      const overSinceMs = Math.min(
+        run.stopConfirmedAtMs ?? Infinity,
+        run.confirmedAtMs ?? Infinity,
+        run.startExpiresMs,
+      );
+      if (sentAtMs > overSinceMs) {
+        worker.runs.delete(key);
+        const end = run.state === RunState.stopping ? RunEnd.stopped : RunEnd.lapsed;
+        this.#events.ended(run, end, worker, nowMs);
+      } else if (run.state === RunState.unclear) {
+        // The start may still arrive; a stop makes the worker refuse it.
+        this.stop(run, nowMs);
+      }
+    });
+  }
+
+  #lapseAll(worker: CellWorker, nowMs: number): void {
+    const runs = [...worker.runs.values()];
+    worker.runs.clear();
+    runs.forEach((run) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
+  }
+}
--- a/src/core/health.ts
+++ b/src/core/health.ts
@@ -6,6 +6,7 @@
  */
 import { GrantOutcome } from './messages';
 
+/** Failures in a row after which a worker is avoided, unless its owner says otherwise. */
 const FAILURES_TO_AVOID = 5;
 const FIRST_AVOID_MS = 1000;
 const LONGEST_AVOID_MS = 30_000;
@@ -32,10 +33,17 @@
   readonly slowStart: boolean;
 }
 
+/** How strictly a worker is judged. */
+export interface HealthLimits {
+  readonly failuresToAvoid: number;
+}
+
 /** Health of one worker. */
 export class WorkerHealth {
   readonly #guards: HealthGuards;
 
+  readonly #limits: HealthLimits;
+
   #state: WorkerState;
 
   #failuresInRow = 0;
@@ -55,8 +63,12 @@
 
   #ratioSamples = 0;
 
-  constructor(guards: HealthGuards) {
+  constructor(
+    guards: HealthGuards,
+    limits: HealthLimits = { failuresToAvoid: FAILURES_TO_AVOID },
+  ) {
     this.#guards = guards;
+    this.#limits = limits;
     this.#state = guards.slowStart ? WorkerState.slowStart : WorkerState.active;
   }
 
@@ -96,7 +108,7 @@
     if (outcome !== GrantOutcome.failed || peersFail) return false;
     if (this.#failuresInRow === 0) this.#failingSinceMs = nowMs;
     this.#failuresInRow += 1;
-    const tolerated = this.#state === WorkerState.probation ? 1 : FAILURES_TO_AVOID;
+    const tolerated = this.#state === WorkerState.probation ? 1 : this.#limits.failuresToAvoid;
     return this.#failuresInRow >= tolerated && this.#avoid(nowMs);
   }
 
--- /dev/null
+++ b/src/dispatcher/dispatchHost.ts
@@ -0,0 +1,165 @@
+/**
+ * One process of the dispatcher on a platform: joins the cells, the jobs, the interface between hosts
+ * and the metrics, and ends in an orderly way. The callers' interface belongs to the platform.
+ */
+import { randomBytes } from 'node:crypto';
+import type { Server } from 'node:http';
+import type { Clock } from '../core/clock';
+import { splitAddress } from '../settings/address';
+import type { HostIdentity } from './cellRecord';
+import { Cluster, type ClusterOptions } from './cluster';
+import { Dispatcher } from './dispatcher';
+import type { DispatchJournal } from './journal';
+import { JobRunner } from './jobRunner';
+import type { DispatchMetrics } from './metrics';
+import { PeerClient } from './peerClient';
+import { PeerServer } from './peerServer';
+import type { Platform } from './platform';
+import { QueueTable } from './queueTable';
+import type { DispatcherSettings } from './settings';
+import { latestLeaseEndMs } from './workerSession';
+
+/** What a host is built from. */
+export interface DispatchHostParts {
+  readonly settings: DispatcherSettings;
+  readonly platform: Platform;
+  readonly journal: DispatchJournal;
+  readonly metrics: DispatchMetrics;
+  readonly clock: Clock;
+  /** Log lines left out since the start. */
+  readonly droppedLines: () => number;
+}
+
+const INCARNATION_BYTES = 6;
+const RENEW_WAIT_MS = 250;
+const WORKER_LIST_PERIOD_MS = 500;
+const PEER_PERIOD_MS = 150;
+/** Entries that lapsed with the list's store are back within two seconds of its return. */
+const MISSING_GRACE_MS = 2500;
+const DRAIN_POLL_MS = 50;
+/** Time for the balancer to notice, and for another host to take the cells over. */
+const DRAIN_LEAST_MS = 2500;
+/** Time kept back from the drain for the process to end by itself. */
+const EXIT_MARGIN_MS = 700;
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+/** A dispatcher process. */
+export class DispatchHost {
+  readonly dispatcher: Dispatcher;
+
+  readonly #parts: DispatchHostParts;
+
+  readonly #peers = new PeerClient();
+
+  readonly #peerServer: PeerServer;
+
+  readonly #cluster: Cluster;
+
+  #metricsServer: Server | null = null;
+
+  constructor(parts: DispatchHostParts) {
+    this.#parts = parts;
+    const { settings, platform, journal, metrics, clock } = parts;
+    const queues = new QueueTable();
+    const self: HostIdentity = {
+      hostId: settings.hostId,
+      incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+      domain: settings.domain,
+      address: settings.peersAddress,
+    };
+    const options: ClusterOptions = {
+      leaseMs: settings.leaseMs,
+      renewWaitMs: RENEW_WAIT_MS,
+      missingGraceMs: MISSING_GRACE_MS,
+      workerListPeriodMs: WORKER_LIST_PERIOD_MS,
+      peerPeriodMs: PEER_PERIOD_MS,
+    };
+    this.#cluster = new Cluster({
+      self,
+      cells: settings.domains,
+      platform,
+      peers: this.#peers,
+      seeds: settings.seeds,
+      queues,
+      options,
+      clock,
+      random: { next: Math.random },
+      journal,
+    });
+    const runner = new JobRunner({
+      cluster: this.#cluster,
+      homeCell: settings.domain,
+      prefix: `${settings.hostId}-${self.incarnation}`,
+      leaseMs: latestLeaseEndMs(settings.leaseMs, 0),
+      clock,
+      journal,
+    });
+    const isServing = () => this.#cluster.serving().length > 0;
+    this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
+    this.#peerServer = new PeerServer(
+      {
+        status: (question) => this.#cluster.status(question),
+        run: (call) => this.#cluster.runForPeer(call),
+        withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
+        summary: (cell) => this.#cluster.summary(cell),
+        configuration: () => queues.configuration,
+      },
+      clock,
+    );
+    this.#cluster.onResume(() => this.#peerServer.resume());
+    metrics.observeState({
+      pending: () => runner.pending,
+      owners: () => this.#cluster.owners,
+      configurationVersion: () => queues.configuration?.version ?? 0,
+      droppedLines: parts.droppedLines,
+    });
+  }
+
+  async open(): Promise<void> {
+    const { settings, platform, metrics } = this.#parts;
+    const peers = splitAddress(settings.peersAddress);
+    await this.#peerServer.listen(peers.host, peers.port);
+    this.#cluster.open();
+    platform.configurations.follow((configuration) => {
+      this.#cluster.configure(configuration, 'store');
+    });
+    const { host, port } = splitAddress(settings.metricsAddress);
+    this.#metricsServer = metrics.listen(host, port);
+  }
+
+  /** Hands the cells over and answers the jobs in progress; returns when that is done or time is up. */
+  async drain(): Promise<void> {
+    const { settings, clock, journal } = this.#parts;
+    const beganAtMs = clock.nowMs();
+    const lastMs = beganAtMs + settings.drainMs - EXIT_MARGIN_MS;
+    this.dispatcher.drain();
+    this.#cluster.leave();
+    const isBusy = () => this.dispatcher.pending > 0 || this.#cluster.ownedCount > 0;
+    while (clock.nowMs() < lastMs && (isBusy() || clock.nowMs() < beganAtMs + DRAIN_LEAST_MS)) {
+      // eslint-disable-next-line no-await-in-loop -- polls until the work in progress has ended
+      await sleep(DRAIN_POLL_MS);
+    }
+    journal.decide('drained', {
+      elapsedMs: Math.round(clock.nowMs() - beganAtMs),
+      pending: this.dispatcher.pending,
+      cells: this.#cluster.ownedCount,
+    });
+  }
+
+  async close(): Promise<void> {
+    const { platform } = this.#parts;
+    platform.configurations.close();
+    this.#cluster.close();
+    this.#peerServer.close();
+    this.#metricsServer?.close();
+    this.#metricsServer?.closeAllConnections();
+    await this.#peers.close();
+    await platform.control.close();
+    await platform.store.close();
+  }
+}
--- /dev/null
+++ b/src/dispatcher/dispatcher.ts
@@ -0,0 +1,91 @@
+/** What the caller's interface needs of a dispatcher, whatever protocol callers speak. */
+import type { DispatchJournal } from './journal';
+import type { DispatchMetrics } from './metrics';
+import type { JobOutcome, JobRequest, JobRunner } from './jobRunner';
+import type { QueueTable } from './queueTable';
+
+/** Entry point for callers' requests. */
+export class Dispatcher {
+  readonly queues: QueueTable;
+
+  readonly journal: DispatchJournal;
+
+  readonly #runner: JobRunner;
+
+  readonly #metrics: DispatchMetrics;
+
+  readonly #isServing: () => boolean;
+
+  #draining = false;
+
+  constructor(
+    queues: QueueTable,
+    runner: JobRunner,
+    metrics: DispatchMetrics,
+    journal: DispatchJournal,
+    isServing: () => boolean,
+  ) {
+    this.queues = queues;
+    this.#runner = runner;
+    this.#metrics = metrics;
+    this.journal = journal;
+    this.#isServing = isServing;
+  }
+
+  /** True if callers should be sent here. */
+  get ready(): boolean {
+    return !this.#draining && this.queues.configuration !== null && this.#isServing();
+  }
+
+  get draining(): boolean {
+    return this.#draining;
+  }
+
+  /** Jobs without an answer. */
+  get pending(): number {
+    return this.#runner.pending;
+  }
+
+  /** From now on callers are told to go elsewhere; what was taken is answered. */
+  drain(): void {
+    this.#draining = true;
+  }
+
+  async submit(request: JobRequest): Promise<JobOutcome> {
+    const startedAtMs = performance.now();
+    const outcome = await this.#runner.run(request);
+    const elapsedMs = performance.now() - startedAtMs;
+    const reason = 'reason' in outcome ? outcome.reason : '';
+    this.#metrics.jobEnded(request.policy.name, outcome.type, reason, elapsedMs);
+    this.journal.decide('job-answered', {
+      jobId: request.job.id,
+      queue: request.policy.name,
+      outcome: outcome.type,
+      reason,
+      elapsedMs: Math.round(elapsedMs),
+    });
+    return outcome;
+  }
+
+  /** Records a request that was refused before it became a job. */
+  refused(queue: string, jobId: string, reason: string): void {
+    this.#metrics.jobEnded(queue, 'refused', reason, 0);
+    this.journal.decide('request-refused', { jobId, queue, reason });
+  }
+
+  abandon(jobId: string): void {
+    this.#runner.abandon(jobId);
+  }
+
+  cancel(jobId: string): boolean {
+    return this.#runner.cancel(jobId);
+  }
+
+  has(jobId: string): boolean {
+    return this.#runner.has(jobId);
+  }
+
+  pendingOf(queue: string): number {
+    return this.#runner.pendingOf(queue);
+  }
+}
--- /dev/null
+++ b/src/dispatcher/jobRunner.ts
@@ -0,0 +1,366 @@
+/**
+ * The submitter: runs the jobs that callers hand to this host. It hands the tasks of each step to the
+ * owners of cells and answers when all have ended. A refusal is only given while nothing has started.
+ */
+import type { Job, JobStep, QueuePolicy } from '../cells/job';
+import { BatchReason, type BatchOutcome, type BatchTask, type TaskBatch } from '../cells/messages';
+import type { Clock } from '../core/clock';
+import type { Cluster } from './cluster';
+import type { DispatchJournal } from './journal';
+import { spread } from './router';
+
+/** How a job ended. */
+export type JobOutcome =
+  | { readonly type: 'completed' }
+  | { readonly type: 'failed' }
+  /** Nothing of it has run or ever will; the caller may come back after the given time. */
+  | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number }
+  /** Given up after a start; it may be submitted again. */
+  | { readonly type: 'lost'; readonly reason: string };
+
+/** A job that a caller waits for. */
+export interface JobRequest {
+  readonly job: Job;
+  readonly policy: QueuePolicy;
+  /** Time that the caller waits. */
+  readonly deadlineInMs: number;
+}
+
+/** What a job runner is built from. */
+export interface JobRunnerParts {
+  readonly cluster: Cluster;
+  readonly homeCell: string;
+  /** Differs between processes; batch ids begin with it. */
+  readonly prefix: string;
+  /** Time after which no run of a silent owner is left. */
+  readonly leaseMs: number;
+  readonly clock: Clock;
+  readonly journal: DispatchJournal;
+}
+
+/** Time kept back from the deadline for the answer to reach the caller. */
+const ANSWER_MARGIN_MS = 15;
+const POLL_MS = 20;
+/** Runs of a new owner get numbers well above those that the previous one may have used. */
+const RUN_NUMBER_GAP = 16;
+const RETRY_AFTER_MS = 300;
+/** A cell refuses a batch within this time, or has taken it. */
+const REFUSAL_TIME_MS = 8;
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+interface RunningJob {
+  readonly request: JobRequest;
+  readonly arrivedAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly aborts: Set<AbortController>;
+  readonly outcome: Promise<JobOutcome>;
+  waiters: number;
+  /** A part of it has ended otherwise than refused, so that it can't be refused any more. */
+  begun: boolean;
+  /** Parts that have not been refused by all cells; they may have started. */
+  openParts: number;
+  abandoned: boolean;
+}
+
+/** Tasks of one step that go to one cell together. */
+interface Part {
+  readonly step: JobStep;
+  readonly tasks: readonly BatchTask[];
+  readonly otherStepsMs: number;
+}
+
+function taskName(jobId: string, stepIndex: number, index: number): string {
+  return `${jobId}.0.${stepIndex}.${index}`;
+}
+
+/** Jobs in progress on this host. */
+export class JobRunner {
+  readonly #parts: JobRunnerParts;
+
+  readonly #jobs = new Map<string, RunningJob>();
+
+  #batchCount = 0;
+
+  constructor(parts: JobRunnerParts) {
+    this.#parts = parts;
+  }
+
+  get pending(): number {
+    return this.#jobs.size;
+  }
+
+  /** Jobs of a queue of which nothing has started yet. */
+  pendingOf(queue: string): number {
+    return [...this.#jobs.values()].filter(
+      ({ request, begun }) => request.policy.name === queue && !begun,
+    ).length;
+  }
+
+  has(jobId: string): boolean {
+    return this.#jobs.has(jobId);
+  }
+
+  /** Runs a job, or joins the same job that is already in progress here. */
+  run(request: JobRequest): Promise<JobOutcome> {
+    const known = this.#jobs.get(request.job.id);
+    if (known) {
+      known.waiters += 1;
+      this.#parts.journal.decide('job-joined', { jobId: request.job.id, waiters: known.waiters });
+      return known.outcome;
+    }
+    return this.#begin(request);
+  }
+
+  /** A caller does not wait any more; the last one to leave ends the job. */
+  abandon(jobId: string): void {
+    const job = this.#jobs.get(jobId);
+    if (!job) return;
+    job.waiters -= 1;
+    if (job.waiters <= 0) this.#abort(job, 'abandoned');
+  }
+
+  /** Ends a job at a caller's request; false if it is not in progress here. */
+  cancel(jobId: string): boolean {
+    const job = this.#jobs.get(jobId);
+    if (!job) return false;
+    this.#abort(job, 'cancelled');
+    return true;
+  }
+
+  #begin(request: JobRequest): Promise<JobOutcome> {
+    const arrivedAtMs = this.#parts.clock.nowMs();
+    const { job, policy, deadlineInMs } = request;
+    let settle: (outcome: JobOutcome) => void = () => {};
+    const running: RunningJob = {
+      request,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + deadlineInMs - ANSWER_MARGIN_MS,
+      aborts: new Set(),
+      outcome: new Promise((resolve) => {
+        settle = resolve;
+      }),
+      waiters: 1,
+      begun: false,
+      openParts: 0,
+      abandoned: false,
+    };
+    this.#jobs.set(job.id, running);
+    this.#parts.journal.decide('job-accepted', {
+      jobId: job.id,
+      queue: policy.name,
+      tasks: job.steps.reduce((sum, step) => sum + step.taskCount, 0),
+      deadlineInMs,
+    });
+    this.#runSteps(running).then((outcome) => {
+      this.#jobs.delete(job.id);
+      settle(outcome);
+    });
+    return running.outcome;
+  }
+
+  #abort(job: RunningJob, reason: string): void {
+    const aborted = job;
+    aborted.abandoned = true;
+    this.#parts.journal.decide('job-aborted', { jobId: job.request.job.id, reason });
+    job.aborts.forEach((abort) => abort.abort());
+  }
+
+  /** Runs the steps as their predecessors succeed. */
+  async #runSteps(job: RunningJob): Promise<JobOutcome> {
+    const { steps } = job.request.job;
+    const ends = new Map<number, Promise<JobOutcome>>();
+    const runAfter = async (step: JobStep, index: number): Promise<JobOutcome> => {
+      const before = await Promise.all(step.after.map((other) => ends.get(other)));
+      const obstacle = before.find((outcome) => outcome && outcome.type !== 'completed');
+      return obstacle ?? this.#runStep(job, step, index);
+    };
+    steps.forEach((step, index) => ends.set(index, runAfter(step, index)));
+    return this.#firstObstacle(job, [...ends.values()]);
+  }
+
+  /** Completed when all are; otherwise the first other outcome, and the rest is withdrawn. */
+  async #firstObstacle(
+    job: RunningJob,
+    outcomes: readonly Promise<JobOutcome>[],
+  ): Promise<JobOutcome> {
+    return new Promise((resolve) => {
+      let left = outcomes.length;
+      outcomes.forEach((pending) => {
+        pending.then((outcome) => {
+          left -= 1;
+          if (outcome.type !== 'completed') {
+            resolve(outcome);
+            job.aborts.forEach((abort) => abort.abort());
+          } else if (left === 0) {
+            resolve(outcome);
+          }
+        });
+      });
+    });
+  }
+
+  #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
+    const { cluster, homeCell } = this.#parts;
+    const { id, steps } = job.request.job;
+    const { cpuMillis } = step.shape;
+    const cells = cluster.serving();
+    const shares = spread(cells, homeCell, step.taskCount, cpuMillis, step.estimateMs);
+    if (shares.length === 0) return Promise.resolve(this.#noCell(job));
+    const declaredMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
+    const otherStepsMs = declaredMs - step.estimateMs;
+    shares.forEach(({ cell, taskIndexes }) => {
+      cluster.loads.reserve(cell, taskIndexes.length, cpuMillis, step.estimateMs);
+    });
+    const running = job;
+    running.openParts += shares.length;
+    const parts = shares.map(({ cell, taskIndexes }) => {
+      const tasks = taskIndexes.map((index) => ({
+        name: taskName(id, stepIndex, index),
+        failures: 0,
+        lastRun: 0,
+      }));
+      return this.#runPart(job, { step, tasks, otherStepsMs }, cell);
+    });
+    return this.#firstObstacle(job, parts);
+  }
+
+  #noCell(job: RunningJob): JobOutcome {
+    if (job.begun) return { type: 'lost', reason: 'no-cell' };
+    return { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  /** Offers a part to one cell after the other until one takes it. */
+  async #runPart(job: RunningJob, part: Part, firstCell: string): Promise<JobOutcome> {
+    const tried = new Set<string>();
+    let cell: string | null = firstCell;
+    let refusal: JobOutcome = this.#noCell(job);
+    while (cell !== null) {
+      tried.add(cell);
+      const batch = this.#batchOf(job, part, job.begun, false);
+      // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
+      const outcome = await this.#send(job, cell, batch);
+      if (outcome.type !== 'refused') return this.#conclude(job, part, cell, outcome);
+      refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
+      cell = job.abandoned ? null : this.#nextCell(tried);
+    }
+    return this.#refusedByAll(job, part, refusal);
+  }
+
+  /** The job is refused only if no other part of it was taken. */
+  async #refusedByAll(job: RunningJob, part: Part, refusal: JobOutcome): Promise<JobOutcome> {
+    const running = job;
+    running.openParts -= 1;
+    if (job.openParts > 0) await sleep(REFUSAL_TIME_MS);
+    if (job.abandoned || (job.openParts === 0 && !job.begun)) return refusal;
+    running.openParts += 1;
+    return this.#force(job, part);
+  }
+
+  /** Other parts of the job run, so this one is queued somewhere even though it will be late. */
+  async #force(job: RunningJob, part: Part): Promise<JobOutcome> {
+    const cell = this.#nextCell(new Set());
+    if (cell === null) return { type: 'lost', reason: 'no-cell' };
+    const outcome = await this.#send(job, cell, this.#batchOf(job, part, true, false));
+    return this.#conclude(job, part, cell, outcome);
+  }
+
+  #nextCell(tried: ReadonlySet<string>): string | null {
+    const left = this.#parts.cluster.serving().filter(({ cell }) => !tried.has(cell));
+    const work = (cell: (typeof left)[number]) =>
+      cell.queuedCpuMillisMs / Math.max(1, cell.capacityCpuMillis);
+    return left.sort((one, other) => work(one) - work(other))[0]?.cell ?? null;
+  }
+
+  async #conclude(
+    job: RunningJob,
+    part: Part,
+    cell: string,
+    outcome: BatchOutcome,
+  ): Promise<JobOutcome> {
+    if (outcome.type === 'done') return { type: 'completed' };
+    if (outcome.type === 'failed') return { type: 'failed' };
+    const ownerLost =
+      outcome.reason === BatchReason.handedOver || outcome.reason === BatchReason.unreachable;
+    if (outcome.type === 'lost' && ownerLost && !job.abandoned) {
+      return this.#recover(job, part, cell);
+    }
+    return { type: 'lost', reason: outcome.reason };
+  }
+
+  /**
+   * The owner of the cell is gone while the part may run. The next owner adopts the runs; without one
+   * the part starts elsewhere when the leases are over.
+   */
+  async #recover(job: RunningJob, part: Part, cell: string): Promise<JobOutcome> {
+    const { cluster, clock, leaseMs, journal } = this.#parts;
+    const before = cluster.ownerOf(cell)?.revision ?? 0;
+    const settledAtMs = clock.nowMs() + leaseMs;
+    const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
+    journal.decide('owner-lost', { jobId: job.request.job.id, cell, revision: before });
+    const renamed: Part = {
+      ...part,
+      tasks: part.tasks.map((task) => ({ ...task, lastRun: task.lastRun + RUN_NUMBER_GAP })),
+    };
+    while (!job.abandoned && clock.nowMs() < lastChanceMs) {
+      if ((cluster.ownerOf(cell)?.revision ?? 0) > before && cluster.isServing(cell)) {
+        const batch = this.#batchOf(job, renamed, true, true);
+        // eslint-disable-next-line no-await-in-loop -- waits for the next owner
+        const outcome = await this.#send(job, cell, batch);
+        return this.#conclude(job, renamed, cell, outcome);
+      }
+      if (clock.nowMs() >= settledAtMs) return this.#force(job, renamed);
+      // eslint-disable-next-line no-await-in-loop -- waits for the next owner
+      await sleep(POLL_MS);
+    }
+    return { type: 'lost', reason: 'owner-lost' };
+  }
+
+  #batchOf(job: RunningJob, part: Part, begun: boolean, mayRun: boolean): TaskBatch {
+    const { policy, job: spec } = job.request;
+    const nowMs = this.#parts.clock.nowMs();
+    this.#batchCount += 1;
+    return {
+      batchId: `${this.#parts.prefix}-${this.#batchCount}`,
+      jobId: spec.id,
+      queue: policy.name,
+      service: policy.service,
+      priority: policy.priority,
+      maxAttempts: policy.maxAttempts,
+      payload: spec.payload,
+      shape: part.step.shape,
+      estimateMs: part.step.estimateMs,
+      tasks: part.tasks,
+      slackFactor: policy.slackFactor,
+      goalMs: policy.goalMs,
+      waitedMs: nowMs - job.arrivedAtMs,
+      otherStepsMs: part.otherStepsMs,
+      deadlineInMs: job.deadlineAtMs - nowMs,
+      begun,
+      mayRun,
+    };
+  }
+
+  async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<BatchOutcome> {
+    const abort = new AbortController();
+    job.aborts.add(abort);
+    const sending = this.#parts.cluster.run(cell, batch, abort);
+    const outcome = await sending;
+    job.aborts.delete(abort);
+    const running = job;
+    if (outcome.type !== 'refused') running.begun = true;
+    this.#parts.journal.decide('batch-answered', {
+      jobId: batch.jobId,
+      batchId: batch.batchId,
+      cell,
+      tasks: batch.tasks.length,
+      outcome: outcome.type,
+      ...('reason' in outcome ? { reason: outcome.reason } : {}),
+    });
+    return outcome;
+  }
+}
--- /dev/null
+++ b/src/dispatcher/metrics.ts
@@ -0,0 +1,104 @@
+/** Counters and latency histograms of one process, and the address at which they are read. */
+import { createServer, type Server } from 'node:http';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { CellOwner } from './cellOwner';
+
+/** Upper bounds in seconds: from a round trip to the longest time that callers wait. */
+const LATENCY_BUCKETS_S = [0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5, 3];
+const MS_PER_S = 1000;
+
+/** Metrics of one process. */
+export class DispatchMetrics {
+  readonly #registry = new Registry();
+
+  readonly #jobs: Counter<'queue' | 'outcome' | 'reason'>;
+
+  readonly #jobSeconds: Histogram<'queue' | 'outcome'>;
+
+  readonly #decisions: Counter<'decision'>;
+
+  constructor() {
+    const registers = [this.#registry];
+    this.#jobs = new Counter({
+      name: 'wasabiyoke_jobs_total',
+      help: 'Jobs answered, by queue, outcome and reason',
+      labelNames: ['queue', 'outcome', 'reason'],
+      registers,
+    });
+    this.#jobSeconds = new Histogram({
+      name: 'wasabiyoke_job_seconds',
+      help: 'Time from the arrival of a job to its answer',
+      labelNames: ['queue', 'outcome'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+    this.#decisions = new Counter({
+      name: 'wasabiyoke_decisions_total',
+      help: 'Decisions by name, as in the log',
+      labelNames: ['decision'],
+      registers,
+    });
+  }
+
+  jobEnded(queue: string, outcome: string, reason: string, elapsedMs: number): void {
+    this.#jobs.inc({ queue, outcome, reason });
+    this.#jobSeconds.observe({ queue, outcome }, elapsedMs / MS_PER_S);
+  }
+
+  decided(decision: string): void {
+    this.#decisions.inc({ decision });
+  }
+
+  /** Reads gauges of the state at each scrape. */
+  observeState(state: {
+    readonly pending: () => number;
+    readonly owners: () => readonly CellOwner[];
+    readonly configurationVersion: () => number;
+    readonly droppedLines: () => number;
+  }): void {
+    this.#gauge('wasabiyoke_jobs_pending', 'Jobs without an answer', state.pending);
+    this.#gauge('wasabiyoke_cells_owned', 'Cells that this host owns', () => state.owners().length);
+    this.#gauge('wasabiyoke_configuration_version', 'Version in force', state.configurationVersion);
+    this.#gauge('wasabiyoke_log_lines_dropped', 'Log lines left out', state.droppedLines);
+    this.#gauge('wasabiyoke_batches_waiting', 'Batches in the cells owned', () =>
+      state.owners().reduce((sum, owner) => sum + owner.inner.pending, 0),
+    );
+    this.#gauge('wasabiyoke_workers_reachable', 'Workers that answer, in the cells owned', () =>
+      state.owners().reduce((sum, owner) => {
+        const workers = [...owner.inner.workers.values()];
+        return sum + workers.filter(({ reachable }) => reachable).length;
+      }, 0),
+    );
+    this.#gauge('wasabiyoke_runs', 'Runs in progress in the cells owned', () =>
+      state.owners().reduce((sum, owner) => {
+        const workers = [...owner.inner.workers.values()];
+        return sum + workers.reduce((runs, worker) => runs + worker.runs.size, 0);
+      }, 0),
+    );
+  }
+
+  /** The text that a scrape returns. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  /** Serves the text at `ip:port`, on every path. */
+  listen(ip: string, port: number): Server {
+    const server = createServer((_, response) => {
+      this.text().then(
+        (text) => response.end(text),
+        () => response.destroy(),
+      );
+    });
+    return server.listen(port, ip);
+  }
+
+  #gauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.#registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+}
--- /dev/null
+++ b/src/dispatcher/peerMessages.ts
@@ -0,0 +1,53 @@
+/** Bodies of the calls between hosts, and checks of what arrives. */
+import type { BatchOutcome, CellSummary, TaskBatch } from '../cells/messages';
+import type { CellRecord, HostIdentity } from './cellRecord';
+
+/** Paths of the interface between hosts. */
+export const PeerPath = {
+  status: '/v1/status',
+  batches: '/v1/batches',
+  configuration: '/v1/configuration',
+} as const;
+
+/** A host asks another whether it serves, and says what it knows itself. */
+export interface StatusQuestion {
+  readonly from: HostIdentity;
+  readonly configurationVersion: number;
+}
+
+/** What a host says of itself. */
+export interface PeerStatus {
+  readonly hostId: string;
+  readonly incarnation: string;
+  /** It shuts down and wants its cells to be taken over. */
+  readonly leaving: boolean;
+  readonly configurationVersion: number;
+  /** Cells that it owns. */
+  readonly cells: readonly CellSummary[];
+  /** Owners of all cells that it knows of. */
+  readonly records: readonly CellRecord[];
+}
+
+/** A batch for a cell that the receiver owns. */
+export interface BatchCall {
+  readonly from: HostIdentity;
+  readonly cell: string;
+  readonly batch: TaskBatch;
+}
+
+/** End of a batch, with the state of the cell if the receiver owns it. */
+export interface BatchReply {
+  readonly outcome: BatchOutcome;
+  readonly summary: CellSummary | null;
+}
+
+/** Reads a JSON body that must be an object with these members; null otherwise. */
+export function parseBody<T>(text: string, members: readonly (keyof T & string)[]): T | null {
+  try {
+    const value: unknown = JSON.parse(text);
+    if (typeof value !== 'object' || value === null) return null;
+    return members.every((member) => member in value) ? (value as T) : null;
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/src/dispatcher/queueTable.ts
@@ -0,0 +1,65 @@
+/** The queues of the configuration in force, found by the host name and path of a request. */
+import type { QueuePolicy } from '../cells/job';
+
+/** A queue and the requests that are meant for it. */
+export interface QueueBinding {
+  readonly hostName: string;
+  readonly pathPrefix: string;
+  readonly policy: QueuePolicy;
+  /** Why this version can't run the queue's jobs; null if it can. */
+  readonly unsupported: string | null;
+}
+
+/** A configuration as the operators publish it. */
+export interface QueueConfiguration {
+  readonly version: number;
+  readonly bindings: readonly QueueBinding[];
+  /** Services whose workers may run tasks. */
+  readonly services: readonly string[];
+  readonly bodyLimitBytes: number;
+}
+
+/** Result of a lookup. */
+export interface QueueMatch {
+  readonly binding: QueueBinding;
+  /** What follows the prefix in the path. */
+  readonly rest: string;
+}
+
+function byLongestPrefix(left: QueueBinding, right: QueueBinding): number {
+  return right.pathPrefix.length - left.pathPrefix.length;
+}
+
+/** Holds the newest configuration; an older one never replaces it. */
+export class QueueTable {
+  #configuration: QueueConfiguration | null = null;
+
+  #byHost = new Map<string, readonly QueueBinding[]>();
+
+  get configuration(): QueueConfiguration | null {
+    return this.#configuration;
+  }
+
+  /** Puts a configuration in force; false if it is not newer than the present one. */
+  apply(configuration: QueueConfiguration): boolean {
+    if (this.#configuration && configuration.version <= this.#configuration.version) return false;
+    const byHost = new Map<string, QueueBinding[]>();
+    configuration.bindings.forEach((binding) => {
+      const name = binding.hostName.toLowerCase();
+      byHost.set(name, [...(byHost.get(name) ?? []), binding]);
+    });
+    byHost.forEach((bindings) => bindings.sort(byLongestPrefix));
+    this.#byHost = byHost;
+    this.#configuration = configuration;
+    return true;
+  }
+
+  /** The queue with the longest prefix of the path, or null. */
+  match(hostHeader: string, path: string): QueueMatch | null {
+    const hostName = (hostHeader.split(':')[0] ?? '').toLowerCase();
+    const binding = this.#byHost
+      .get(hostName)
+      ?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    return binding ? { binding, rest: path.slice(binding.pathPrefix.length) } : null;
+  }
+}
--- /dev/null
+++ b/src/dispatcher/settings.ts
@@ -0,0 +1,154 @@
+/**
+ * Settings of a dispatcher, in INI. Sections and keys that are not known are left alone, so that newer
+ * files serve older programs; what is missing or wrong is reported together, each with its line.
+ */
+import { Err, Ok, type Result } from 'ts-results';
+import { parseAddress } from '../settings/address';
+import type { Finding } from '../settings/finding';
+import { parseIni, type IniDocument } from '../settings/iniDocument';
+
+/** Settings of one process; durations are in milliseconds, addresses `ip:port`. */
+export interface DispatcherSettings {
+  readonly hostId: string;
+  readonly domain: string;
+  /** All failure domains; each is one cell. */
+  readonly domains: readonly string[];
+  readonly callersAddress: string;
+  readonly readinessAddress: string;
+  readonly peersAddress: string;
+  readonly metricsAddress: string;
+  readonly seeds: readonly string[];
+  readonly storeAddress: string;
+  readonly leaseMs: number;
+  readonly drainMs: number;
+  readonly linesPerSecond: number;
+}
+
+type Reader<T> = (text: string) => T | null;
+
+function readName(text: string): string | null {
+  return text === '' ? null : text;
+}
+
+function readAddress(text: string): string | null {
+  return parseAddress(text) === null ? null : text;
+}
+
+function readList<T>(read: Reader<T>): Reader<readonly T[]> {
+  return (text) => {
+    const parts = text.split(',').map((part) => part.trim());
+    const values = parts.filter((part) => part !== '').map(read);
+    return values.includes(null) ? null : (values as readonly T[]);
+  };
+}
+
+function readNonEmptyList<T>(read: Reader<T>): Reader<readonly T[]> {
+  return (text) => {
+    const values = readList(read)(text);
+    return values === null || values.length === 0 ? null : values;
+  };
+}
+
+function readWhole(least: number, most: number): Reader<number> {
+  return (text) => {
+    const value = Number(text);
+    return /^\d+$/.test(text) && value >= least && value <= most ? value : null;
+  };
+}
+
+/** A number of seconds, as milliseconds. */
+function readSeconds(most: number): Reader<number> {
+  return (text) => {
+    const value = Number(text);
+    return /^\d+(\.\d+)?$/.test(text) && value <= most ? value * MS_PER_S : null;
+  };
+}
+
+/** Reads values of one document and collects what is wrong with them. */
+class SettingsReader {
+  readonly findings: Finding[] = [];
+
+  readonly #document: IniDocument;
+
+  constructor(document: IniDocument) {
+    this.#document = document;
+  }
+
+  value<T>(section: string, key: string, expected: string, read: Reader<T>): T {
+    const { file, sections } = this.#document;
+    const present = sections.get(section);
+    const value = present?.values.get(key);
+    const result = value === undefined ? null : read(value.text);
+    if (result !== null) return result;
+    this.findings.push({
+      file,
+      line: value?.line ?? present?.line ?? 0,
+      section,
+      key,
+      expected,
+      found: value === undefined ? 'nothing' : JSON.stringify(value.text),
+    });
+    // The reader's result is not used once there is a finding.
+    return undefined as T;
+  }
+
+  optional<T>(section: string, key: string, expected: string, read: Reader<T>, absent: T): T {
+    if (!this.#document.sections.get(section)?.values.has(key)) return absent;
+    return this.value(section, key, expected, read);
+  }
+}
+
+const ADDRESS = 'an IP number and a port, such as 127.0.0.1:7000';
+const LONGEST_LEASE_MS = 60_000;
+const LONGEST_DRAIN_S = 600;
+const MS_PER_S = 1000;
+const MOST_LINES = 100_000;
+const DEFAULT_LINES_PER_SECOND = 400;
+
+/** Checks the text of a settings file; `file` is its name in findings. */
+export function readDispatcherSettings(
+  file: string,
+  text: string,
+): Result<DispatcherSettings, readonly Finding[]> {
+  const { document, findings } = parseIni(file, text);
+  const reader = new SettingsReader(document);
+  const address = (section: string, key: string) =>
+    reader.value(section, key, ADDRESS, readAddress);
+  const settings: DispatcherSettings = {
+    hostId: reader.value('host', 'id', 'the name of this host', readName),
+    domain: reader.value('host', 'domain', 'the failure domain of this host', readName),
+    domains: reader.value(
+      'host',
+      'domains',
+      'names of failure domains, separated by commas',
+      readNonEmptyList(readName),
+    ),
+    callersAddress: address('listen', 'callers'),
+    readinessAddress: address('listen', 'readiness'),
+    peersAddress: address('listen', 'peers'),
+    metricsAddress: address('listen', 'metrics'),
+    seeds: reader.optional('peers', 'seeds', `${ADDRESS}; or several`, readList(readAddress), []),
+    storeAddress: address('store', 'address'),
+    leaseMs: reader.value(
+      'workers',
+      'lease-ms',
+      `a whole number from 100 to ${LONGEST_LEASE_MS}`,
+      readWhole(100, LONGEST_LEASE_MS),
+    ),
+    drainMs: reader.value(
+      'host',
+      'drain-seconds',
+      `a number up to ${LONGEST_DRAIN_S}`,
+      readSeconds(LONGEST_DRAIN_S),
+    ),
+    linesPerSecond: reader.optional(
+      'log',
+      'lines-per-second',
+      `a whole number from 1 to ${MOST_LINES}`,
+      readWhole(1, MOST_LINES),
+      DEFAULT_LINES_PER_SECOND,
+    ),
+  };
+  const all = [...findings, ...reader.findings];
+  return all.length === 0 ? Ok(settings) : Err(all);
+}
--- /dev/null
+++ b/src/dispatcher/workerSession.ts
@@ -0,0 +1,191 @@
+/**
+ * Keeps up with one worker: renews its leases without a break, hears of ends, and knows its clock. A
+ * worker that does not answer is asked again at short intervals.
+ */
+import type { StartAnswer } from '../cells/actions';
+import type { WorkerReport } from '../cells/actions';
+import type { Clock } from '../core/clock';
+import {
+  StopAnswer,
+  type RenewAnswer,
+  type WorkerControl,
+  type WorkerTarget,
+} from './workerControl';
+
+/** Figures of a session, in milliseconds. */
+export interface SessionOptions {
+  readonly leaseMs: number;
+  /** Longest wait of a renewal for an end; it bounds the age of what is known. */
+  readonly renewWaitMs: number;
+}
+
+/** What a session tells the owner of the cell. */
+export interface SessionEvents {
+  reported(workerId: string, report: WorkerReport): void;
+  silent(workerId: string, error: string): void;
+  restarted(workerId: string): void;
+  fenced(workerId: string): void;
+  /** Leases given by now are over by `leasesEndMs` on this host's clock. */
+  renewed(workerId: string, leasesEndMs: number): void;
+}
+
+/** A worker's clock may run this much slower than ours. */
+const CLOCK_DRIFT = 0.02;
+/** Covers rounding and the way of an order that is held up on the network. */
+const LEASE_MARGIN_MS = 30;
+const ASK_AGAIN_MS = 120;
+
+/** Latest end, on this host's clock, of a lease of `leaseMs` that is given at `nowMs`. */
+export function latestLeaseEndMs(leaseMs: number, nowMs: number): number {
+  return nowMs + leaseMs * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
+}
+
+interface WorkerClock {
+  readonly clockMs: number;
+  readonly readAtMs: number;
+  readonly bornMs: number;
+}
+
+/** Session with one worker under one fencing token. */
+export class WorkerSession {
+  readonly #target: WorkerTarget;
+
+  readonly #control: WorkerControl;
+
+  readonly #fencingToken: number;
+
+  readonly #options: SessionOptions;
+
+  readonly #events: SessionEvents;
+
+  readonly #clock: Clock;
+
+  #workerClock: WorkerClock | null = null;
+
+  #acknowledged = 0;
+
+  #failures = 0;
+
+  #closed = false;
+
+  #timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    target: WorkerTarget,
+    control: WorkerControl,
+    fencingToken: number,
+    options: SessionOptions,
+    events: SessionEvents,
+    clock: Clock,
+  ) {
+    this.#target = target;
+    this.#control = control;
+    this.#fencingToken = fencingToken;
+    this.#options = options;
+    this.#events = events;
+    this.#clock = clock;
+  }
+
+  open(): void {
+    this.#renew(0);
+  }
+
+  async start(task: string, run: number, payload: string): Promise<StartAnswer> {
+    const leaseEndClockMs = this.#leaseEndClockMs() ?? 0;
+    this.#noteLease();
+    return this.#control.start(this.#target, {
+      task,
+      run,
+      payload,
+      leaseEndClockMs,
+      fencingToken: this.#fencingToken,
+    });
+  }
+
+  async stop(task: string, run: number): Promise<StopAnswer> {
+    const fencingToken = this.#fencingToken;
+    return this.#control.stop(this.#target, { task, run, fencingToken });
+  }
+
+  /** Ends the session; leases that it gave run out. */
+  close(): void {
+    this.#closed = true;
+    if (this.#timer) clearTimeout(this.#timer);
+  }
+
+  #renew(waitMs: number): void {
+    const sentAtMs = this.#clock.nowMs();
+    const leaseEndClockMs = this.#leaseEndClockMs();
+    if (leaseEndClockMs !== null) this.#noteLease();
+    const acknowledged = this.#acknowledged;
+    const order = { fencingToken: this.#fencingToken, acknowledged, leaseEndClockMs, waitMs };
+    this.#control.renew(this.#target, order).then((answer) => {
+      if (!this.#closed) this.#answered(answer, sentAtMs);
+    });
+  }
+
+  #answered(answer: RenewAnswer, sentAtMs: number): void {
+    if (answer.type === 'fenced') {
+      this.#events.fenced(this.#target.id);
+    } else if (answer.type === 'restarted') {
+      this.#forgetProcess();
+      this.#askAgain();
+    } else if (answer.type === 'silent') {
+      this.#unanswered(answer.error);
+    } else {
+      this.#listed(answer, sentAtMs);
+    }
+  }
+
+  /** One broken connection says little; the second call without an answer does. */
+  #unanswered(error: string): void {
+    this.#failures += 1;
+    if (this.#failures === 1) {
+      this.#renew(0);
+      return;
+    }
+    this.#events.silent(this.#target.id, error);
+    this.#askAgain();
+  }
+
+  #askAgain(): void {
+    this.#timer = setTimeout(() => this.#renew(0), ASK_AGAIN_MS);
+  }
+
+  #listed(answer: Extract<RenewAnswer, { type: 'listed' }>, sentAtMs: number): void {
+    this.#failures = 0;
+    const known = this.#workerClock;
+    const first = known === null;
+    if (known && known.bornMs !== answer.bornMs) this.#forgetProcess();
+    this.#workerClock = {
+      clockMs: answer.clockMs,
+      readAtMs: this.#clock.nowMs(),
+      bornMs: answer.bornMs,
+    };
+    const ended = answer.ended.filter(({ sequence }) => sequence > this.#acknowledged);
+    this.#acknowledged = ended.reduce(
+      (highest, { sequence }) => Math.max(highest, sequence),
+      this.#acknowledged,
+    );
+    // The first answer only tells the clock; it is asked again at once, so that leases are renewed.
+    this.#renew(first ? 0 : this.#options.renewWaitMs);
+    this.#events.reported(this.#target.id, { sentAtMs, running: answer.running, ended });
+  }
+
+  #forgetProcess(): void {
+    this.#workerClock = null;
+    this.#acknowledged = 0;
+    this.#events.restarted(this.#target.id);
+  }
+
+  #leaseEndClockMs(): number | null {
+    if (!this.#workerClock) return null;
+    const { clockMs, readAtMs } = this.#workerClock;
+    return Math.floor(clockMs + this.#clock.nowMs() - readAtMs + this.#options.leaseMs);
+  }
+
+  #noteLease(): void {
+    const endMs = latestLeaseEndMs(this.#options.leaseMs, this.#clock.nowMs());
+    this.#events.renewed(this.#target.id, endMs);
+  }
+}
