--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['node_modules', 'dist', 'bench-out', 'src/**/generated/**'] },
+  { ignores: ['node_modules', 'dist', 'target', 'bench-out', 'src/**/generated/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -52,8 +52,7 @@
   /** Expected run time of a task on an ordinary worker. */
   readonly expectedMs: number;
 
-  /** A start of it has been sent. */
-  started: boolean;
+  #started: boolean;
 
   constructor(order: TaskBatch, expectedMs: number, notBeforeMs: number, nowMs: number) {
     this.order = order;
@@ -61,7 +60,7 @@
     this.objectiveAtMs = nowMs + objectiveInMs(order, expectedMs);
     this.deadlineAtMs = nowMs + order.deadlineInMs;
     this.expectedMs = expectedMs;
-    this.started = order.mayRun;
+    this.#started = order.mayRun;
     this.tasks = order.tasks.map((task) => entryOf(task, notBeforeMs));
   }
 
@@ -74,6 +73,15 @@
     return this.objectiveAtMs - this.expectedMs;
   }
 
+  /** True once a start of it has been sent. */
+  get started(): boolean {
+    return this.#started;
+  }
+
+  markStarted(): void {
+    this.#started = true;
+  }
+
   get isDone(): boolean {
     return this.tasks.every(({ done }) => done);
   }
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -3,21 +3,21 @@
  * are refused on arrival when they can't end in time, and otherwise served in the order of the latest
  * start that keeps their objective. A batch that was given up gets its outcome at once.
  */
-import { StartAnswer, RunEnd, type CellAction, type DecisionFields } from './actions';
-import type { WorkerReport } from './actions';
+import {
+  RunEnd,
+  StartAnswer,
+  type CellAction,
+  type DecisionFields,
+  type WorkerReport,
+} from './actions';
 import { Batch, type TaskEntry } from './batch';
 import { forecastEndMs, type Demand } from './forecast';
-import {
-  BatchReason,
-  type BatchOutcome,
-  type CellSummary,
-  type TaskBatch,
-} from './messages';
+import { BatchReason, type BatchOutcome, type CellSummary, type TaskBatch } from './messages';
 import { choosePlace, chooseReservation, type PlacementQuery } from './placement';
+import { isSlowedByWorker, isTooSlowFor, isWorthMoving, type Comparison } from './progress';
 import { createRun, runKey, RunState, type Run } from './run';
 import { RunLedger } from './runLedger';
 import { RunTimes } from './runTimes';
-import { isStraggler } from './stragglers';
 import type { CellWorker, WorkerEntry } from './worker';
 
 /** Figures of a cell; all in milliseconds. */
@@ -32,11 +32,30 @@
 const BACKFILL_BATCHES = 8;
 /** Time that a run found on a worker may go unclaimed by a submitter. */
 const CLAIM_WINDOW_MS = 600;
-/** A worker with a stalled run gets nothing new for this long. */
-const STRAGGLER_REST_MS = 1000;
+/** A worker that slows a run down gets nothing new for this long. */
+const SLOW_REST_MS = 1000;
 const LEAST_RETRY_MS = 100;
 const MOST_RETRY_MS = 10_000;
 
+function refuse(reason: BatchReason, lateMs: number): BatchOutcome {
+  const retryAfterMs = Math.ceil(Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, lateMs)));
+  return { type: 'refused', reason, retryAfterMs };
+}
+
+function slowestOf(workers: readonly CellWorker[]): number {
+  return Math.max(1, ...workers.map(({ slowness }) => slowness));
+}
+
+function demandOf(batch: Batch, tasks: number): Demand {
+  return { tasks, cpuMillis: batch.order.shape.cpuMillis, expectedMs: batch.expectedMs };
+}
+
+/** Fields that name a batch in the log. */
+function describe(batch: Batch): DecisionFields {
+  const { jobId, queue, priority, tasks } = batch.order;
+  return { batchId: batch.id, jobId, queue, priority, tasks: tasks.length };
+}
+
 /** Decision logic of one cell; `take` returns the actions since the last call. */
 export class Cell {
   readonly id: string;
@@ -111,7 +130,7 @@
     this.#batches.set(batch.id, batch);
     this.#claimRuns(batch, nowMs);
     this.#decide('batch-queued', {
-      ...this.#describe(batch),
+      ...describe(batch),
       objectiveInMs: Math.round(batch.objectiveAtMs - nowMs),
       deadlineInMs: Math.round(order.deadlineInMs),
       expectedMs: Math.round(expectedMs),
@@ -163,7 +182,7 @@
 
   report(workerId: string, report: WorkerReport, nowMs: number): void {
     this.#ledger.report(workerId, report, nowMs);
-    this.#moveStragglers(workerId, nowMs);
+    this.#checkProgress(workerId, nowMs);
     this.#place(nowMs);
   }
 
@@ -206,39 +225,26 @@
     const workers = this.#workersFor(order.service);
     const open = workers.filter((worker) => worker.isOpen(nowMs));
     if (order.begun || order.mayRun) return null;
-    if (open.length === 0) return this.#refuse(BatchReason.noWorkers, LEAST_RETRY_MS);
+    if (open.length === 0) return refuse(BatchReason.noWorkers, LEAST_RETRY_MS);
     if (!workers.some((worker) => worker.couldRun(order.shape))) {
-      return this.#refuse(BatchReason.impossible, MOST_RETRY_MS);
+      return refuse(BatchReason.impossible, MOST_RETRY_MS);
     }
-    const demand = this.#demandOf(batch, order.tasks.length);
+    const demand = demandOf(batch, order.tasks.length);
     const endMs = forecastEndMs(open, this.#demandsAhead(batch), demand, nowMs);
-    const startsAtOnce = endMs <= nowMs + batch.expectedMs * this.#slowestOf(open);
+    const startsAtOnce = endMs <= nowMs + batch.expectedMs * slowestOf(open);
     const lateMs = endMs - batch.objectiveAtMs;
     if (lateMs <= 0 || (startsAtOnce && endMs <= batch.deadlineAtMs)) return null;
-    return this.#refuse(BatchReason.overloaded, lateMs);
-  }
-
-  #refuse(reason: BatchReason, lateMs: number): BatchOutcome {
-    const retryAfterMs = Math.ceil(Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, lateMs)));
-    return { type: 'refused', reason, retryAfterMs };
-  }
-
-  #slowestOf(workers: readonly CellWorker[]): number {
-    return Math.max(1, ...workers.map(({ slowness }) => slowness));
+    return refuse(BatchReason.overloaded, lateMs);
   }
 
   #workersFor(service: string): readonly CellWorker[] {
     return [...this.#ledger.workers.values()].filter(({ entry }) => entry.service === service);
   }
 
-  #demandOf(batch: Batch, tasks: number): Demand {
-    return { tasks, cpuMillis: batch.order.shape.cpuMillis, expectedMs: batch.expectedMs };
-  }
-
   #demandsAhead(batch: Batch): readonly Demand[] {
     return this.#queue()
       .filter((other) => other.latestStartMs <= batch.latestStartMs)
-      .map((other) => this.#demandOf(other, other.waitingCount));
+      .map((other) => demandOf(other, other.waitingCount));
   }
 
   /** Batches with waiting tasks, in the order in which they are served. */
@@ -273,7 +279,7 @@
     claimed.expectedMs = batch.expectedMs;
     entry.workerId = run.workerId;
     entry.lastRun = Math.max(entry.lastRun, run.run);
-    batch.started = true;
+    batch.markStarted();
     this.#decide('run-claimed', { task: run.task, run: run.run, worker: run.workerId });
   }
 
@@ -319,7 +325,7 @@
     const { queue, shape, jobId, payload } = batch.order;
     entry.lastRun += 1;
     entry.workerId = worker.entry.id;
-    batch.started = true;
+    batch.markStarted();
     const run = createRun(
       {
         task: task.name,
@@ -356,7 +362,7 @@
 
   #started(run: Run): void {
     const batch = run.batchId === null ? undefined : this.#batches.get(run.batchId);
-    if (batch) batch.started = true;
+    batch?.markStarted();
   }
 
   #notStarted(run: Run, answer: StartAnswer, nowMs: number): void {
@@ -421,24 +427,50 @@
     return batch && task ? { batch, task } : null;
   }
 
-  /** Stops runs on a worker that crawl, and starts them elsewhere when their end is listed. */
-  #moveStragglers(workerId: string, nowMs: number): void {
+  /** Judges the progress of a worker's runs after a report. */
+  #checkProgress(workerId: string, nowMs: number): void {
     const worker = this.#ledger.workers.get(workerId);
-    worker?.runs.forEach((run) => {
+    if (!worker) return;
+    [...worker.runs.values()].forEach((run) => {
       const found = this.#taskOf(run);
-      if (!found || !isStraggler(run, found.batch.expectedMs, nowMs)) return;
-      this.#decide('run-moved', {
-        task: run.task,
-        run: run.run,
-        worker: workerId,
-        percent: run.percent,
-        elapsedMs: Math.round(nowMs - run.startedAtMs),
-        expectedMs: Math.round(run.expectedMs),
+      if (!found || run.state !== RunState.running) return;
+      const { batch, task } = found;
+      const slowed = isSlowedByWorker(run, this.#comparisonOf(run, worker));
+      if (slowed && isWorthMoving(run, batch.expectedMs, nowMs)) {
+        this.#move(run, task, worker, nowMs);
+      } else if (!slowed && isTooSlowFor(run, batch.deadlineAtMs)) {
+        this.#giveUp(batch, BatchReason.deadline, nowMs);
+      }
+    });
+  }
+
+  #comparisonOf(run: Run, worker: CellWorker): Comparison {
+    const siblings: Run[] = [];
+    this.#ledger.workers.forEach((other) => {
+      if (other === worker) return;
+      other.runs.forEach((sibling) => {
+        if (sibling.batchId === run.batchId) siblings.push(sibling);
       });
-      found.task.avoided.add(workerId);
-      worker.restUntilMs = Math.max(worker.restUntilMs, nowMs + STRAGGLER_REST_MS);
-      this.#ledger.stop(run, nowMs);
     });
+    const neighbours = [...worker.runs.values()].filter(({ jobId }) => jobId !== run.jobId);
+    return { siblings, neighbours };
+  }
+
+  /** Stops a run that its worker slows down; it starts elsewhere when its end is listed. */
+  #move(run: Run, task: TaskEntry, worker: CellWorker, nowMs: number): void {
+    this.#decide('run-moved', {
+      jobId: run.jobId,
+      task: run.task,
+      run: run.run,
+      worker: run.workerId,
+      percent: run.percent,
+      elapsedMs: Math.round(nowMs - run.startedAtMs),
+      expectedMs: Math.round(run.expectedMs),
+    });
+    task.avoided.add(run.workerId);
+    const slow = worker;
+    slow.restUntilMs = Math.max(worker.restUntilMs, nowMs + SLOW_REST_MS);
+    this.#ledger.stop(run, nowMs);
   }
 
   #stopUnclaimed(nowMs: number): void {
@@ -473,7 +505,7 @@
     if (!this.#batches.has(batch.id)) return;
     const outcome: BatchOutcome = batch.started
       ? { type: 'lost', reason, settled: false }
-      : this.#refuse(reason, nowMs - batch.objectiveAtMs);
+      : refuse(reason, nowMs - batch.objectiveAtMs);
     this.#finish(batch, outcome, nowMs);
   }
 
@@ -481,7 +513,8 @@
     this.#batches.delete(batch.id);
     this.#ledger.workers.forEach((worker) => {
       worker.runs.forEach((run) => {
-        if (run.batchId === batch.id && run.state !== RunState.stopping) this.#ledger.stop(run, nowMs);
+        if (run.batchId === batch.id && run.state !== RunState.stopping)
+          this.#ledger.stop(run, nowMs);
       });
     });
     this.#end(batch, outcome, nowMs);
@@ -490,7 +523,7 @@
   #end(batch: Batch, outcome: BatchOutcome, nowMs: number): void {
     this.#actions.push({ type: 'end', batchId: batch.id, outcome });
     this.#decide('batch-ended', {
-      ...this.#describe(batch),
+      ...describe(batch),
       ...outcome,
       outcome: outcome.type,
       elapsedMs: Math.round(nowMs - batch.arrivedAtMs),
@@ -498,11 +531,6 @@
     });
   }
 
-  #describe(batch: Batch): DecisionFields {
-    const { jobId, queue, priority, tasks } = batch.order;
-    return { batchId: batch.id, jobId, queue, priority, tasks: tasks.length };
-  }
-
   #decide(decision: string, fields: DecisionFields): void {
     this.#actions.push({ type: 'decision', decision, fields: { cell: this.id, ...fields } });
   }
--- a/src/cells/forecast.ts
+++ b/src/cells/forecast.ts
@@ -51,7 +51,8 @@
   return Infinity;
 }
 
-function occupy(lane: Lane, cpuMillis: number, startMs: number, endMs: number): void {
+function occupy(taken: Lane, cpuMillis: number, startMs: number, endMs: number): void {
+  const lane = taken;
   const due = lane.releases.findIndex(({ atMs }) => atMs > startMs);
   const passed = lane.releases.splice(0, due < 0 ? lane.releases.length : due);
   passed.forEach((release) => {
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -67,8 +67,7 @@
   { shape, reserved, nowMs }: PlacementQuery,
 ): CellWorker | null {
   const able = Array.from(workers).filter(
-    (worker) =>
-      worker.isOpen(nowMs) && worker.couldRun(shape) && !reserved.has(worker.entry.id),
+    (worker) => worker.isOpen(nowMs) && worker.couldRun(shape) && !reserved.has(worker.entry.id),
   );
   const byFree = able.sort((left, right) => right.freeCpuMillis - left.freeCpuMillis);
   return byFree[0] ?? null;
--- a/src/core/health.ts
+++ b/src/core/health.ts
@@ -63,10 +63,7 @@
 
   #ratioSamples = 0;
 
-  constructor(
-    guards: HealthGuards,
-    limits: HealthLimits = { failuresToAvoid: FAILURES_TO_AVOID },
-  ) {
+  constructor(guards: HealthGuards, limits: HealthLimits = { failuresToAvoid: FAILURES_TO_AVOID }) {
     this.#guards = guards;
     this.#limits = limits;
     this.#state = guards.slowStart ? WorkerState.slowStart : WorkerState.active;
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -2,7 +2,12 @@
  * The cells and their owners as this host sees them: follows the records in the store, watches the
  * owners, claims vacant cells, and runs the cells that this host owns.
  */
-import { BatchReason, type BatchOutcome, type CellSummary, type TaskBatch } from '../cells/messages';
+import {
+  BatchReason,
+  type BatchOutcome,
+  type CellSummary,
+  type TaskBatch,
+} from '../cells/messages';
 import type { CellOptions } from '../cells/cell';
 import type { WorkerEntry } from '../cells/worker';
 import type { Clock, RandomSource } from '../core/clock';
@@ -86,7 +91,7 @@
 
   #closed = false;
 
-  #resumeListener: () => void = () => {};
+  #resumeListener: (() => void) | null = null;
 
   constructor(parts: ClusterParts) {
     this.#parts = parts;
@@ -283,7 +288,7 @@
   #resume(nowMs: number): void {
     this.#parts.journal.decide('pause-detected', { gapMs: Math.round(nowMs - this.#lastTickMs) });
     this.#monitor.resume(nowMs);
-    this.#resumeListener();
+    this.#resumeListener?.();
   }
 
   #askPeers(nowMs: number): void {
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -78,6 +78,32 @@
   return `${jobId}.0.${stepIndex}.${index}`;
 }
 
+function noCell(job: RunningJob): JobOutcome {
+  if (job.begun) return { type: 'lost', reason: 'no-cell' };
+  return { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
+}
+
+/** Completed when all are; otherwise the first other outcome, and the rest is withdrawn. */
+function firstObstacle(
+  job: RunningJob,
+  outcomes: readonly Promise<JobOutcome>[],
+): Promise<JobOutcome> {
+  return new Promise((resolve) => {
+    let left = outcomes.length;
+    outcomes.forEach((pending) => {
+      pending.then((outcome) => {
+        left -= 1;
+        if (outcome.type !== 'completed') {
+          resolve(outcome);
+          job.aborts.forEach((abort) => abort.abort());
+        } else if (left === 0) {
+          resolve(outcome);
+        }
+      });
+    });
+  });
+}
+
 /** Jobs in progress on this host. */
 export class JobRunner {
   readonly #parts: JobRunnerParts;
@@ -180,28 +206,7 @@
       return obstacle ?? this.#runStep(job, step, index);
     };
     steps.forEach((step, index) => ends.set(index, runAfter(step, index)));
-    return this.#firstObstacle(job, [...ends.values()]);
-  }
-
-  /** Completed when all are; otherwise the first other outcome, and the rest is withdrawn. */
-  async #firstObstacle(
-    job: RunningJob,
-    outcomes: readonly Promise<JobOutcome>[],
-  ): Promise<JobOutcome> {
-    return new Promise((resolve) => {
-      let left = outcomes.length;
-      outcomes.forEach((pending) => {
-        pending.then((outcome) => {
-          left -= 1;
-          if (outcome.type !== 'completed') {
-            resolve(outcome);
-            job.aborts.forEach((abort) => abort.abort());
-          } else if (left === 0) {
-            resolve(outcome);
-          }
-        });
-      });
-    });
+    return firstObstacle(job, [...ends.values()]);
   }
 
   #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
@@ -210,7 +215,7 @@
     const { cpuMillis } = step.shape;
     const cells = cluster.serving();
     const shares = spread(cells, homeCell, step.taskCount, cpuMillis, step.estimateMs);
-    if (shares.length === 0) return Promise.resolve(this.#noCell(job));
+    if (shares.length === 0) return Promise.resolve(noCell(job));
     const declaredMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
     const otherStepsMs = declaredMs - step.estimateMs;
     shares.forEach(({ cell, taskIndexes }) => {
@@ -226,19 +231,14 @@
       }));
       return this.#runPart(job, { step, tasks, otherStepsMs }, cell);
     });
-    return this.#firstObstacle(job, parts);
-  }
-
-  #noCell(job: RunningJob): JobOutcome {
-    if (job.begun) return { type: 'lost', reason: 'no-cell' };
-    return { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
+    return firstObstacle(job, parts);
   }
 
   /** Offers a part to one cell after the other until one takes it. */
   async #runPart(job: RunningJob, part: Part, firstCell: string): Promise<JobOutcome> {
     const tried = new Set<string>();
     let cell: string | null = firstCell;
-    let refusal: JobOutcome = this.#noCell(job);
+    let refusal: JobOutcome = noCell(job);
     while (cell !== null) {
       tried.add(cell);
       const batch = this.#batchOf(job, part, job.begun, false);
--- a/src/dispatcher/settings.ts
+++ b/src/dispatcher/settings.ts
@@ -24,6 +24,8 @@
   readonly linesPerSecond: number;
 }
 
+const MS_PER_S = 1000;
+
 type Reader<T> = (text: string) => T | null;
 
 function readName(text: string): string | null {
@@ -101,7 +103,6 @@
 const ADDRESS = 'an IP number and a port, such as 127.0.0.1:7000';
 const LONGEST_LEASE_MS = 60_000;
 const LONGEST_DRAIN_S = 600;
-const MS_PER_S = 1000;
 const MOST_LINES = 100_000;
 const DEFAULT_LINES_PER_SECOND = 400;
 
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -2,8 +2,7 @@
  * Keeps up with one worker: renews its leases without a break, hears of ends, and knows its clock. A
  * worker that does not answer is asked again at short intervals.
  */
-import type { StartAnswer } from '../cells/actions';
-import type { WorkerReport } from '../cells/actions';
+import type { StartAnswer, WorkerReport } from '../cells/actions';
 import type { Clock } from '../core/clock';
 import {
   StopAnswer,
