--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -10,11 +10,13 @@
   type DecisionFields,
   type WorkerReport,
 } from './actions';
+import { Arrivals } from './arrivals';
 import { Batch, type TaskEntry } from './batch';
 import { forecastEndMs, type Demand } from './forecast';
 import { BatchReason, type BatchOutcome, type CellSummary, type TaskBatch } from './messages';
 import { choosePlace, chooseReservation, type PlacementQuery } from './placement';
 import { isSlowedByWorker, isTooSlowFor, isWorthMoving, type Comparison } from './progress';
+import { groupByQueue, nextQueue, QueueOrder } from './queueOrder';
 import { createRun, runKey, RunState, type Run } from './run';
 import { RunLedger } from './runLedger';
 import { RunTimes } from './runTimes';
@@ -34,6 +36,8 @@
 const CLAIM_WINDOW_MS = 600;
 /** A worker that slows a run down gets nothing new for this long. */
 const SLOW_REST_MS = 1000;
+/** Share of its expected run time that a batch must have to spare to be admitted. */
+const ADMISSION_MARGIN = 0.1;
 const LEAST_RETRY_MS = 100;
 const MOST_RETRY_MS = 10_000;
 
@@ -66,6 +70,10 @@
 
   readonly #runTimes = new RunTimes();
 
+  readonly #arrivals = new Arrivals();
+
+  readonly #priorities = new Map<string, number>();
+
   readonly #batches = new Map<string, Batch>();
 
   readonly #ownedSinceMs: number;
@@ -122,6 +130,7 @@
     const expectedMs = this.#runTimes.expectedMs(order.queue, order.estimateMs);
     const notBeforeMs = order.mayRun ? this.#adoptionEndMs(nowMs) : 0;
     const batch = new Batch(order, expectedMs, notBeforeMs, nowMs);
+    this.#priorities.set(order.queue, order.priority);
     const refusal = this.#refusal(batch, nowMs);
     if (refusal) {
       this.#end(batch, refusal, nowMs);
@@ -222,36 +231,73 @@
 
   #refusal(batch: Batch, nowMs: number): BatchOutcome | null {
     const { order } = batch;
+    const demand = demandOf(batch, order.tasks.length);
+    this.#arrivals.observe(order.queue, demand, nowMs);
+    if (order.begun || order.mayRun) return null;
     const workers = this.#workersFor(order.service);
     const open = workers.filter((worker) => worker.isOpen(nowMs));
-    if (order.begun || order.mayRun) return null;
     if (open.length === 0) return refuse(BatchReason.noWorkers, LEAST_RETRY_MS);
     if (!workers.some((worker) => worker.couldRun(order.shape))) {
       return refuse(BatchReason.impossible, MOST_RETRY_MS);
     }
-    const demand = demandOf(batch, order.tasks.length);
-    const endMs = forecastEndMs(open, this.#demandsAhead(batch), demand, nowMs);
-    const startsAtOnce = endMs <= nowMs + batch.expectedMs * slowestOf(open);
-    const lateMs = endMs - batch.objectiveAtMs;
-    if (lateMs <= 0 || (startsAtOnce && endMs <= batch.deadlineAtMs)) return null;
+    const endMs = forecastEndMs(open, this.#demandsAhead(batch, nowMs), demand, nowMs);
+    const marginMs = batch.expectedMs * ADMISSION_MARGIN;
+    const lateMs = endMs + marginMs - batch.objectiveAtMs;
+    if (lateMs <= 0 || this.#fitsNow(batch, open, nowMs)) return null;
     return refuse(BatchReason.overloaded, lateMs);
   }
 
+  /** True if all tasks of the batch could start at once, with nothing waiting before them. */
+  #fitsNow(batch: Batch, open: readonly CellWorker[], nowMs: number): boolean {
+    if ([...this.#batches.values()].some(({ waitingCount }) => waitingCount > 0)) return false;
+    const demand = demandOf(batch, batch.order.tasks.length);
+    const endMs = forecastEndMs(open, [], demand, nowMs);
+    return endMs <= nowMs + batch.expectedMs * slowestOf(open);
+  }
+
   #workersFor(service: string): readonly CellWorker[] {
     return [...this.#ledger.workers.values()].filter(({ entry }) => entry.service === service);
   }
 
-  #demandsAhead(batch: Batch): readonly Demand[] {
-    return this.#queue()
-      .filter((other) => other.latestStartMs <= batch.latestStartMs)
-      .map((other) => demandOf(other, other.waitingCount));
+  /** Work that is served before a new batch: what waits, and what will have come by its start. */
+  #demandsAhead(batch: Batch, nowMs: number): readonly Demand[] {
+    const order = this.#order(nowMs);
+    const { queue, priority } = batch.order;
+    const waiting = [...this.#batches.values()].filter((other) => {
+      const { queue: name, priority: urgency } = other.order;
+      if (other.waitingCount === 0) return false;
+      if (name === queue) return other.latestStartMs <= batch.latestStartMs;
+      return order.precedes(name, urgency, queue, priority);
+    });
+    const ahead = waiting.map((other) => demandOf(other, other.waitingCount));
+    return [...ahead, ...this.#foreseenAhead(batch, order, nowMs)];
+  }
+
+  #foreseenAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
+    const { queue, priority } = batch.order;
+    const horizonMs = batch.latestStartMs - nowMs;
+    const limit = order.isBelowShare(queue) ? order.shareCpuMillis : Infinity;
+    return this.#arrivals.queues().flatMap((name) => {
+      const urgency = this.#priorities.get(name) ?? 0;
+      if (name === queue || urgency >= priority) return [];
+      const foreseen = this.#arrivals.foresee(name, horizonMs, limit, nowMs);
+      return foreseen ? [foreseen] : [];
+    });
   }
 
-  /** Batches with waiting tasks, in the order in which they are served. */
-  #queue(): readonly Batch[] {
-    return [...this.#batches.values()]
-      .filter(({ waitingCount }) => waitingCount > 0)
-      .sort((left, right) => left.latestStartMs - right.latestStartMs);
+  /** Who uses what of the cell at this moment. */
+  #order(nowMs: number): QueueOrder {
+    const used = new Map<string, number>();
+    let capacity = 0;
+    this.#ledger.workers.forEach((worker) => {
+      if (worker.isOpen(nowMs)) capacity += worker.entry.cpuMillis;
+      worker.runs.forEach(({ queue, shape }) => {
+        used.set(queue, (used.get(queue) ?? 0) + shape.cpuMillis);
+      });
+    });
+    const active = new Set(used.keys());
+    this.#batches.forEach(({ order }) => active.add(order.queue));
+    return new QueueOrder(capacity, used, active);
   }
 
   /** Finds runs of the batch's tasks that are in progress or have ended without a claim. */
@@ -294,17 +340,21 @@
   }
 
   #place(nowMs: number): void {
+    const queues = groupByQueue(this.#batches.values());
+    if (queues.length === 0) return;
+    const order = this.#order(nowMs);
     const reserved = new Set<string>();
     let blocked = 0;
-    const queue = this.#queue();
-    for (let index = 0; index < queue.length && blocked <= BACKFILL_BATCHES; index += 1) {
-      const batch = queue[index];
-      if (batch && !this.#placeBatch(batch, reserved, nowMs)) blocked += 1;
+    let queue = nextQueue(queues, order);
+    while (queue && blocked <= BACKFILL_BATCHES) {
+      const batch = queue.batches.shift();
+      if (batch && !this.#placeBatch(batch, order, reserved, nowMs)) blocked += 1;
+      queue = nextQueue(queues, order);
     }
   }
 
   /** Starts what finds room; false if a task of the batch has to wait. */
-  #placeBatch(batch: Batch, reserved: Set<string>, nowMs: number): boolean {
+  #placeBatch(batch: Batch, order: QueueOrder, reserved: Set<string>, nowMs: number): boolean {
     const { shape, service, jobId } = batch.order;
     const workers = this.#workersFor(service);
     return batch.waiting(nowMs).every((task) => {
@@ -312,6 +362,7 @@
       const worker = choosePlace(workers, query);
       if (worker) {
         this.#start(batch, task, worker, nowMs);
+        order.use(batch.order.queue, shape.cpuMillis);
         return true;
       }
       const reservation = chooseReservation(workers, query);
@@ -495,7 +546,7 @@
 
   #giveUpHopeless(nowMs: number): void {
     this.#batches.forEach((batch) => {
-      const tooLate = !batch.isBegun && nowMs > batch.latestStartMs + batch.expectedMs;
+      const tooLate = !batch.isBegun && nowMs > batch.latestStartMs;
       if (tooLate) this.#giveUp(batch, BatchReason.overloaded, nowMs);
       else if (!this.#canEnd(batch, nowMs)) this.#giveUp(batch, BatchReason.deadline, nowMs);
     });
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -253,8 +253,9 @@
     });
     const owner = this.#owned.get(record.cell);
     if (owner && owner.fencingToken < record.revision) this.#release(owner, 'newer-owner');
-    this.#refreshHealth(this.#parts.clock.nowMs());
     if (this.#ownership.isSelf(record.owner)) this.#own(record);
+    else this.#askPeers(this.#parts.clock.nowMs());
+    this.#refreshHealth(this.#parts.clock.nowMs());
   }
 
   #release(owner: CellOwner, reason: string): void {
@@ -294,7 +295,7 @@
   #askPeers(nowMs: number): void {
     const { self, queues, seeds } = this.#parts;
     const owners = [...this.#records.values()].map(({ owner }) => owner);
-    const others = owners.filter((owner) => !this.#ownership.isSelf(owner));
+    const others = owners.filter(({ address }) => address !== self.address);
     this.#monitor.setOwners(others, nowMs);
     const lacksNews = this.#records.size === 0 || queues.configuration === null;
     const strangers = lacksNews ? seeds.filter((seed) => seed !== self.address) : [];
@@ -342,7 +343,8 @@
 
   #refreshHealth(nowMs: number): void {
     this.#records.forEach(({ cell, owner }) => {
-      if (this.#ownership.isSelf(owner)) {
+      if (owner.address === this.#parts.self.address) {
+        // An earlier incarnation of this host, or this one without the cell.
         this.#health.set(cell, OwnerHealth.gone);
         return;
       }
