--- a/src/cells/arrivals.ts
+++ b/src/cells/arrivals.ts
@@ -1,8 +1,8 @@
 /** How much work each queue has brought lately, so that work of more urgent queues can be foreseen. */
 import type { Demand } from './forecast';
 
-/** Time over which arrivals are averaged: long enough for bursts of single jobs to even out. */
-const WINDOW_MS = 1000;
+/** Time over which arrivals are averaged: long enough for single jobs to even out. */
+const WINDOW_MS = 2000;
 /** A forecast plays at most this many foreseen tasks. */
 const FORESEEN_MAX = 200;
 
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -16,7 +16,7 @@
 import { BatchReason, type BatchOutcome, type CellSummary, type TaskBatch } from './messages';
 import { choosePlace, chooseReservation, type PlacementQuery } from './placement';
 import { isSlowedByWorker, isTooSlowFor, isWorthMoving, type Comparison } from './progress';
-import { groupByQueue, nextQueue, QueueOrder } from './queueOrder';
+import { groupByQueue, nextQueue, QueueOrder, RESERVE_FRACTION } from './queueOrder';
 import { createRun, runKey, RunState, type Run } from './run';
 import { RunLedger } from './runLedger';
 import { RunTimes } from './runTimes';
@@ -54,6 +54,11 @@
   return { tasks, cpuMillis: batch.order.shape.cpuMillis, expectedMs: batch.expectedMs };
 }
 
+/** The workers that lent capacity may be forecast on. */
+function withoutReserve(workers: readonly CellWorker[]): readonly CellWorker[] {
+  return workers.slice(Math.ceil(workers.length * RESERVE_FRACTION));
+}
+
 /** Fields that name a batch in the log. */
 function describe(batch: Batch): DecisionFields {
   const { jobId, queue, priority, tasks } = batch.order;
@@ -240,13 +245,22 @@
     if (!workers.some((worker) => worker.couldRun(order.shape))) {
       return refuse(BatchReason.impossible, MOST_RETRY_MS);
     }
-    const endMs = forecastEndMs(open, this.#demandsAhead(batch, nowMs), demand, nowMs);
+    const endMs = this.#forecastEndMs(batch, open, nowMs);
     const marginMs = batch.expectedMs * ADMISSION_MARGIN;
     const lateMs = endMs + marginMs - batch.objectiveAtMs;
     if (lateMs <= 0 || this.#fitsNow(batch, open, nowMs)) return null;
     return refuse(BatchReason.overloaded, lateMs);
   }
 
+  #forecastEndMs(batch: Batch, open: readonly CellWorker[], nowMs: number): number {
+    const order = this.#order(nowMs);
+    const ahead = this.#demandsAhead(batch, order, nowMs);
+    const demand = demandOf(batch, batch.order.tasks.length);
+    const isLent = !order.isBelowShare(batch.order.queue);
+    const usable = isLent ? withoutReserve(open) : open;
+    return forecastEndMs(usable, ahead, demand, nowMs);
+  }
+
   /** True if all tasks of the batch could start at once, with nothing waiting before them. */
   #fitsNow(batch: Batch, open: readonly CellWorker[], nowMs: number): boolean {
     if ([...this.#batches.values()].some(({ waitingCount }) => waitingCount > 0)) return false;
@@ -260,8 +274,7 @@
   }
 
   /** Work that is served before a new batch: what waits, and what will have come by its start. */
-  #demandsAhead(batch: Batch, nowMs: number): readonly Demand[] {
-    const order = this.#order(nowMs);
+  #demandsAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
     const { queue, priority } = batch.order;
     const waiting = [...this.#batches.values()].filter((other) => {
       const { queue: name, priority: urgency } = other.order;
@@ -276,10 +289,12 @@
   #foreseenAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
     const { queue, priority } = batch.order;
     const horizonMs = batch.latestStartMs - nowMs;
-    const limit = order.isBelowShare(queue) ? order.shareCpuMillis : Infinity;
+    const isLent = !order.isBelowShare(queue);
     return this.#arrivals.queues().flatMap((name) => {
-      const urgency = this.#priorities.get(name) ?? 0;
-      if (name === queue || urgency >= priority) return [];
+      const isUrgent = (this.#priorities.get(name) ?? 0) < priority;
+      const isServedFirst = isUrgent || (isLent && order.isBelowShare(name));
+      if (name === queue || !isServedFirst) return [];
+      const limit = isLent && isUrgent ? Infinity : order.shareCpuMillis;
       const foreseen = this.#arrivals.foresee(name, horizonMs, limit, nowMs);
       return foreseen ? [foreseen] : [];
     });
@@ -297,7 +312,9 @@
     });
     const active = new Set(used.keys());
     this.#batches.forEach(({ order }) => active.add(order.queue));
-    return new QueueOrder(capacity, used, active);
+    return new QueueOrder(capacity, used, active, (queue) =>
+      this.#arrivals.cpuMillisOf(queue, nowMs),
+    );
   }
 
   /** Finds runs of the batch's tasks that are in progress or have ended without a claim. */
@@ -358,6 +375,7 @@
     const { shape, service, jobId } = batch.order;
     const workers = this.#workersFor(service);
     return batch.waiting(nowMs).every((task) => {
+      if (!this.#mayUse(order, batch, nowMs)) return false;
       const query: PlacementQuery = { shape, task, jobId, reserved, nowMs };
       const worker = choosePlace(workers, query);
       if (worker) {
@@ -371,6 +389,16 @@
     });
   }
 
+  /** A queue above its share leaves the reserve free; a job that has begun is finished. */
+  #mayUse(order: QueueOrder, batch: Batch, nowMs: number): boolean {
+    if (batch.isBegun || order.isBelowShare(batch.order.queue)) return true;
+    let free = 0;
+    this.#ledger.workers.forEach((worker) => {
+      if (worker.isOpen(nowMs)) free += worker.freeCpuMillis;
+    });
+    return free - batch.order.shape.cpuMillis >= order.reserveCpuMillis;
+  }
+
   #start(batch: Batch, task: TaskEntry, worker: CellWorker, nowMs: number): void {
     const entry = task;
     const { queue, shape, jobId, payload } = batch.order;
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -56,6 +56,8 @@
 /** A longer time between two ticks means that the process stood still. */
 const PAUSE_GAP_MS = 400;
 const WATCH_AGAIN_MS = 200;
+/** A vacant cell usually finds an owner within this time. */
+const TAKEOVER_TIME_MS = 1500;
 
 /** View of the cells from one host. */
 export class Cluster {
@@ -85,6 +87,9 @@
 
   #listing = false;
 
+  /** Since when no cell has served, or the time of the start. */
+  #unservedSinceMs: number;
+
   #storeUp: boolean | null = null;
 
   #leaving = false;
@@ -96,6 +101,7 @@
   constructor(parts: ClusterParts) {
     this.#parts = parts;
     this.#lastTickMs = parts.clock.nowMs();
+    this.#unservedSinceMs = this.#lastTickMs;
     this.#ownership = new Ownership(parts.self, parts.random, this.#lastTickMs);
   }
 
@@ -130,14 +136,19 @@
     this.#owned.clear();
   }
 
-  /** Cells whose owner serves, with what is known of their load. */
+  /** Cells whose owner serves and has workers, with what is known of their load. */
   serving(): readonly CellSummary[] {
     return this.#parts.cells.flatMap((cell) => {
       const summary = this.#isServing(cell) ? this.loads.get(cell) : undefined;
-      return summary ? [summary] : [];
+      return summary && summary.capacityCpuMillis > 0 ? [summary] : [];
     });
   }
 
+  /** True while a cell without an owner is likely to find one soon. */
+  get expectsOwner(): boolean {
+    return this.#parts.clock.nowMs() - this.#unservedSinceMs < TAKEOVER_TIME_MS;
+  }
+
   ownerOf(cell: string): CellRecord | null {
     return this.#records.get(cell) ?? null;
   }
@@ -284,6 +295,7 @@
       this.#listWorkers();
     }
     this.#owned.forEach((owner) => this.loads.set(owner.summary()));
+    if (this.serving().length > 0) this.#unservedSinceMs = nowMs;
   }
 
   #resume(nowMs: number): void {
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -120,6 +120,11 @@
     });
   }
 
+  /** Names of the cells that this host owns. */
+  get ownedCells(): readonly string[] {
+    return this.#cluster.owners.map(({ cell }) => cell);
+  }
+
   async open(): Promise<void> {
     const { settings, platform, metrics } = this.#parts;
     const peers = splitAddress(settings.peersAddress);
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -44,6 +44,8 @@
 /** Runs of a new owner get numbers well above those that the previous one may have used. */
 const RUN_NUMBER_GAP = 16;
 const RETRY_AFTER_MS = 300;
+/** Longest wait of a job for a cell to find its owner. */
+const CELL_WAIT_MS = 300;
 /** A cell refuses a batch within this time, or has taken it. */
 const REFUSAL_TIME_MS = 8;
 
@@ -74,6 +76,13 @@
   readonly otherStepsMs: number;
 }
 
+/** End of a batch, and which owner of the cell it was sent to. */
+interface SentBatch {
+  readonly cell: string;
+  readonly revision: number;
+  readonly outcome: BatchOutcome;
+}
+
 function taskName(jobId: string, stepIndex: number, index: number): string {
   return `${jobId}.0.${stepIndex}.${index}`;
 }
@@ -209,13 +218,25 @@
     return firstObstacle(job, [...ends.values()]);
   }
 
-  #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
+  /** Waits a little for the first cell after a start or a change of owner. */
+  async #awaitCell(job: RunningJob): Promise<void> {
+    const { cluster, clock } = this.#parts;
+    const untilMs = clock.nowMs() + CELL_WAIT_MS;
+    while (cluster.serving().length === 0 && cluster.expectsOwner && !job.abandoned) {
+      if (clock.nowMs() >= untilMs) return;
+      // eslint-disable-next-line no-await-in-loop -- waits for the next owner
+      await sleep(POLL_MS);
+    }
+  }
+
+  async #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
     const { cluster, homeCell } = this.#parts;
+    await this.#awaitCell(job);
     const { id, steps } = job.request.job;
     const { cpuMillis } = step.shape;
     const cells = cluster.serving();
     const shares = spread(cells, homeCell, step.taskCount, cpuMillis, step.estimateMs);
-    if (shares.length === 0) return Promise.resolve(noCell(job));
+    if (shares.length === 0) return noCell(job);
     const declaredMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
     const otherStepsMs = declaredMs - step.estimateMs;
     shares.forEach(({ cell, taskIndexes }) => {
@@ -243,8 +264,9 @@
       tried.add(cell);
       const batch = this.#batchOf(job, part, job.begun, false);
       // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
-      const outcome = await this.#send(job, cell, batch);
-      if (outcome.type !== 'refused') return this.#conclude(job, part, cell, outcome);
+      const sent = await this.#send(job, cell, batch);
+      const { outcome } = sent;
+      if (outcome.type !== 'refused') return this.#conclude(job, part, sent);
       refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
       cell = job.abandoned ? null : this.#nextCell(tried);
     }
@@ -265,8 +287,8 @@
   async #force(job: RunningJob, part: Part): Promise<JobOutcome> {
     const cell = this.#nextCell(new Set());
     if (cell === null) return { type: 'lost', reason: 'no-cell' };
-    const outcome = await this.#send(job, cell, this.#batchOf(job, part, true, false));
-    return this.#conclude(job, part, cell, outcome);
+    const sent = await this.#send(job, cell, this.#batchOf(job, part, true, false));
+    return this.#conclude(job, part, sent);
   }
 
   #nextCell(tried: ReadonlySet<string>): string | null {
@@ -276,18 +298,14 @@
     return left.sort((one, other) => work(one) - work(other))[0]?.cell ?? null;
   }
 
-  async #conclude(
-    job: RunningJob,
-    part: Part,
-    cell: string,
-    outcome: BatchOutcome,
-  ): Promise<JobOutcome> {
+  async #conclude(job: RunningJob, part: Part, sent: SentBatch): Promise<JobOutcome> {
+    const { outcome } = sent;
     if (outcome.type === 'done') return { type: 'completed' };
     if (outcome.type === 'failed') return { type: 'failed' };
     const ownerLost =
       outcome.reason === BatchReason.handedOver || outcome.reason === BatchReason.unreachable;
     if (outcome.type === 'lost' && ownerLost && !job.abandoned) {
-      return this.#recover(job, part, cell);
+      return this.#recover(job, part, sent);
     }
     return { type: 'lost', reason: outcome.reason };
   }
@@ -296,22 +314,21 @@
    * The owner of the cell is gone while the part may run. The next owner adopts the runs; without one
    * the part starts elsewhere when the leases are over.
    */
-  async #recover(job: RunningJob, part: Part, cell: string): Promise<JobOutcome> {
+  async #recover(job: RunningJob, part: Part, { cell, revision }: SentBatch): Promise<JobOutcome> {
     const { cluster, clock, leaseMs, journal } = this.#parts;
-    const before = cluster.ownerOf(cell)?.revision ?? 0;
     const settledAtMs = clock.nowMs() + leaseMs;
     const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
-    journal.decide('owner-lost', { jobId: job.request.job.id, cell, revision: before });
+    journal.decide('owner-lost', { jobId: job.request.job.id, cell, revision });
     const renamed: Part = {
       ...part,
       tasks: part.tasks.map((task) => ({ ...task, lastRun: task.lastRun + RUN_NUMBER_GAP })),
     };
     while (!job.abandoned && clock.nowMs() < lastChanceMs) {
-      if ((cluster.ownerOf(cell)?.revision ?? 0) > before && cluster.isServing(cell)) {
+      if ((cluster.ownerOf(cell)?.revision ?? 0) > revision && cluster.isServing(cell)) {
         const batch = this.#batchOf(job, renamed, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-        const outcome = await this.#send(job, cell, batch);
-        return this.#conclude(job, renamed, cell, outcome);
+        const sent = await this.#send(job, cell, batch);
+        return this.#conclude(job, renamed, sent);
       }
       if (clock.nowMs() >= settledAtMs) return this.#force(job, renamed);
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
@@ -345,11 +362,11 @@
     };
   }
 
-  async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<BatchOutcome> {
+  async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
+    const revision = this.#parts.cluster.ownerOf(cell)?.revision ?? 0;
     const abort = new AbortController();
     job.aborts.add(abort);
-    const sending = this.#parts.cluster.run(cell, batch, abort);
-    const outcome = await sending;
+    const outcome = await this.#parts.cluster.run(cell, batch, abort);
     job.aborts.delete(abort);
     const running = job;
     if (outcome.type !== 'refused') running.begun = true;
@@ -361,6 +378,6 @@
       outcome: outcome.type,
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
-    return outcome;
+    return { cell, revision, outcome };
   }
 }
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -3,6 +3,7 @@
  * it, or whose host falls silent, has its batch withdrawn.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { text as readText } from 'node:stream/consumers';
 import { BatchReason, type BatchOutcome, type CellSummary } from '../cells/messages';
 import type { Clock } from '../core/clock';
 import type { HostIdentity } from './cellRecord';
@@ -35,13 +36,6 @@
   readonly call: BatchCall;
 }
 
-async function readText(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  // eslint-disable-next-line no-restricted-syntax -- a stream is read in order
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 function sendJson(response: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body);
   response.writeHead(status, {
--- /dev/null
+++ b/test/cells/cell.test.ts
@@ -0,0 +1,182 @@
+/** The owner's side of a cell, against simulated workers in virtual time. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { BatchReason } from '../../src/cells/messages';
+import { batchOf, CellWorld } from './cellWorld';
+
+const SETTLE = { queue: 'settle', priority: 2, estimateMs: 900, deadlineInMs: 6000 } as const;
+const CHECK = { queue: 'check', priority: 1, estimateMs: 200, deadlineInMs: 2500 } as const;
+
+describe('a cell serves batches', () => {
+  it('runs all tasks of a batch once and reports it done', () => {
+    const world = CellWorld.withWorkers(2);
+    const record = world.offer(batchOf({ taskCount: 4 }));
+    world.advance(100);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.starts.length).toEqual(4);
+    expect(world.overlaps).toEqual([]);
+  });
+
+  it('never starts more on a worker than fits', () => {
+    const world = CellWorld.withWorkers(1);
+    world.offer(batchOf({ taskCount: 6, estimateMs: 60, goalMs: 600 }));
+    for (let ms = 0; ms < 300; ms += 1) {
+      world.advance(1);
+      expect(world.workers[0]?.usedCpuMillis ?? 0).toBeLessThanOrEqual(64_000);
+    }
+    expect(world.tally('unlock').inTime).toEqual(1);
+  });
+
+  it('refuses at once, with a time to return, what can not end in time', () => {
+    const world = CellWorld.withWorkers(1);
+    world.offer(batchOf({ ...SETTLE, taskCount: 2 }));
+    const record = world.offer(batchOf({ ...SETTLE, taskCount: 4 }));
+    expect(record.outcome?.type).toEqual('refused');
+    expect(record.endedAtMs - record.offeredAtMs).toEqual(0);
+  });
+
+  it('refuses a task that no worker could ever run', () => {
+    const world = CellWorld.withWorkers(1);
+    const shape = { ...batchOf().shape, cpuMillis: 70_000 };
+    const record = world.offer(batchOf({ shape }));
+    const reason = record.outcome?.type === 'refused' ? record.outcome.reason : null;
+    expect(reason).toEqual(BatchReason.impossible);
+  });
+
+  it('holds a worker free for a large task that small ones would overtake for ever', () => {
+    const world = CellWorld.withWorkers(1);
+    world.offer(batchOf({ taskCount: 2 }));
+    const large = world.offer(
+      batchOf({ shape: { ...batchOf().shape, cpuMillis: 60_000 }, goalMs: 400 }),
+    );
+    for (let ms = 0; ms < 300; ms += 10) {
+      if (ms % 20 === 0) world.offer(batchOf({ goalMs: 900, queue: 'check', priority: 1 }));
+      world.advance(10);
+    }
+    expect(large.outcome).toEqual({ type: 'done' });
+  });
+});
+
+describe('a cell under faults of its workers', () => {
+  it('fails a batch only when a task has failed as often as its queue allows', () => {
+    const world = CellWorld.withWorkers(3);
+    world.workers.forEach(({ faults }) => Object.assign(faults, { fails: true }));
+    const record = world.offer(batchOf({ maxAttempts: 2 }));
+    world.advance(400);
+    expect(record.outcome).toEqual({ type: 'failed', task: record.batch.tasks[0]?.name ?? '' });
+    expect(world.starts.length).toEqual(2);
+  });
+
+  it('starts a failed task again on another worker', () => {
+    const world = CellWorld.withWorkers(2);
+    Object.assign(world.workers[0]?.faults ?? {}, { fails: true });
+    const records = [0, 1, 2, 3].map(() => world.offer(batchOf()));
+    world.advance(400);
+    expect(records.map(({ outcome }) => outcome?.type)).toEqual(['done', 'done', 'done', 'done']);
+  });
+
+  it('never runs a task twice at a time when its worker falls silent', () => {
+    const world = CellWorld.withWorkers(2);
+    const record = world.offer(batchOf({ ...SETTLE, taskCount: 1, deadlineInMs: 8000 }));
+    world.advance(100);
+    const busy = world.workers.find(({ runs }) => runs.size > 0);
+    Object.assign(busy?.faults ?? {}, { silent: true, hangs: true });
+    world.advance(4000);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.starts.length).toEqual(2);
+    expect(world.overlaps).toEqual([]);
+  });
+
+  it('gives a batch up at once when its worker is silent and no time is left', () => {
+    const world = CellWorld.withWorkers(2);
+    const record = world.offer(batchOf({ ...SETTLE, taskCount: 1, deadlineInMs: 1500 }));
+    world.advance(100);
+    world.workers.forEach(({ faults }) => Object.assign(faults, { silent: true }));
+    world.advance(400);
+    expect(record.outcome).toEqual({ type: 'lost', reason: BatchReason.deadline, settled: false });
+  });
+
+  it('takes a run whose start had no answer from the list of runs, without a second start', () => {
+    const world = CellWorld.withWorkers(1);
+    Object.assign(world.workers[0]?.faults ?? {}, { losesStartAnswers: true });
+    const record = world.offer(batchOf({ ...CHECK }));
+    world.advance(400);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.starts.length).toEqual(1);
+  });
+
+  it('moves a run that stands still, and rests the worker', () => {
+    const world = CellWorld.withWorkers(2);
+    Object.assign(world.workers[0]?.faults ?? {}, { hangs: true });
+    Object.assign(world.workers[1]?.faults ?? {}, { slowness: 1.2 });
+    const record = world.offer(batchOf({ ...CHECK }));
+    world.advance(2000);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.overlaps).toEqual([]);
+    expect(world.decisions.some(({ decision }) => decision === 'run-moved')).toEqual(true);
+  });
+
+  it('does not move the runs of a job that is larger than declared', () => {
+    const world = new CellWorld(
+      ['a', 'b', 'c'].map((id) => CellWorld.worker(id)),
+      0,
+      (batch) => batch.estimateMs * 3,
+    );
+    const record = world.offer(batchOf({ ...SETTLE, estimateMs: 300, taskCount: 5 }));
+    world.advance(2500);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.starts.length).toEqual(5);
+  });
+
+  it('gives a job up as soon as its progress shows that it can not end in time', () => {
+    const world = new CellWorld(
+      ['a', 'b'].map((id) => CellWorld.worker(id)),
+      0,
+      (batch) => batch.estimateMs * 4,
+    );
+    const record = world.offer(batchOf({ ...SETTLE, taskCount: 2, deadlineInMs: 2000 }));
+    world.advance(1000);
+    expect(record.outcome?.type).toEqual('lost');
+    world.advance(100);
+    expect(world.workers.every(({ runs }) => runs.size === 0)).toEqual(true);
+  });
+});
+
+describe('a cell that changes hands', () => {
+  it('adopts the runs that the previous owner started instead of starting them again', () => {
+    const first = CellWorld.withWorkers(2);
+    const batch = batchOf({ ...SETTLE, taskCount: 3 });
+    const before = first.offer(batch);
+    first.advance(300);
+    first.cell.handOver(first.nowMs);
+    expect(first.cell.take().some((action) => action.type === 'end')).toEqual(true);
+    const second = new CellWorld(first.workers, first.nowMs);
+    const after = second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    second.advance(1500);
+    expect(before.outcome).toEqual(null);
+    expect(after.outcome).toEqual({ type: 'done' });
+    expect(second.starts).toEqual([]);
+  });
+
+  it('takes the end of a run that came while no owner listened', () => {
+    const first = CellWorld.withWorkers(1);
+    const batch = batchOf({ taskCount: 1 });
+    first.offer(batch);
+    first.advance(30);
+    const [worker] = first.workers;
+    worker?.finish(`${batch.tasks[0]?.name}#1`, 'succeeded');
+    const second = new CellWorld(first.workers, first.nowMs + 20);
+    const after = second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    expect(after.outcome).toEqual({ type: 'done' });
+    expect(second.starts).toEqual([]);
+  });
+
+  it('stops runs that nobody claims', () => {
+    const first = CellWorld.withWorkers(1);
+    first.offer(batchOf({ ...SETTLE }));
+    first.advance(50);
+    const second = new CellWorld(first.workers, first.nowMs);
+    second.advance(800);
+    expect(second.workers[0]?.runs.size).toEqual(0);
+  });
+});
--- /dev/null
+++ b/test/cells/cellWorld.ts
@@ -0,0 +1,298 @@
+/**
+ * A cell with simulated workers in virtual time. Workers keep what the platform's workers promise: they
+ * refuse what does not fit, end runs when leases lapse, and list ends until they are acknowledged.
+ */
+import { Cell } from '../../src/cells/cell';
+import { RunEnd, StartAnswer, type CellAction } from '../../src/cells/actions';
+import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
+import { SimulatedWorker, workerEntry, type SimulatedRun } from './simulatedWorker';
+
+const LEASE_MS = 1000;
+const RENEW_MS = 250;
+const TICK_MS = 20;
+const ONE_WAY_MS = 0.5;
+
+/** How a batch ended, and when. */
+export interface BatchRecord {
+  readonly batch: TaskBatch;
+  readonly offeredAtMs: number;
+  readonly objectiveAtMs: number;
+  outcome: BatchOutcome | null;
+  endedAtMs: number;
+}
+
+let batchCount = 0;
+
+/** Builds a batch; its tasks take 60 ms on 27 cores unless said otherwise. */
+export function batchOf(
+  overrides: Partial<TaskBatch> & { readonly taskCount?: number } = {},
+): TaskBatch {
+  batchCount += 1;
+  const { taskCount = 1, ...rest } = overrides;
+  const jobId = rest.jobId ?? `job${batchCount}`;
+  return {
+    batchId: `batch-${batchCount}`,
+    jobId,
+    queue: 'unlock',
+    service: 'kiosk-dispatch',
+    priority: 0,
+    maxAttempts: 2,
+    payload: 'x',
+    shape: {
+      cpuMillis: 27_000,
+      memoryMb: 64,
+      accelerators: 0,
+      requiredLabel: null,
+      preferredRack: null,
+      tasksPerWorker: null,
+    },
+    estimateMs: 60,
+    tasks: Array.from({ length: taskCount }, (_, index) => ({
+      name: `${jobId}.0.0.${index}`,
+      failures: 0,
+      lastRun: 0,
+    })),
+    slackFactor: 1.6,
+    goalMs: 60,
+    waitedMs: 0,
+    otherStepsMs: 0,
+    deadlineInMs: 2000,
+    begun: false,
+    mayRun: false,
+    ...rest,
+  };
+}
+
+/** A cell and its workers; `advance` plays virtual time. */
+export class CellWorld {
+  readonly cell: Cell;
+
+  readonly workers: readonly SimulatedWorker[];
+
+  readonly records = new Map<string, BatchRecord>();
+
+  /** Every start that a worker carried out. */
+  readonly starts: { task: string; run: number; worker: string; atMs: number }[] = [];
+
+  /** Moments at which two runs of one task were in progress. */
+  readonly overlaps: string[] = [];
+
+  readonly decisions: { decision: string; fields: Readonly<Record<string, unknown>> }[] = [];
+
+  readonly #runMs: (batch: TaskBatch) => number;
+
+  readonly #later: { atMs: number; act: () => void }[] = [];
+
+  readonly #batchOfTask = new Map<string, TaskBatch>();
+
+  nowMs: number;
+
+  constructor(
+    workers: readonly SimulatedWorker[],
+    nowMs = 0,
+    runMs = (batch: TaskBatch) => batch.estimateMs,
+  ) {
+    this.nowMs = nowMs;
+    this.workers = workers;
+    this.#runMs = runMs;
+    this.cell = new Cell('sofia-a', { leaseMs: 1050, missingGraceMs: 2500 }, nowMs);
+    this.cell.setWorkers(
+      workers.map(({ entry }) => entry),
+      nowMs,
+    );
+    this.#act();
+    workers.forEach((worker) => this.#renew(worker));
+    this.#act();
+  }
+
+  static withWorkers(count: number, cpuMillis = 64_000): CellWorld {
+    return new CellWorld(
+      Array.from({ length: count }, (_, index) => CellWorld.worker(`w${index}`, cpuMillis)),
+    );
+  }
+
+  static worker(id: string, cpuMillis = 64_000): SimulatedWorker {
+    return new SimulatedWorker(workerEntry(id, cpuMillis));
+  }
+
+  offer(batch: TaskBatch): BatchRecord {
+    const record: BatchRecord = {
+      batch,
+      offeredAtMs: this.nowMs,
+      objectiveAtMs: this.nowMs + batch.slackFactor * this.#runMs(batch) + batch.goalMs,
+      outcome: null,
+      endedAtMs: 0,
+    };
+    this.records.set(batch.batchId, record);
+    batch.tasks.forEach(({ name }) => this.#batchOfTask.set(name, batch));
+    this.cell.offer(batch, this.nowMs);
+    this.#act();
+    return record;
+  }
+
+  /** Plays `durationMs` in steps of one millisecond. */
+  advance(durationMs: number): void {
+    const untilMs = this.nowMs + durationMs;
+    while (this.nowMs < untilMs) {
+      this.nowMs += 1;
+      this.#step();
+    }
+  }
+
+  /** Batches of a queue by how they fared. */
+  tally(queue: string): {
+    inTime: number;
+    late: number;
+    refused: number;
+    other: number;
+    all: number;
+  } {
+    const records = [...this.records.values()].filter(({ batch }) => batch.queue === queue);
+    const done = records.filter(({ outcome }) => outcome?.type === 'done');
+    const inTime = done.filter((record) => record.endedAtMs <= record.objectiveAtMs).length;
+    const refused = records.filter(({ outcome }) => outcome?.type === 'refused').length;
+    const late = done.length - inTime;
+    return {
+      inTime,
+      late,
+      refused,
+      other: records.length - inTime - late - refused,
+      all: records.length,
+    };
+  }
+
+  #step(): void {
+    const due = this.#later.filter(({ atMs }) => atMs <= this.nowMs);
+    due.forEach((event) => this.#later.splice(this.#later.indexOf(event), 1));
+    due.forEach(({ act }) => act());
+    this.workers.forEach((worker) => this.#stepWorker(worker));
+    if (this.nowMs % TICK_MS === 0) this.cell.tick(this.nowMs);
+    this.#act();
+  }
+
+  #stepWorker(simulated: SimulatedWorker): void {
+    const worker = simulated;
+    const before = worker.ended.length;
+    [...worker.runs.entries()].forEach(([key, run]) => {
+      if (!worker.faults.hangs && run.endsAtMs <= this.nowMs) worker.finish(key, run.end);
+      else if (worker.leaseEndsAtMs <= this.nowMs) worker.finish(key, RunEnd.lapsed);
+    });
+    if (worker.faults.silent) {
+      worker.silentSinceMs ??= this.nowMs;
+      if (this.nowMs - worker.silentSinceMs >= RENEW_MS)
+        this.cell.workerSilent(worker.entry.id, this.nowMs);
+      return;
+    }
+    worker.silentSinceMs = null;
+    if (worker.ended.length > before || this.nowMs >= worker.nextRenewalMs) this.#renew(worker);
+  }
+
+  #renew(simulated: SimulatedWorker): void {
+    const worker = simulated;
+    worker.nextRenewalMs = this.nowMs + RENEW_MS;
+    worker.leaseEndsAtMs = this.nowMs + LEASE_MS;
+    this.cell.renewed(worker.entry.id, this.nowMs + LEASE_MS * 1.02 + 30);
+    const ended = worker.ended.slice(worker.reported);
+    worker.reported = worker.ended.length;
+    this.cell.report(
+      worker.entry.id,
+      {
+        sentAtMs: this.nowMs,
+        ended,
+        running: [...worker.runs.values()].map((run) => ({
+          task: run.task,
+          run: run.run,
+          percent: this.#percentOf(worker, run),
+        })),
+      },
+      this.nowMs,
+    );
+  }
+
+  #percentOf({ faults }: SimulatedWorker, run: SimulatedRun): number {
+    if (faults.hangs) return 0;
+    const whole = run.endsAtMs - run.startedAtMs;
+    return Math.floor((100 * (this.nowMs - run.startedAtMs)) / whole);
+  }
+
+  #act(): void {
+    let actions = this.cell.take();
+    while (actions.length > 0) {
+      actions.forEach((action) => this.#perform(action));
+      actions = this.cell.take();
+    }
+  }
+
+  #perform(action: CellAction): void {
+    if (action.type === 'decision') this.decisions.push(action);
+    if (action.type === 'end') {
+      const record = this.records.get(action.batchId);
+      if (record) {
+        record.outcome = action.outcome;
+        record.endedAtMs = this.nowMs;
+      }
+    }
+    if (action.type !== 'start' && action.type !== 'stop') return;
+    const worker = this.workers.find(({ entry }) => entry.id === action.workerId);
+    if (!worker || worker.faults.silent) {
+      if (action.type === 'start') this.#answerStart(action, StartAnswer.unclear, 250);
+      return;
+    }
+    if (action.type === 'start') this.#start(worker, action);
+    else this.#stop(worker, action);
+  }
+
+  #start(worker: SimulatedWorker, action: Extract<CellAction, { type: 'start' }>): void {
+    const batch = this.#batchOfTask.get(action.task);
+    if (!batch) return;
+    const { cpuMillis } = batch.shape;
+    if (worker.usedCpuMillis + cpuMillis > worker.entry.cpuMillis) {
+      this.#answerStart(action, StartAnswer.noRoom, 2 * ONE_WAY_MS);
+      return;
+    }
+    this.#noteOverlap(action.task);
+    this.starts.push({
+      task: action.task,
+      run: action.run,
+      worker: worker.entry.id,
+      atMs: this.nowMs,
+    });
+    const runMs = this.#runMs(batch) * worker.faults.slowness;
+    worker.runs.set(`${action.task}#${action.run}`, {
+      task: action.task,
+      run: action.run,
+      cpuMillis,
+      startedAtMs: this.nowMs,
+      endsAtMs: this.nowMs + runMs,
+      end: worker.faults.fails ? RunEnd.failed : RunEnd.succeeded,
+    });
+    if (worker.faults.losesStartAnswers) this.#answerStart(action, StartAnswer.unclear, 250);
+    else this.#answerStart(action, StartAnswer.accepted, 2 * ONE_WAY_MS);
+  }
+
+  #noteOverlap(task: string): void {
+    const running = this.workers.some(({ runs }) =>
+      [...runs.values()].some((run) => run.task === task),
+    );
+    if (running) this.overlaps.push(`${task} at ${this.nowMs} ms`);
+  }
+
+  #answerStart(
+    { task, run, workerId }: Extract<CellAction, { type: 'start' }>,
+    answer: StartAnswer,
+    delayMs: number,
+  ): void {
+    const act = () => this.cell.startAnswered(task, run, workerId, answer, this.nowMs);
+    this.#later.push({ atMs: this.nowMs + delayMs, act });
+  }
+
+  #stop(worker: SimulatedWorker, { task, run }: Extract<CellAction, { type: 'stop' }>): void {
+    this.#later.push({
+      atMs: this.nowMs + 20,
+      act: () => {
+        worker.finish(`${task}#${run}`, RunEnd.stopped);
+        this.cell.stopConfirmed(task, run, worker.entry.id, this.nowMs);
+      },
+    });
+  }
+}
--- /dev/null
+++ b/test/cells/simulatedWorker.ts
@@ -0,0 +1,84 @@
+/** A worker in virtual time: it keeps what runs on it, and lists ends until they are told. */
+import { RunEnd } from '../../src/cells/actions';
+import type { WorkerEntry } from '../../src/cells/worker';
+
+/** Builds a worker's entry. */
+export function workerEntry(id: string, cpuMillis = 64_000): WorkerEntry {
+  return {
+    id,
+    address: `10.0.0.1:${id.length}`,
+    domain: 'sofia-a',
+    service: 'kiosk-dispatch',
+    draining: false,
+    cpuMillis,
+    memoryMb: 262_144,
+    accelerators: 0,
+    labels: ['a', 'r1-1'],
+    warmUpMs: 0,
+    bornMs: 1,
+  };
+}
+
+/** A run on a simulated worker. */
+export interface SimulatedRun {
+  readonly task: string;
+  readonly run: number;
+  readonly cpuMillis: number;
+  readonly startedAtMs: number;
+  readonly endsAtMs: number;
+  readonly end: RunEnd;
+}
+
+/** Faults of one worker; changed by tests. */
+export interface WorkerFaults {
+  /** Run times are multiplied by this. */
+  slowness: number;
+  /** All runs fail. */
+  fails: boolean;
+  /** Nothing makes progress. */
+  hangs: boolean;
+  /** Nothing reaches it and nothing comes back; what runs goes on until its lease ends. */
+  silent: boolean;
+  /** Starts are carried out, but their answers are lost. */
+  losesStartAnswers: boolean;
+}
+
+/** One worker; `CellWorld` moves it on. */
+export class SimulatedWorker {
+  readonly entry: WorkerEntry;
+
+  readonly faults: WorkerFaults = {
+    slowness: 1,
+    fails: false,
+    hangs: false,
+    silent: false,
+    losesStartAnswers: false,
+  };
+
+  readonly runs = new Map<string, SimulatedRun>();
+
+  readonly ended: { task: string; run: number; end: RunEnd; sequence: number }[] = [];
+
+  leaseEndsAtMs = 0;
+
+  reported = 0;
+
+  nextRenewalMs = 0;
+
+  silentSinceMs: number | null = null;
+
+  constructor(entry: WorkerEntry) {
+    this.entry = entry;
+  }
+
+  get usedCpuMillis(): number {
+    return [...this.runs.values()].reduce((sum, { cpuMillis }) => sum + cpuMillis, 0);
+  }
+
+  finish(key: string, end: RunEnd): void {
+    const run = this.runs.get(key);
+    if (!run) return;
+    this.runs.delete(key);
+    this.ended.push({ task: run.task, run: run.run, end, sequence: this.ended.length + 1 });
+  }
+}
--- /dev/null
+++ b/test/platform/deployment.ts
@@ -0,0 +1,100 @@
+/** Dispatcher hosts in this process against stand-ins of the platform, on loopback. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { PortBlock } from '../../src/standins/portBlock';
+import { TestHost } from './testHost';
+import { KvStandin } from './kvStandin';
+import { WorkerStandin } from './workerStandin';
+
+/** Text of a configuration with one queue. */
+export function configurationText(version: number): string {
+  return JSON.stringify({
+    version,
+    routes: [
+      {
+        name: 'r-1',
+        host: 'desk.example',
+        prefix: '/jobs/',
+        kind: 'non_idempotent',
+        timeoutMs: 1500,
+        goalMs: 60,
+        priority: 0,
+        backend: 'service-a',
+        maxAttempts: 2,
+        slackFactor: 1.6,
+      },
+    ],
+    backends: [{ name: 'service-a' }],
+    limits: { maxBodyBytes: 20_000 },
+  });
+}
+
+const POLL_MS = 10;
+
+/** Waits until `check` holds; rejects after `limitMs`. */
+export async function until(what: string, check: () => boolean, limitMs = 8000): Promise<void> {
+  if (check()) return;
+  if (limitMs <= 0) throw new Error(`not in time: ${what}`);
+  await sleep(POLL_MS);
+  await until(what, check, limitMs - POLL_MS);
+}
+
+const PORTS = 60;
+const PORTS_PER_HOST = 4;
+
+/** A store, workers and hosts. */
+export class TestDeployment {
+  readonly store = new KvStandin();
+
+  readonly workers: WorkerStandin[] = [];
+
+  readonly hosts: TestHost[] = [];
+
+  readonly #domains: readonly string[];
+
+  #block: PortBlock | null = null;
+
+  constructor(domains: readonly string[]) {
+    this.#domains = domains;
+  }
+
+  async open(hostsPerDomain: number, workersPerDomain: number): Promise<void> {
+    const storeAddress = await this.store.open();
+    this.#block = await PortBlock.reserve(PORTS);
+    const ports = [...this.#block.ports];
+    this.store.put('op/config', configurationText(1));
+    const places = this.#domains.flatMap((domain) =>
+      Array.from({ length: workersPerDomain }, (_, index) => `i-${domain}-${index}`).map((id) => ({
+        id,
+        domain,
+      })),
+    );
+    await Promise.all(places.map(({ id, domain }) => this.#openWorker(id, domain)));
+    const hosts = this.#domains.flatMap((domain) =>
+      Array.from({ length: hostsPerDomain }, (_, index) => {
+        const addresses = ports.splice(0, PORTS_PER_HOST);
+        return new TestHost(`${domain}-${index}`, domain, this.#domains, storeAddress, addresses);
+      }),
+    );
+    this.hosts.push(...hosts);
+    await Promise.all(hosts.map((host) => host.open()));
+    await until('every host is ready', () => this.hosts.every(({ host }) => host.dispatcher.ready));
+  }
+
+  async #openWorker(id: string, domain: string): Promise<void> {
+    const worker = new WorkerStandin(id, domain);
+    await worker.open();
+    this.workers.push(worker);
+    this.store.put(`servers/${worker.id}`, worker.entry());
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.hosts.map((host) => host.close()));
+    this.workers.forEach((worker) => worker.close());
+    this.store.close();
+    await this.#block?.release();
+  }
+
+  get starts(): readonly string[] {
+    return this.workers.flatMap(({ starts }) => starts);
+  }
+}
--- /dev/null
+++ b/test/platform/kvStandin.ts
@@ -0,0 +1,172 @@
+/**
+ * Stand-in for the platform's store: items, pages, watches and conditional writes over HTTP, with
+ * outages and lost answers as switches.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
+
+interface Event extends Partial<Item> {
+  readonly key: string;
+  readonly revision: number;
+  readonly removed?: true;
+}
+
+/** Faults that tests switch on. */
+export interface StoreFaults {
+  /** Every call gets 503. */
+  busy: boolean;
+  /** No call gets an answer. */
+  silent: boolean;
+  /** Writes are carried out without an answer. */
+  losesWriteAnswers: boolean;
+  /** Watches that continue from before now get 410. */
+  forgetsHistory: boolean;
+}
+
+const PAGE_ITEMS = 10;
+
+async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
+  return JSON.parse((await text(request)) || '{}') as Record<string, unknown>;
+}
+
+function send(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+/** The store; `put` and `remove` are the operator's and the workers' writes. */
+export class KvStandin {
+  readonly faults: StoreFaults = {
+    busy: false,
+    silent: false,
+    losesWriteAnswers: false,
+    forgetsHistory: false,
+  };
+
+  readonly #items = new Map<string, Item>();
+
+  readonly #events: Event[] = [];
+
+  readonly #waiting = new Set<() => void>();
+
+  readonly #server: Server;
+
+  #revision = 1;
+
+  calls = 0;
+
+  constructor() {
+    this.#server = createServer((request, response) => {
+      this.#serve(request, response).catch(() => response.destroy());
+    });
+  }
+
+  async open(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(0, '127.0.0.1', resolve);
+    });
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  put(key: string, value: string): void {
+    this.#change(key, Buffer.from(value).toString('base64'));
+    this.#wake();
+  }
+
+  remove(key: string): void {
+    this.#revision += 1;
+    this.#items.delete(key);
+    this.#events.push({ key, revision: this.#revision, removed: true });
+    this.#wake();
+  }
+
+  #change(key: string, value: string): void {
+    this.#revision += 1;
+    const item = { key, value, revision: this.#revision };
+    this.#items.set(key, item);
+    this.#events.push(item);
+  }
+
+  #wake(): void {
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    waiting.forEach((wake) => wake());
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.calls += 1;
+    const body = await readJson(request);
+    if (this.faults.silent) return;
+    if (this.faults.busy) {
+      send(response, 503, {});
+      return;
+    }
+    const url = new URL(request.url ?? '', 'http://store');
+    if (url.pathname === '/wasabiyoke/kv-range') this.#range(url, response);
+    else if (url.pathname === '/wasabiyoke/kv-watch') this.#watch(url, response);
+    else if (url.pathname === '/wasabiyoke/kv-txn') this.#write(body, response);
+    else send(response, 404, {});
+  }
+
+  #range(url: URL, response: ServerResponse): void {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const after = url.searchParams.get('after') ?? '';
+    const found = [...this.#items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const items = found.slice(0, PAGE_ITEMS);
+    const hasMore = found.length > PAGE_ITEMS;
+    send(response, 200, { items, hasMore, storeRevision: this.#revision });
+  }
+
+  #watch(url: URL, response: ServerResponse): void {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    const untilMs = Date.now() + Number(url.searchParams.get('waitMs'));
+    if (this.faults.forgetsHistory) {
+      send(response, 410, {});
+      return;
+    }
+    const answer = () => {
+      if (response.writableEnded) return;
+      const events = this.#events.filter(
+        ({ key, revision }) => key.startsWith(prefix) && revision > after,
+      );
+      if (events.length > 0 || Date.now() >= untilMs) {
+        send(response, 200, { events, storeRevision: this.#revision });
+      } else {
+        this.#waiting.add(answer);
+        setTimeout(answer, untilMs - Date.now()).unref();
+      }
+    };
+    answer();
+  }
+
+  #write(body: Record<string, unknown>, response: ServerResponse): void {
+    const expected = body.expectedRev as { key: string; revision: number }[];
+    const puts = body.puts as { key: string; value: string }[];
+    const differs = expected.some(
+      ({ key, revision }) => (this.#items.get(key)?.revision ?? 0) !== revision,
+    );
+    if (differs) {
+      const items = expected.flatMap(({ key }) => this.#items.get(key) ?? []);
+      send(response, 412, { items });
+      return;
+    }
+    puts.forEach(({ key, value }) => this.#change(key, value));
+    this.#wake();
+    if (!this.faults.losesWriteAnswers) send(response, 200, { revision: this.#revision });
+  }
+}
--- /dev/null
+++ b/test/platform/testHost.ts
@@ -0,0 +1,109 @@
+/** One dispatcher host in this process, on loopback. */
+import { request, type Dispatcher } from 'undici';
+import { DispatchHost } from '../../src/dispatcher/dispatchHost';
+import { DispatchMetrics } from '../../src/dispatcher/metrics';
+import type { DispatchJournal } from '../../src/dispatcher/journal';
+import type { LogFields } from '../../src/observe/observer';
+import { PlatformConfigurations } from '../../platform/configurations';
+import { Ingress } from '../../platform/ingress';
+import { PlatformStore } from '../../platform/store';
+import { PlatformWorkers } from '../../platform/workerList';
+import { PlatformWorkerControl } from '../../platform/workers';
+
+/** A line of a host's log. */
+export interface Line {
+  readonly decision: string;
+  readonly fields: LogFields;
+}
+
+/** One host with its addresses. */
+export class TestHost {
+  readonly host: DispatchHost;
+
+  readonly callersAddress: string;
+
+  readonly readinessAddress: string;
+
+  readonly metricsAddress: string;
+
+  readonly lines: Line[] = [];
+
+  readonly #ingress: Ingress;
+
+  constructor(
+    hostId: string,
+    domain: string,
+    domains: readonly string[],
+    storeAddress: string,
+    ports: number[],
+  ) {
+    const address = () => `127.0.0.1:${ports.shift()}`;
+    this.callersAddress = address();
+    this.readinessAddress = address();
+    this.metricsAddress = address();
+    const journal: DispatchJournal = {
+      decide: (decision, fields) => this.lines.push({ decision, fields }),
+    };
+    const store = new PlatformStore(storeAddress);
+    this.host = new DispatchHost({
+      settings: {
+        hostId,
+        domain,
+        domains,
+        callersAddress: this.callersAddress,
+        readinessAddress: this.readinessAddress,
+        peersAddress: address(),
+        metricsAddress: this.metricsAddress,
+        seeds: [],
+        storeAddress,
+        leaseMs: 1000,
+        drainMs: 6000,
+        linesPerSecond: 400,
+      },
+      platform: {
+        store,
+        configurations: new PlatformConfigurations(store, journal),
+        workers: new PlatformWorkers(store, journal),
+        control: new PlatformWorkerControl(),
+      },
+      journal,
+      metrics: new DispatchMetrics(),
+      clock: { nowMs: () => performance.now() },
+      droppedLines: () => 0,
+    });
+    this.#ingress = new Ingress(this.host.dispatcher);
+  }
+
+  async open(): Promise<void> {
+    await this.host.open();
+    await this.#ingress.open(this.callersAddress, this.readinessAddress);
+  }
+
+  async close(): Promise<void> {
+    this.#ingress.close();
+    await this.host.close();
+  }
+
+  /** Submits a job; `payload` is its run time in milliseconds, or `fail`. */
+  async submit(
+    id: string,
+    payload: string,
+    tasks = 2,
+    extra: object = {},
+  ): Promise<Dispatcher.ResponseData> {
+    return request(`http://${this.callersAddress}/jobs/${id}`, {
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        host: 'desk.example',
+        'request-deadline': '4000',
+      },
+      body: JSON.stringify({
+        spec: payload,
+        bestEffort: true,
+        steps: [{ count: tasks, cpu: 27_000, memMb: 64, estimateMs: Number(payload) || 5 }],
+        ...extra,
+      }),
+    });
+  }
+}
--- /dev/null
+++ b/test/platform/workerStandin.ts
@@ -0,0 +1,177 @@
+/**
+ * Stand-in for one of the platform's workers: starts, stops and holds over HTTP, with fencing, leases
+ * and a list of ends. A task runs for as long as its payload says, in milliseconds.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+
+interface Run {
+  readonly task: string;
+  readonly run: number;
+  readonly startedAtMs: number;
+  readonly runMs: number;
+  readonly timer: NodeJS.Timeout;
+}
+
+const MAX_LEASE_MS = 1000;
+
+async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
+  return JSON.parse((await text(request)) || '{}') as Record<string, unknown>;
+}
+
+/** One worker. */
+export class WorkerStandin {
+  readonly id: string;
+
+  readonly domain: string;
+
+  /** Every start that was carried out: task and run. */
+  readonly starts: string[] = [];
+
+  /** Tasks that ran twice at a time here. */
+  readonly runs = new Map<string, Run>();
+
+  readonly #ended: [number, string, number, string, string][] = [];
+
+  readonly #waiting = new Set<() => void>();
+
+  readonly #server: Server;
+
+  readonly #bornMs = Date.now();
+
+  #fencingToken = 0;
+
+  #sequence = 0;
+
+  #leaseTimer: NodeJS.Timeout | null = null;
+
+  address = '';
+
+  constructor(id: string, domain: string) {
+    this.id = id;
+    this.domain = domain;
+    this.#server = createServer((request, response) => {
+      this.#serve(request, response).catch(() => response.destroy());
+    });
+  }
+
+  async open(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(0, '127.0.0.1', resolve);
+    });
+    this.address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    if (this.#leaseTimer) clearTimeout(this.#leaseTimer);
+    this.runs.forEach(({ timer }) => clearTimeout(timer));
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** What it says of itself in the store. */
+  entry(): string {
+    return JSON.stringify({
+      backend: 'service-a',
+      address: this.address,
+      zone: this.domain,
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      coldLeftMs: 0,
+      capacity: { cpu: 64_000, memMb: 32_768, gpu: 0 },
+      labels: ['a', 'r1-1'],
+      clockMs: this.#clockMs(),
+      seq: 1,
+      born: this.#bornMs,
+    });
+  }
+
+  #clockMs(): number {
+    return Date.now() - this.#bornMs + 1000;
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readJson(request);
+    if (request.headers['target-instance'] !== this.id) {
+      this.#send(response, 421, {});
+      return;
+    }
+    const token = Number(body.fenceToken ?? 0);
+    if (token < this.#fencingToken) {
+      this.#send(response, 409, { reason: 'fence' });
+      return;
+    }
+    this.#fencingToken = token;
+    if (typeof body.deadlineMs === 'number') this.#lease(body.deadlineMs);
+    if (request.url === '/wasabiyoke/run-start') this.#start(body, response);
+    else if (request.url === '/wasabiyoke/run-stop') this.#stop(body, response);
+    else this.#hold(body, response);
+  }
+
+  #lease(deadlineMs: number): void {
+    if (this.#leaseTimer) clearTimeout(this.#leaseTimer);
+    const leftMs = Math.min(MAX_LEASE_MS, deadlineMs - this.#clockMs());
+    this.#leaseTimer = setTimeout(() => {
+      [...this.runs.keys()].forEach((key) => this.#finish(key, 'lapsed'));
+    }, leftMs);
+  }
+
+  #start(body: Record<string, unknown>, response: ServerResponse): void {
+    const { task, run, spec } = body as { task: string; run: number; spec: string };
+    const key = `${task}#${run}`;
+    if (!this.runs.has(key)) {
+      this.starts.push(key);
+      const timer = setTimeout(
+        () => this.#finish(key, spec === 'fail' ? 'failed' : 'done'),
+        Number(spec) || 5,
+      );
+      this.runs.set(key, { task, run, startedAtMs: Date.now(), runMs: Number(spec) || 5, timer });
+    }
+    this.#send(response, 200, {});
+  }
+
+  #stop(body: Record<string, unknown>, response: ServerResponse): void {
+    const { task, run } = body as { task: string; run: number };
+    setTimeout(() => this.#finish(`${task}#${run}`, 'stopped'), 10);
+    this.#send(response, 200, {});
+  }
+
+  #finish(key: string, how: string): void {
+    const run = this.runs.get(key);
+    if (!run) return;
+    clearTimeout(run.timer);
+    this.runs.delete(key);
+    this.#sequence += 1;
+    this.#ended.push([this.#sequence, run.task, run.run, how, '']);
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    waiting.forEach((wake) => wake());
+  }
+
+  #hold(body: Record<string, unknown>, response: ServerResponse): void {
+    const seen = Number(body.lastSeen);
+    while (this.#ended[0] && this.#ended[0][0] <= seen) this.#ended.shift();
+    const untilMs = Date.now() + Number(body.waitMs ?? 0);
+    const answer = () => {
+      if (this.#ended.length === 0 && Date.now() < untilMs) {
+        this.#waiting.add(answer);
+        setTimeout(answer, untilMs - Date.now()).unref();
+        return;
+      }
+      if (response.writableEnded) return;
+      const running = [...this.runs.values()].map(({ task, run, startedAtMs, runMs }) => {
+        const percent = Math.floor((100 * (Date.now() - startedAtMs)) / runMs);
+        return [task, run, '', Math.min(99, percent)];
+      });
+      this.#send(response, 200, { running, endedRuns: this.#ended });
+    };
+    answer();
+  }
+
+  #send(response: ServerResponse, status: number, body: object): void {
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify({ clockMs: this.#clockMs(), born: this.#bornMs, ...body }));
+  }
+}
