--- /dev/null
+++ b/src/cells/takeover.ts
@@ -0,0 +1,106 @@
+/**
+ * Takes over the runs that a cell's previous owner started. Workers list what runs and what has ended;
+ * the submitters' batches claim it, whichever comes first. A task that may still run under a lease of
+ * the previous owner is not started before every worker has reported, or the leases are over.
+ */
+import { RunEnd } from './actions';
+import type { Batch, TaskEntry } from './batch';
+import type { CellState } from './cellState';
+import { BatchReason } from './messages';
+import { RunState, type Run } from './run';
+
+/** Time that a run found on a worker may go unclaimed by a submitter. */
+const CLAIM_WINDOW_MS = 600;
+
+/** Takeover of one cell. */
+export class Takeover {
+  readonly #state: CellState;
+
+  constructor(state: CellState) {
+    this.#state = state;
+  }
+
+  /** Time from which a task that no worker lists is surely not running. */
+  settledAtMs(nowMs: number): number {
+    const { ownedSinceMs, options } = this.#state;
+    return this.#allReported() ? nowMs : ownedSinceMs + options.leaseMs;
+  }
+
+  /** Finds runs of a new batch's tasks that are in progress or have ended without a claim. */
+  claimFor(batch: Batch, nowMs: number): void {
+    const { ledger, batches } = this.#state;
+    const superseded = new Set<Batch>();
+    batch.tasks.forEach((task) => {
+      const run = ledger.find(task.name);
+      if (run) {
+        const before = run.batchId === null ? undefined : batches.get(run.batchId);
+        if (before) superseded.add(before);
+        this.#claim(batch, task, run);
+      } else if (batch.order.mayRun) {
+        this.#claimEnd(task);
+      }
+    });
+    superseded.forEach((before) => this.#state.giveUp(before, BatchReason.superseded, nowMs));
+  }
+
+  /** A worker has told of a run after the batch that waits for it had come. */
+  found(name: string): void {
+    const { batches, ledger } = this.#state;
+    const batch = [...batches.values()].find(
+      (candidate) => candidate.order.mayRun && candidate.task(name)?.workerId === null,
+    );
+    const task = batch?.task(name);
+    if (!batch || !task || task.done) return;
+    const run = ledger.find(name);
+    if (run) this.#claim(batch, task, run);
+    else this.#claimEnd(task);
+  }
+
+  /** After a report: batches whose tasks have all succeeded end, and the rest may start. */
+  update(nowMs: number): void {
+    const allReported = this.#allReported();
+    this.#state.batches.forEach((batch) => {
+      if (batch.isDone) this.#state.finish(batch, { type: 'done' }, nowMs);
+      else if (allReported) batch.release(nowMs);
+    });
+  }
+
+  /** Stops runs that no submitter has claimed. */
+  stopUnclaimed(nowMs: number): void {
+    const { ledger } = this.#state;
+    ledger.workers.forEach((worker) => {
+      worker.runs.forEach((run) => {
+        const isUnclaimed = run.batchId === null && run.state === RunState.running;
+        if (isUnclaimed && nowMs - run.startedAtMs > CLAIM_WINDOW_MS) ledger.stop(run, nowMs);
+      });
+    });
+  }
+
+  #allReported(): boolean {
+    const workers = [...this.#state.ledger.workers.values()];
+    return workers.length > 0 && workers.every(({ reported }) => reported);
+  }
+
+  #claim(batch: Batch, task: TaskEntry, run: Run): void {
+    const claimed = run;
+    const entry = task;
+    claimed.batchId = batch.id;
+    claimed.shape = batch.order.shape;
+    claimed.queue = batch.order.queue;
+    claimed.expectedMs = batch.expectedMs;
+    entry.workerId = run.workerId;
+    entry.lastRun = Math.max(entry.lastRun, run.run);
+    batch.markStarted();
+    this.#state.decide('run-claimed', { task: run.task, run: run.run, worker: run.workerId });
+  }
+
+  #claimEnd(task: TaskEntry): void {
+    const end = this.#state.ledger.takeUnclaimedEnd(task.name);
+    if (!end) return;
+    const entry = task;
+    entry.lastRun = Math.max(entry.lastRun, end.run);
+    entry.notBeforeMs = 0;
+    if (end.end === RunEnd.succeeded) entry.done = true;
+    if (end.end === RunEnd.failed) entry.failures += 1;
+  }
+}
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -2,7 +2,8 @@
  * Runs one cell on this host for as long as it owns it: carries out the cell's actions, keeps a session
  * with each worker, and answers those who handed in batches.
  */
-import { Cell, type CellOptions } from '../cells/cell';
+import { Cell } from '../cells/cell';
+import type { CellOptions } from '../cells/cellState';
 import type { CellAction, StartAnswer } from '../cells/actions';
 import type { BatchOutcome, BatchReason, CellSummary, TaskBatch } from '../cells/messages';
 import type { WorkerEntry } from '../cells/worker';
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -8,7 +8,7 @@
   type CellSummary,
   type TaskBatch,
 } from '../cells/messages';
-import type { CellOptions } from '../cells/cell';
+import type { CellOptions } from '../cells/cellState';
 import type { WorkerEntry } from '../cells/worker';
 import type { Clock, RandomSource } from '../core/clock';
 import { CellOwner } from './cellOwner';
