Start no task that may still run under the previous owner; claim no domain that can't be reached

Cause: during a cut of kazanchis a host of piassa claimed its cell in the store without reaching its workers. Now a worker that has not reported to the new owner holds such a task back until the old owner must have stopped, and a host of another domain first asks a worker there, without fencing. Ruled out: resubmission by the client; both runs came from one batch.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -26,18 +26,13 @@
 
   readonly #progress: ProgressWatch;
 
-  constructor(id: string, options: CellOptions, nowMs: number) {
-    this.#state = new CellState(
-      id,
-      options,
-      {
-        started: (run) => this.#state.taskOf(run)?.batch.markStarted(),
-        ended: (run, end, worker, atMs) => this.#runEnded(run, end, worker, atMs),
-        found: (task) => this.#takeover.found(task),
-        notStarted: (run, answer, atMs) => this.#notStarted(run, answer, atMs),
-      },
-      nowMs,
-    );
+  constructor(id: string, options: CellOptions) {
+    this.#state = new CellState(id, options, {
+      started: (run) => this.#state.taskOf(run)?.batch.markStarted(),
+      ended: (run, end, worker, atMs) => this.#runEnded(run, end, worker, atMs),
+      found: (task) => this.#takeover.found(task),
+      notStarted: (run, answer, atMs) => this.#notStarted(run, answer, atMs),
+    });
     this.#admission = new BatchAdmission(this.#state);
     this.#dispatch = new Dispatch(this.#state);
     this.#takeover = new Takeover(this.#state);
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -11,8 +11,10 @@
 
 /** Figures of a cell; all in milliseconds. */
 export interface CellOptions {
-  /** Runs of the previous owner are over this long after the claim, if no worker lists them. */
+  /** Longest time from the last renewal of a lease until all that it covers has ended. */
   readonly leaseMs: number;
+  /** Time in which an owner notices that a submitter has turned away, and stops its runs. */
+  readonly abandonMs: number;
   /** A worker that the list has lacked for so long is gone. */
   readonly missingGraceMs: number;
 }
@@ -38,8 +40,6 @@
 
   readonly options: CellOptions;
 
-  readonly ownedSinceMs: number;
-
   readonly ledger: RunLedger;
 
   readonly runTimes = new RunTimes();
@@ -50,10 +50,9 @@
 
   #actions: CellAction[] = [];
 
-  constructor(id: string, options: CellOptions, events: RunEvents, nowMs: number) {
+  constructor(id: string, options: CellOptions, events: RunEvents) {
     this.id = id;
     this.options = options;
-    this.ownedSinceMs = nowMs;
     this.ledger = new RunLedger(events, (action) => this.push(action));
   }
 
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -20,10 +20,13 @@
     this.#state = state;
   }
 
-  /** Time from which a task that no worker lists is surely not running. */
+  /**
+   * Time from which a task that no worker lists is surely not running. A worker that has not reported
+   * here may still obey the previous owner, which stops when its submitter has turned away from it.
+   */
   settledAtMs(nowMs: number): number {
-    const { ownedSinceMs, options } = this.#state;
-    return this.#allReported() ? nowMs : ownedSinceMs + options.leaseMs;
+    const { leaseMs, abandonMs } = this.#state.options;
+    return this.#allReported() ? nowMs : nowMs + abandonMs + leaseMs;
   }
 
   /** Finds runs of a new batch's tasks that are in progress or have ended without a claim. */
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -11,7 +11,7 @@
 import type { DispatchJournal } from './journal';
 import type { WorkerControl } from './workerControl';
 import { StopAnswer } from './workerControl';
-import { WorkerSession, type SessionOptions } from './workerSession';
+import { latestLeaseEndMs, WorkerSession, type SessionOptions } from './workerSession';
 
 /** What an owner is built from. */
 export interface CellOwnerParts {
@@ -46,7 +46,10 @@
 
   constructor(parts: CellOwnerParts) {
     this.#parts = parts;
-    this.#cell = new Cell(parts.cell, parts.options, parts.clock.nowMs());
+    this.#cell = new Cell(parts.cell, {
+      ...parts.options,
+      leaseMs: latestLeaseEndMs(parts.options.leaseMs, 0),
+    });
     this.#timer = setInterval(() => {
       this.#cell.tick(this.#now());
       this.#act();
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -28,6 +28,7 @@
 import type { Platform } from './platform';
 import type { QueueConfiguration, QueueTable } from './queueTable';
 import { CellLoads } from './router';
+import type { RenewOrder } from './workerControl';
 import type { SessionOptions } from './workerSession';
 
 /** Figures, in milliseconds. */
@@ -56,6 +57,9 @@
 /** A longer time between two ticks means that the process stood still. */
 const PAUSE_GAP_MS = 400;
 const WATCH_AGAIN_MS = 200;
+const PROBED_WORKERS = 3;
+/** An order of a host that owns nothing: a worker that has an owner answers without obeying. */
+const PROBE: RenewOrder = { fencingToken: 0, acknowledged: 0, leaseEndClockMs: null, waitMs: 0 };
 /** A vacant cell usually finds an owner within this time. */
 const TAKEOVER_TIME_MS = 1500;
 
@@ -382,11 +386,32 @@
   }
 
   async #claim(cell: string, record: CellRecord | null): Promise<void> {
-    const { platform, self, journal } = this.#parts;
     this.#claiming.add(cell);
+    if (cell === this.#parts.self.domain || (await this.#reachesWorkers(cell))) {
+      await this.#swapOwner(cell, record);
+    } else {
+      this.#parts.journal.decide('claim-withheld', { cell, reason: 'no worker can be reached' });
+    }
+    this.#claiming.delete(cell);
+  }
+
+  /**
+   * True if a worker of another domain answers. Where none does, the domain may be cut off and serve
+   * itself; a claim would only take its workers away when it is back.
+   */
+  async #reachesWorkers(cell: string): Promise<boolean> {
+    const { control, workers } = this.#parts.platform;
+    const listed = await workers.list();
+    if (listed.err) return false;
+    const some = listed.val.filter(({ domain }) => domain === cell).slice(0, PROBED_WORKERS);
+    const answers = await Promise.all(some.map((worker) => control.renew(worker, PROBE)));
+    return answers.some(({ type }) => type !== 'silent');
+  }
+
+  async #swapOwner(cell: string, record: CellRecord | null): Promise<void> {
+    const { platform, self, journal } = this.#parts;
     const expected = record?.revision ?? 0;
     const swapped = await platform.store.swap(cellKey(cell), encodeOwner(self), expected);
-    this.#claiming.delete(cell);
     if (this.#closed) return;
     if (swapped.err) {
       journal.decide('claim-failed', { cell, expected, error: swapped.val.message });
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -31,11 +31,13 @@
 }
 
 const INCARNATION_BYTES = 6;
-const RENEW_WAIT_MS = 250;
+const RENEW_WAIT_MS = 120;
 const WORKER_LIST_PERIOD_MS = 500;
 const PEER_PERIOD_MS = 150;
 /** Entries that lapsed with the list's store are back within two seconds of its return. */
 const MISSING_GRACE_MS = 2500;
+/** A host that does not ask for its batches any more is noticed, and its runs stopped, within this. */
+const ABANDON_MS = 1000;
 const DRAIN_POLL_MS = 50;
 /** Time for the balancer to notice, and for another host to take the cells over. */
 const DRAIN_LEAST_MS = 2500;
@@ -74,6 +76,7 @@
     };
     const options: ClusterOptions = {
       leaseMs: settings.leaseMs,
+      abandonMs: ABANDON_MS,
       renewWaitMs: RENEW_WAIT_MS,
       missingGraceMs: MISSING_GRACE_MS,
       workerListPeriodMs: WORKER_LIST_PERIOD_MS,
@@ -95,7 +98,7 @@
       cluster: this.#cluster,
       homeCell: settings.domain,
       prefix: `${settings.hostId}-${self.incarnation}`,
-      leaseMs: latestLeaseEndMs(settings.leaseMs, 0),
+      settleMs: latestLeaseEndMs(settings.leaseMs, ABANDON_MS),
       clock,
       journal,
     });
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -32,8 +32,8 @@
   readonly homeCell: string;
   /** Differs between processes; batch ids begin with it. */
   readonly prefix: string;
-  /** Time after which no run of a silent owner is left. */
-  readonly leaseMs: number;
+  /** Time after which no run is left at an owner that this host has turned away from. */
+  readonly settleMs: number;
   readonly clock: Clock;
   readonly journal: DispatchJournal;
 }
@@ -315,8 +315,8 @@
    * the part starts elsewhere when the leases are over.
    */
   async #recover(job: RunningJob, part: Part, { cell, revision }: SentBatch): Promise<JobOutcome> {
-    const { cluster, clock, leaseMs, journal } = this.#parts;
-    const settledAtMs = clock.nowMs() + leaseMs;
+    const { cluster, clock, settleMs, journal } = this.#parts;
+    const settledAtMs = clock.nowMs() + settleMs;
     const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
     journal.decide('owner-lost', { jobId: job.request.job.id, cell, revision });
     const renamed: Part = {
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -183,6 +183,24 @@
     expect(second.starts).toEqual([]);
   });
 
+  it('starts no task that may run on a worker which has not reported to the new owner', () => {
+    const first = CellWorld.withWorkers(2);
+    const batch = batchOf({ ...SETTLE, taskCount: 1 });
+    first.offer(batch);
+    first.advance(100);
+    const second = new CellWorld(first.workers, first.nowMs, undefined, false);
+    second.advance(1);
+    const busy = second.workers.find(({ runs }) => runs.size > 0);
+    Object.assign(busy?.faults ?? {}, { silent: true });
+    second.advance(3000);
+    second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    second.advance(1000);
+    expect(second.starts).toEqual([]);
+    second.advance(1500);
+    expect(second.starts.length).toEqual(1);
+    expect(second.overlaps).toEqual([]);
+  });
+
   it('stops runs that nobody claims', () => {
     const first = CellWorld.withWorkers(1);
     first.offer(batchOf({ ...SETTLE }));
--- a/test/cells/cellWorld.ts
+++ b/test/cells/cellWorld.ts
@@ -96,7 +96,11 @@
     this.nowMs = nowMs;
     this.workers = workers;
     this.#runMs = runMs;
-    this.cell = new Cell('sofia-a', { leaseMs: 1050, missingGraceMs: 2500 }, nowMs);
+    this.cell = new Cell('sofia-a', {
+      leaseMs: 1050,
+      abandonMs: 1000,
+      missingGraceMs: 2500,
+    });
     this.cell.setWorkers(
       workers.map(({ entry }) => entry),
       nowMs,
--- a/test/platform/deployment.test.ts
+++ b/test/platform/deployment.test.ts
@@ -109,6 +109,26 @@
   });
 });
 
+describe('a failure domain without hosts', () => {
+  const deployment = new TestDeployment(DOMAINS);
+  before(() => deployment.open(1, 1));
+  after(() => deployment.close());
+
+  it('is not claimed from outside while none of its workers can be reached', async () => {
+    const [near, far] = deployment.hosts;
+    const worker = deployment.workers.find(({ domain }) => domain === 'varna-c');
+    await far?.close();
+    worker?.close();
+    deployment.hosts.splice(1, 1);
+    const withheld = () => near?.lines.some(({ decision }) => decision === 'claim-withheld');
+    await until('a claim is withheld', () => withheld() === true);
+    expect(near?.host.ownedCells).toEqual(['sofia-a']);
+    await worker?.open();
+    deployment.store.put(`servers/${worker?.id}`, worker?.entry() ?? '');
+    await until('the cell is claimed', () => near?.host.ownedCells.length === 2);
+  });
+});
+
 describe('a cell whose owner goes', () => {
   const deployment = new TestDeployment(['sofia-a']);
   before(() => deployment.open(3, 2));
