Hold one worker free for a large task that waits, not one for each

Ruled out: the reserve (three slots) and workers at rest (none in the log). The new test of a mixed load fails with a reservation per batch.

--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -8,6 +8,8 @@
 
 /** Waiting batches that a task may overtake when the first ones find no room. */
 const BACKFILL_BATCHES = 8;
+/** Workers that are held free for the first batches that wait; the others take what fits. */
+const RESERVED_WORKERS = 1;
 
 /** Places the tasks of one cell. */
 export class Dispatch {
@@ -45,12 +47,16 @@
         order.use(batch.order.queue, shape.cpuMillis);
         return true;
       }
-      const reservation = chooseReservation(workers, query);
-      if (reservation) reserved.add(reservation.entry.id);
+      if (reserved.size < RESERVED_WORKERS) this.#reserve(workers, query, reserved);
       return false;
     });
   }
 
+  #reserve(workers: readonly CellWorker[], query: PlacementQuery, reserved: Set<string>): void {
+    const worker = chooseReservation(workers, query);
+    if (worker) reserved.add(worker.entry.id);
+  }
+
   /** A queue above its share leaves the reserve free; a job that has begun is finished. */
   #mayUse(order: QueueOrder, batch: Batch, nowMs: number): boolean {
     if (batch.isBegun || order.isBelowShare(batch.order.queue)) return true;
--- a/test/cells/load.test.ts
+++ b/test/cells/load.test.ts
@@ -69,6 +69,24 @@
     expect(inTime / all).toBeGreaterThanOrEqual(0.97);
   });
 
+  it('several sizes of tasks: no room is left unused while tasks that would fit wait', () => {
+    const world = CellWorld.withWorkers(WORKERS);
+    const shapeOf = (cpuMillis: number) => ({ ...batchOf().shape, cpuMillis });
+    const large = { ...KINDS.settle, taskCount: 4, shape: shapeOf(40_000), begun: true };
+    Array.from({ length: 6 }, () => world.offer(batchOf({ ...large, goalMs: 9000 })));
+    const small = {
+      ...large,
+      estimateMs: 200,
+      taskCount: WORKERS - 1,
+      shape: shapeOf(22_000),
+      goalMs: 20_000,
+      deadlineInMs: 40_000,
+    };
+    const records = [world.offer(batchOf(small))];
+    world.advance(1.5 * small.estimateMs);
+    expect(records.map(({ outcome }) => outcome?.type)).toEqual(['done']);
+  });
+
   it('flood: what is refused is refused on arrival, not after a wait', () => {
     const world = CellWorld.withWorkers(WORKERS);
     play(world, { ...ORDINARY, settle: 6 * ORDINARY.settle }, 10 * SECOND_MS);
