Let a domain go on without the store: claims of its own, workers and owners told between hosts

Now hosts of the domain claim with tokens of their own when the store does not answer; the workers' fencing lets one win. Owners, workers and configurations are told with the status calls, and a claim is written when the store is back. A refused part of a job is spread anew by what the refusal told.

--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -11,6 +11,15 @@
 /** Workers that are held free for the first batches that wait; the others take what fits. */
 const RESERVED_WORKERS = 1;
 
+function reserve(
+  workers: readonly CellWorker[],
+  query: PlacementQuery,
+  reserved: Set<string>,
+): void {
+  const worker = chooseReservation(workers, query);
+  if (worker) reserved.add(worker.entry.id);
+}
+
 /** Places the tasks of one cell. */
 export class Dispatch {
   readonly #state: CellState;
@@ -47,16 +56,11 @@
         order.use(batch.order.queue, shape.cpuMillis);
         return true;
       }
-      if (reserved.size < RESERVED_WORKERS) this.#reserve(workers, query, reserved);
+      if (reserved.size < RESERVED_WORKERS) reserve(workers, query, reserved);
       return false;
     });
   }
 
-  #reserve(workers: readonly CellWorker[], query: PlacementQuery, reserved: Set<string>): void {
-    const worker = chooseReservation(workers, query);
-    if (worker) reserved.add(worker.entry.id);
-  }
-
   /** A queue above its share leaves the reserve free; a job that has begun is finished. */
   #mayUse(order: QueueOrder, batch: Batch, nowMs: number): boolean {
     if (batch.isBegun || order.isBelowShare(batch.order.queue)) return true;
--- a/src/dispatcher/cellRecord.ts
+++ b/src/dispatcher/cellRecord.ts
@@ -1,8 +1,16 @@
-/** Who owns a cell: the record in the store, and its JSON form. */
+/** What the hosts keep in the store: who owns a cell, and where each host is reached. */
 import type { Entry } from '../store/store';
 
-/** Prefix of the records' keys; the name of the cell follows. */
-export const CELL_PREFIX = 'wasabiyoke/cells/';
+/** Prefix of all keys of the dispatcher. */
+export const RECORD_PREFIX = 'wasabiyoke/';
+const CELL_PREFIX = `${RECORD_PREFIX}cells/`;
+const HOST_PREFIX = `${RECORD_PREFIX}hosts/`;
+
+/**
+ * Claims made in the store get tokens that are multiples of this; those between are for claims that
+ * hosts of a domain make while they can't reach the store.
+ */
+export const TOKEN_STEP = 1000;
 
 /** One process of the dispatcher. */
 export interface HostIdentity {
@@ -14,11 +22,11 @@
   readonly address: string;
 }
 
-/** The owner of a cell. `revision` grows with each change of owner and is its fencing token. */
+/** The owner of a cell. The fencing token grows with each change of owner. */
 export interface CellRecord {
   readonly cell: string;
   readonly owner: HostIdentity;
-  readonly revision: number;
+  readonly token: number;
 }
 
 /** Key of a cell's record. */
@@ -26,24 +34,50 @@
   return CELL_PREFIX + cell;
 }
 
-/** Text of a record's value. */
-export function encodeOwner({ hostId, incarnation, domain, address }: HostIdentity): string {
+/** Key of a host's identity. */
+export function hostKey(hostId: string): string {
+  return HOST_PREFIX + hostId;
+}
+
+/** Text of a host's identity. */
+export function encodeHost({ hostId, incarnation, domain, address }: HostIdentity): string {
   return JSON.stringify({ hostId, incarnation, domain, address });
 }
 
-function isIdentity(value: unknown): value is HostIdentity {
-  const fields = value as Partial<Record<keyof HostIdentity, unknown>> | null;
-  const names: readonly (keyof HostIdentity)[] = ['hostId', 'incarnation', 'domain', 'address'];
-  return typeof fields === 'object' && names.every((name) => typeof fields?.[name] === 'string');
+/** Text of a cell's record. */
+export function encodeRecord({ owner, token }: CellRecord): string {
+  const { hostId, incarnation, domain, address } = owner;
+  return JSON.stringify({ hostId, incarnation, domain, address, token });
 }
 
-/** Reads a record; null if the value is none. */
-export function decodeRecord({ key, value, modRevision }: Entry): CellRecord | null {
+function parse(text: string): Partial<Record<string, unknown>> | null {
   try {
-    const owner: unknown = JSON.parse(value);
-    if (!isIdentity(owner)) return null;
-    return { cell: key.slice(CELL_PREFIX.length), owner, revision: modRevision };
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null ? value : null;
   } catch {
     return null;
   }
 }
+
+function identityOf(fields: Partial<Record<string, unknown>>): HostIdentity | null {
+  const { hostId, incarnation, domain, address } = fields;
+  if (typeof hostId !== 'string' || typeof incarnation !== 'string') return null;
+  if (typeof domain !== 'string' || typeof address !== 'string') return null;
+  return { hostId, incarnation, domain, address };
+}
+
+/** What an entry of the store says; null if it can't be read. */
+export type StoredRecord =
+  | { readonly type: 'cell'; readonly record: CellRecord }
+  | { readonly type: 'host'; readonly host: HostIdentity };
+
+/** Reads an entry. */
+export function decodeEntry({ key, value }: Entry): StoredRecord | null {
+  const fields = parse(value);
+  const identity = fields && identityOf(fields);
+  if (!identity) return null;
+  if (key.startsWith(HOST_PREFIX)) return { type: 'host', host: identity };
+  if (!key.startsWith(CELL_PREFIX) || typeof fields.token !== 'number') return null;
+  const cell = key.slice(CELL_PREFIX.length);
+  return { type: 'cell', record: { cell, owner: identity, token: fields.token } };
+}
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -1,6 +1,6 @@
 /**
- * The cells and their owners as this host sees them: follows the records in the store, watches the
- * owners, claims vacant cells, and runs the cells that this host owns.
+ * The cells and their owners as this host sees them: watches the owners, claims vacant cells, runs the
+ * cells that this host owns, and sends batches to the owners of the others.
  */
 import {
   BatchReason,
@@ -12,14 +12,7 @@
 import type { WorkerEntry } from '../cells/worker';
 import type { Clock, RandomSource } from '../core/clock';
 import { CellOwner } from './cellOwner';
-import {
-  CELL_PREFIX,
-  cellKey,
-  decodeRecord,
-  encodeOwner,
-  type CellRecord,
-  type HostIdentity,
-} from './cellRecord';
+import type { CellRecord, HostIdentity } from './cellRecord';
 import type { DispatchJournal } from './journal';
 import { Ownership, OwnerHealth } from './ownership';
 import { StatusFailure, type PeerClient } from './peerClient';
@@ -27,8 +20,10 @@
 import { PeerMonitor } from './peerMonitor';
 import type { Platform } from './platform';
 import type { QueueConfiguration, QueueTable } from './queueTable';
+import { RecordKeeper } from './recordKeeper';
 import { CellLoads } from './router';
 import type { RenewOrder } from './workerControl';
+import { WorkerLists } from './workerLists';
 import type { SessionOptions } from './workerSession';
 
 /** Figures, in milliseconds. */
@@ -56,20 +51,29 @@
 const TICK_MS = 25;
 /** A longer time between two ticks means that the process stood still. */
 const PAUSE_GAP_MS = 400;
-const WATCH_AGAIN_MS = 200;
+/** Time between two attempts to write a claim that was made without the store. */
+const WRITE_AGAIN_MS = 500;
 const PROBED_WORKERS = 3;
 /** An order of a host that owns nothing: a worker that has an owner answers without obeying. */
 const PROBE: RenewOrder = { fencingToken: 0, acknowledged: 0, leaseEndClockMs: null, waitMs: 0 };
 /** A vacant cell usually finds an owner within this time. */
 const TAKEOVER_TIME_MS = 1500;
 
+const NOT_OWNER: BatchOutcome = {
+  type: 'refused',
+  reason: BatchReason.notOwner,
+  retryAfterMs: 0,
+};
+
 /** View of the cells from one host. */
 export class Cluster {
   readonly loads = new CellLoads();
 
   readonly #parts: ClusterParts;
 
-  readonly #records = new Map<string, CellRecord>();
+  readonly #records: RecordKeeper;
+
+  readonly #lists: WorkerLists;
 
   readonly #owned = new Map<string, CellOwner>();
 
@@ -85,17 +89,13 @@
 
   #lastTickMs: number;
 
-  #lastListMs = -Infinity;
-
   #lastAskMs = -Infinity;
 
-  #listing = false;
+  #lastWriteMs = -Infinity;
 
   /** Since when no cell has served, or the time of the start. */
   #unservedSinceMs: number;
 
-  #storeUp: boolean | null = null;
-
   #leaving = false;
 
   #closed = false;
@@ -104,13 +104,26 @@
 
   constructor(parts: ClusterParts) {
     this.#parts = parts;
-    this.#lastTickMs = parts.clock.nowMs();
+    const { self, platform, journal, clock, options } = parts;
+    this.#lastTickMs = clock.nowMs();
     this.#unservedSinceMs = this.#lastTickMs;
-    this.#ownership = new Ownership(parts.self, parts.random, this.#lastTickMs);
+    this.#ownership = new Ownership(self, parts.random, this.#lastTickMs);
+    this.#records = new RecordKeeper({
+      self,
+      store: platform.store,
+      journal,
+      onOwner: (record) => this.#ownerChanged(record),
+    });
+    this.#lists = new WorkerLists({
+      directory: platform.workers,
+      periodMs: options.workerListPeriodMs,
+      onList: (domain, entries) => this.#owned.get(domain)?.setWorkers(entries),
+      onAnswer: (up, detail) => this.#records.storeSeen(up, detail),
+    });
   }
 
   open(): void {
-    this.#watch();
+    this.#records.open();
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -125,10 +138,6 @@
     this.#parts.journal.decide('leaving', { cells: [...this.#owned.keys()] });
   }
 
-  get ownedCount(): number {
-    return this.#owned.size;
-  }
-
   get owners(): readonly CellOwner[] {
     return [...this.#owned.values()];
   }
@@ -136,6 +145,7 @@
   close(): void {
     this.#closed = true;
     if (this.#timer) clearInterval(this.#timer);
+    this.#records.close();
     this.#owned.forEach((owner) => owner.close());
     this.#owned.clear();
   }
@@ -143,7 +153,7 @@
   /** Cells whose owner serves and has workers, with what is known of their load. */
   serving(): readonly CellSummary[] {
     return this.#parts.cells.flatMap((cell) => {
-      const summary = this.#isServing(cell) ? this.loads.get(cell) : undefined;
+      const summary = this.isServing(cell) ? this.loads.get(cell) : undefined;
       return summary && summary.capacityCpuMillis > 0 ? [summary] : [];
     });
   }
@@ -154,20 +164,20 @@
   }
 
   ownerOf(cell: string): CellRecord | null {
-    return this.#records.get(cell) ?? null;
+    return this.#records.get(cell);
   }
 
   isServing(cell: string): boolean {
-    return this.#isServing(cell);
+    if (this.#owned.has(cell)) return true;
+    return this.#health.get(cell) === OwnerHealth.serving;
   }
 
   /** Runs a batch in a cell, here or at its owner. `abort` withdraws it. */
   async run(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
+    const owner = this.#owned.get(cell);
+    if (owner) return this.#runHere(owner, batch, abort);
     const record = this.#records.get(cell);
-    if (this.#owned.has(cell)) return this.#runHere(cell, batch, abort);
-    if (!record || this.#ownership.isSelf(record.owner)) {
-      return { type: 'refused', reason: BatchReason.notOwner, retryAfterMs: 0 };
-    }
+    if (!record || this.#ownership.isSelf(record.owner)) return NOT_OWNER;
     const call: BatchCall = { from: this.#parts.self, cell, batch };
     const reply = await this.#parts.peers.run(record.owner.address, call, abort);
     if (reply.summary) this.loads.set(reply.summary);
@@ -176,9 +186,7 @@
 
   /** A batch from another host. */
   async runForPeer({ cell, batch }: BatchCall): Promise<BatchOutcome> {
-    const owner = this.#owned.get(cell);
-    if (!owner) return { type: 'refused', reason: BatchReason.notOwner, retryAfterMs: 0 };
-    return owner.run(batch);
+    return this.#owned.get(cell)?.run(batch) ?? NOT_OWNER;
   }
 
   withdraw(cell: string, batchId: string, reason: BatchReason): void {
@@ -189,23 +197,38 @@
     return this.#owned.get(cell)?.summary() ?? null;
   }
 
-  status({ from, configurationVersion }: StatusQuestion): PeerStatus {
+  /** Answers another host's question, and takes what it knows. */
+  status({ from, configurationVersion, records, listVersion }: StatusQuestion): PeerStatus {
     const { self, queues } = this.#parts;
     const known = queues.configuration?.version ?? 0;
     if (configurationVersion > known) this.#pullConfiguration(from.address);
+    records.forEach((record) => this.#records.learn(record, from.hostId));
     return {
       hostId: self.hostId,
       incarnation: self.incarnation,
       leaving: this.#leaving,
       configurationVersion: known,
       cells: this.owners.map((owner) => owner.summary()),
-      records: [...this.#records.values()],
+      records: this.#records.all(),
+      workers: this.#lists.newerThan(from.domain, listVersion),
     };
   }
 
-  async #runHere(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
-    const owner = this.#owned.get(cell);
-    if (!owner) return { type: 'refused', reason: BatchReason.notOwner, retryAfterMs: 0 };
+  /** Puts a configuration in force if it is newer. */
+  configure(configuration: QueueConfiguration, source: string): void {
+    if (!this.#parts.queues.apply(configuration)) return;
+    this.#parts.journal.decide('configuration-in-force', {
+      version: configuration.version,
+      queues: configuration.bindings.length,
+      source,
+    });
+  }
+
+  async #runHere(
+    owner: CellOwner,
+    batch: TaskBatch,
+    abort: AbortController,
+  ): Promise<BatchOutcome> {
     const withdraw = () => owner.withdraw(batch.batchId, BatchReason.withdrawn);
     abort.signal.addEventListener('abort', withdraw, { once: true });
     const outcome = await owner.run(batch);
@@ -214,60 +237,9 @@
     return outcome;
   }
 
-  #isServing(cell: string): boolean {
-    if (this.#owned.has(cell)) return true;
-    return this.#health.get(cell) === OwnerHealth.serving;
-  }
-
-  #watch(): void {
-    if (this.#closed) return;
-    this.#parts.platform.store.watch(
-      CELL_PREFIX,
-      ({ entry }) => {
-        const record = entry && decodeRecord(entry);
-        if (record) this.#setRecord(record, 'store');
-      },
-      () => {
-        this.#storeSeen(false, 'the watch of the cells ended');
-        setTimeout(() => this.#watch(), WATCH_AGAIN_MS);
-      },
-      () => this.#readRecords(),
-    );
-  }
-
-  async #readRecords(): Promise<void> {
-    const listed = await this.#parts.platform.store.list(CELL_PREFIX);
-    if (listed.err) {
-      this.#storeSeen(false, listed.val.message);
-      return;
-    }
-    this.#storeSeen(true, 'the cells were read');
-    listed.val.forEach((entry) => {
-      const record = decodeRecord(entry);
-      if (record) this.#setRecord(record, 'store');
-      else this.#parts.journal.decide('record-unreadable', { key: entry.key });
-    });
-  }
-
-  #storeSeen(up: boolean, detail: string): void {
-    if (this.#storeUp === up) return;
-    this.#storeUp = up;
-    this.#parts.journal.decide(up ? 'store-regained' : 'store-lost', { detail });
-  }
-
-  #setRecord(record: CellRecord, source: string): void {
-    const known = this.#records.get(record.cell);
-    if (known && known.revision >= record.revision) return;
-    this.#records.set(record.cell, record);
-    this.#parts.journal.decide('cell-owner', {
-      cell: record.cell,
-      owner: record.owner.hostId,
-      incarnation: record.owner.incarnation,
-      revision: record.revision,
-      source,
-    });
+  #ownerChanged(record: CellRecord): void {
     const owner = this.#owned.get(record.cell);
-    if (owner && owner.fencingToken < record.revision) this.#release(owner, 'newer-owner');
+    if (owner && owner.fencingToken < record.token) this.#release(owner, 'newer-owner');
     if (this.#ownership.isSelf(record.owner)) this.#own(record);
     else this.#askPeers(this.#parts.clock.nowMs());
     this.#refreshHealth(this.#parts.clock.nowMs());
@@ -288,16 +260,11 @@
     const nowMs = clock.nowMs();
     if (nowMs - this.#lastTickMs > PAUSE_GAP_MS) this.#resume(nowMs);
     this.#lastTickMs = nowMs;
-    if (nowMs - this.#lastAskMs >= options.peerPeriodMs) {
-      this.#lastAskMs = nowMs;
-      this.#askPeers(nowMs);
-    }
+    if (nowMs - this.#lastAskMs >= options.peerPeriodMs) this.#askPeers(nowMs);
     this.#refreshHealth(nowMs);
     if (!this.#leaving) this.#claimVacant(nowMs);
-    if (this.#owned.size > 0 && nowMs - this.#lastListMs >= options.workerListPeriodMs) {
-      this.#lastListMs = nowMs;
-      this.#listWorkers();
-    }
+    if (this.#owned.size > 0) this.#lists.refresh(nowMs);
+    if (nowMs - this.#lastWriteMs >= WRITE_AGAIN_MS) this.#writeClaims(nowMs);
     this.#owned.forEach((owner) => this.loads.set(owner.summary()));
     if (this.serving().length > 0) this.#unservedSinceMs = nowMs;
   }
@@ -309,20 +276,40 @@
   }
 
   #askPeers(nowMs: number): void {
+    this.#lastAskMs = nowMs;
     const { self, queues, seeds } = this.#parts;
-    const owners = [...this.#records.values()].map(({ owner }) => owner);
-    const others = owners.filter(({ address }) => address !== self.address);
+    const records = this.#records.all();
+    const others = records
+      .map(({ owner }) => owner)
+      .filter(({ address }) => address !== self.address);
     this.#monitor.setOwners(others, nowMs);
-    const lacksNews = this.#records.size === 0 || queues.configuration === null;
+    const lacksNews = records.length === 0 || queues.configuration === null;
     const strangers = lacksNews ? seeds.filter((seed) => seed !== self.address) : [];
-    const addresses = new Set([...this.#monitor.addresses(), ...strangers]);
+    const addresses = new Set([
+      ...this.#monitor.addresses(),
+      ...strangers,
+      ...this.#uninformed(records),
+    ]);
     addresses.forEach((address) => this.#ask(address));
   }
 
+  /** Hosts that can't learn from the store of a claim that this host made without it. */
+  #uninformed(records: readonly CellRecord[]): readonly string[] {
+    const isUnwritten = records.some(
+      (record) => this.#owned.has(record.cell) && this.#records.isUnwritten(record),
+    );
+    return isUnwritten ? this.#records.neighbours().map(({ address }) => address) : [];
+  }
+
   async #ask(address: string): Promise<void> {
     const { self, queues, peers, clock } = this.#parts;
-    const configurationVersion = queues.configuration?.version ?? 0;
-    const status = await peers.status(address, { from: self, configurationVersion });
+    const question: StatusQuestion = {
+      from: self,
+      configurationVersion: queues.configuration?.version ?? 0,
+      records: this.#records.all(),
+      listVersion: this.#lists.versionOf(self.domain),
+    };
+    const status = await peers.status(address, question);
     if (this.#closed) return;
     if (status === StatusFailure.refused) {
       this.#monitor.refused(address);
@@ -337,7 +324,8 @@
     status.cells.forEach((summary) => {
       if (!this.#owned.has(summary.cell)) this.loads.set(summary);
     });
-    status.records.forEach((record) => this.#setRecord(record, status.hostId));
+    status.records.forEach((record) => this.#records.learn(record, status.hostId));
+    if (status.workers) this.#lists.learn(this.#parts.self.domain, status.workers);
     const known = this.#parts.queues.configuration?.version ?? 0;
     if (status.configurationVersion > known) this.#pullConfiguration(address);
   }
@@ -347,18 +335,8 @@
     if (configuration) this.configure(configuration, address);
   }
 
-  /** Puts a configuration in force if it is newer. */
-  configure(configuration: QueueConfiguration, source: string): void {
-    if (!this.#parts.queues.apply(configuration)) return;
-    this.#parts.journal.decide('configuration-in-force', {
-      version: configuration.version,
-      queues: configuration.bindings.length,
-      source,
-    });
-  }
-
   #refreshHealth(nowMs: number): void {
-    this.#records.forEach(({ cell, owner }) => {
+    this.#records.all().forEach(({ cell, owner }) => {
       if (owner.address === this.#parts.self.address) {
         // An earlier incarnation of this host, or this one without the cell.
         this.#health.set(cell, OwnerHealth.gone);
@@ -379,16 +357,20 @@
   #claimVacant(nowMs: number): void {
     this.#parts.cells.forEach((cell) => {
       if (this.#owned.has(cell) || this.#claiming.has(cell)) return;
-      const record = this.#records.get(cell) ?? null;
+      const record = this.#records.get(cell);
       const health = this.#health.get(cell) ?? OwnerHealth.unknown;
-      if (this.#ownership.shouldClaim(cell, record, health, nowMs)) this.#claim(cell, record);
+      if (this.#ownership.shouldClaim(cell, record, health, nowMs)) this.#claim(cell);
     });
   }
 
-  async #claim(cell: string, record: CellRecord | null): Promise<void> {
+  async #claim(cell: string): Promise<void> {
     this.#claiming.add(cell);
-    if (cell === this.#parts.self.domain || (await this.#reachesWorkers(cell))) {
-      await this.#swapOwner(cell, record);
+    const isOwnDomain = cell === this.#parts.self.domain;
+    if (isOwnDomain || (await this.#reachesWorkers(cell))) {
+      const before = this.#records.get(cell);
+      const isAnswered = await this.#records.claim(cell);
+      const isStillVacant = before === this.#records.get(cell) && !this.#closed;
+      if (!isAnswered && isOwnDomain && isStillVacant) this.#records.claimAlone(cell);
     } else {
       this.#parts.journal.decide('claim-withheld', { cell, reason: 'no worker can be reached' });
     }
@@ -408,56 +390,33 @@
     return answers.some(({ type }) => type !== 'silent');
   }
 
-  async #swapOwner(cell: string, record: CellRecord | null): Promise<void> {
-    const { platform, self, journal } = this.#parts;
-    const expected = record?.revision ?? 0;
-    const swapped = await platform.store.swap(cellKey(cell), encodeOwner(self), expected);
-    if (this.#closed) return;
-    if (swapped.err) {
-      journal.decide('claim-failed', { cell, expected, error: swapped.val.message });
-      return;
-    }
-    const current = swapped.val.current && decodeRecord(swapped.val.current);
-    journal.decide('claim', { cell, expected, won: swapped.val.applied });
-    if (current) this.#setRecord(current, 'claim');
+  /** Writes claims that were made without the store. */
+  #writeClaims(nowMs: number): void {
+    this.#lastWriteMs = nowMs;
+    this.#owned.forEach(({ cell }) => {
+      const record = this.#records.get(cell);
+      if (record && this.#records.isUnwritten(record)) this.#records.write(record);
+    });
   }
 
-  #own({ cell, revision }: CellRecord): void {
+  #own({ cell, token }: CellRecord): void {
     const { platform, options, clock, journal } = this.#parts;
     const owner = new CellOwner({
       cell,
-      fencingToken: revision,
+      fencingToken: token,
       control: platform.control,
       options,
       clock,
       journal,
       onFenced: (workerId) => {
-        journal.decide('fenced', { cell, worker: workerId, fencingToken: revision });
+        journal.decide('fenced', { cell, worker: workerId, fencingToken: token });
         if (this.#owned.get(cell) === owner) this.#release(owner, 'fenced');
       },
     });
     this.#owned.set(cell, owner);
-    journal.decide('cell-owned', { cell, fencingToken: revision });
-    this.#lastListMs = this.#parts.clock.nowMs();
-    this.#listWorkers();
-  }
-
-  async #listWorkers(): Promise<void> {
-    if (this.#listing) return;
-    this.#listing = true;
-    const listed = await this.#parts.platform.workers.list();
-    this.#listing = false;
-    if (listed.err) {
-      this.#storeSeen(false, listed.val.message);
-      return;
-    }
-    this.#storeSeen(true, 'the workers were listed');
-    this.#giveWorkers(listed.val);
-  }
-
-  #giveWorkers(entries: readonly WorkerEntry[]): void {
-    this.#owned.forEach((owner) => {
-      owner.setWorkers(entries.filter(({ domain }) => domain === owner.cell));
-    });
+    journal.decide('cell-owned', { cell, fencingToken: token });
+    const known: readonly WorkerEntry[] = this.#lists.of(cell);
+    if (known.length > 0) owner.setWorkers(known);
+    this.#lists.refreshNow(clock.nowMs());
   }
 }
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -128,6 +128,11 @@
     return this.#cluster.owners.map(({ cell }) => cell);
   }
 
+  /** Names of the cells to which this host can send work. */
+  get servedCells(): readonly string[] {
+    return this.#cluster.serving().map(({ cell }) => cell);
+  }
+
   async open(): Promise<void> {
     const { settings, platform, metrics } = this.#parts;
     const peers = splitAddress(settings.peersAddress);
@@ -147,7 +152,7 @@
     const lastMs = beganAtMs + settings.drainMs - EXIT_MARGIN_MS;
     this.dispatcher.drain();
     this.#cluster.leave();
-    const isBusy = () => this.dispatcher.pending > 0 || this.#cluster.ownedCount > 0;
+    const isBusy = () => this.dispatcher.pending > 0 || this.#cluster.owners.length > 0;
     while (clock.nowMs() < lastMs && (isBusy() || clock.nowMs() < beganAtMs + DRAIN_LEAST_MS)) {
       // eslint-disable-next-line no-await-in-loop -- polls until the work in progress has ended
       await sleep(DRAIN_POLL_MS);
@@ -155,7 +160,7 @@
     journal.decide('drained', {
       elapsedMs: Math.round(clock.nowMs() - beganAtMs),
       pending: this.dispatcher.pending,
-      cells: this.#cluster.ownedCount,
+      cells: this.#cluster.owners.length,
     });
   }
 
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../core/clock';
 import type { Cluster } from './cluster';
 import type { DispatchJournal } from './journal';
-import { spread } from './router';
+import { spread, type Share } from './router';
 
 /** How a job ended. */
 export type JobOutcome =
@@ -79,7 +79,7 @@
 /** End of a batch, and which owner of the cell it was sent to. */
 interface SentBatch {
   readonly cell: string;
-  readonly revision: number;
+  readonly token: number;
   readonly outcome: BatchOutcome;
 }
 
@@ -230,33 +230,57 @@
   }
 
   async #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
-    const { cluster, homeCell } = this.#parts;
     await this.#awaitCell(job);
     const { id, steps } = job.request.job;
-    const { cpuMillis } = step.shape;
-    const cells = cluster.serving();
-    const shares = spread(cells, homeCell, step.taskCount, cpuMillis, step.estimateMs);
-    if (shares.length === 0) return noCell(job);
     const declaredMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
-    const otherStepsMs = declaredMs - step.estimateMs;
-    shares.forEach(({ cell, taskIndexes }) => {
-      cluster.loads.reserve(cell, taskIndexes.length, cpuMillis, step.estimateMs);
-    });
+    const tasks = Array.from({ length: step.taskCount }, (_, index) => ({
+      name: taskName(id, stepIndex, index),
+      failures: 0,
+      lastRun: 0,
+    }));
+    const part: Part = { step, tasks, otherStepsMs: declaredMs - step.estimateMs };
+    const shares = this.#spread(part);
+    if (shares.length === 0) return noCell(job);
+    return this.#runShares(job, part, shares, true);
+  }
+
+  #spread({ step, tasks }: Part): readonly Share[] {
+    const { cluster, homeCell } = this.#parts;
+    const { cpuMillis } = step.shape;
+    return spread(cluster.serving(), homeCell, tasks.length, cpuMillis, step.estimateMs);
+  }
+
+  /** Hands the tasks of a part to several cells. */
+  #runShares(
+    job: RunningJob,
+    part: Part,
+    shares: readonly Share[],
+    maySplit: boolean,
+  ): Promise<JobOutcome> {
+    const { loads } = this.#parts.cluster;
+    const { shape, estimateMs } = part.step;
     const running = job;
     running.openParts += shares.length;
-    const parts = shares.map(({ cell, taskIndexes }) => {
-      const tasks = taskIndexes.map((index) => ({
-        name: taskName(id, stepIndex, index),
-        failures: 0,
-        lastRun: 0,
-      }));
-      return this.#runPart(job, { step, tasks, otherStepsMs }, cell);
+    shares.forEach(({ cell, taskIndexes }) => {
+      loads.reserve(cell, taskIndexes.length, shape.cpuMillis, estimateMs);
     });
-    return firstObstacle(job, parts);
+    const ends = shares.map(({ cell, taskIndexes }) => {
+      const tasks = part.tasks.filter((_, index) => taskIndexes.includes(index));
+      return this.#runPart(job, { ...part, tasks }, cell, maySplit);
+    });
+    return firstObstacle(job, ends);
   }
 
-  /** Offers a part to one cell after the other until one takes it. */
-  async #runPart(job: RunningJob, part: Part, firstCell: string): Promise<JobOutcome> {
+  /**
+   * Offers a part to one cell after the other until one takes it. The first refusal tells how full the
+   * cell really is, so that the part is spread anew where that is possible.
+   */
+  async #runPart(
+    job: RunningJob,
+    part: Part,
+    firstCell: string,
+    maySplit: boolean,
+  ): Promise<JobOutcome> {
     const tried = new Set<string>();
     let cell: string | null = firstCell;
     let refusal: JobOutcome = noCell(job);
@@ -268,11 +292,19 @@
       const { outcome } = sent;
       if (outcome.type !== 'refused') return this.#conclude(job, part, sent);
       refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
+      const shares = maySplit && !job.abandoned ? this.#spread(part) : [];
+      if (shares.length > 1) return this.#splitAgain(job, part, shares);
       cell = job.abandoned ? null : this.#nextCell(tried);
     }
     return this.#refusedByAll(job, part, refusal);
   }
 
+  #splitAgain(job: RunningJob, part: Part, shares: readonly Share[]): Promise<JobOutcome> {
+    const running = job;
+    running.openParts -= 1;
+    return this.#runShares(job, part, shares, false);
+  }
+
   /** The job is refused only if no other part of it was taken. */
   async #refusedByAll(job: RunningJob, part: Part, refusal: JobOutcome): Promise<JobOutcome> {
     const running = job;
@@ -314,17 +346,17 @@
    * The owner of the cell is gone while the part may run. The next owner adopts the runs; without one
    * the part starts elsewhere when the leases are over.
    */
-  async #recover(job: RunningJob, part: Part, { cell, revision }: SentBatch): Promise<JobOutcome> {
+  async #recover(job: RunningJob, part: Part, { cell, token }: SentBatch): Promise<JobOutcome> {
     const { cluster, clock, settleMs, journal } = this.#parts;
     const settledAtMs = clock.nowMs() + settleMs;
     const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
-    journal.decide('owner-lost', { jobId: job.request.job.id, cell, revision });
+    journal.decide('owner-lost', { jobId: job.request.job.id, cell, token });
     const renamed: Part = {
       ...part,
       tasks: part.tasks.map((task) => ({ ...task, lastRun: task.lastRun + RUN_NUMBER_GAP })),
     };
     while (!job.abandoned && clock.nowMs() < lastChanceMs) {
-      if ((cluster.ownerOf(cell)?.revision ?? 0) > revision && cluster.isServing(cell)) {
+      if ((cluster.ownerOf(cell)?.token ?? 0) > token && cluster.isServing(cell)) {
         const batch = this.#batchOf(job, renamed, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
         const sent = await this.#send(job, cell, batch);
@@ -363,7 +395,7 @@
   }
 
   async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
-    const revision = this.#parts.cluster.ownerOf(cell)?.revision ?? 0;
+    const token = this.#parts.cluster.ownerOf(cell)?.token ?? 0;
     const abort = new AbortController();
     job.aborts.add(abort);
     const outcome = await this.#parts.cluster.run(cell, batch, abort);
@@ -378,6 +410,6 @@
       outcome: outcome.type,
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
-    return { cell, revision, outcome };
+    return { cell, token, outcome };
   }
 }
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Bodies of the calls between hosts, and checks of what arrives. */
 import type { BatchOutcome, CellSummary, TaskBatch } from '../cells/messages';
 import type { CellRecord, HostIdentity } from './cellRecord';
+import type { WorkerList } from './workerLists';
 
 /** Paths of the interface between hosts. */
 export const PeerPath = {
@@ -13,6 +14,10 @@
 export interface StatusQuestion {
   readonly from: HostIdentity;
   readonly configurationVersion: number;
+  /** Owners of all cells that it knows of. */
+  readonly records: readonly CellRecord[];
+  /** Version of its list of the workers of its own domain. */
+  readonly listVersion: number;
 }
 
 /** What a host says of itself. */
@@ -26,6 +31,8 @@
   readonly cells: readonly CellSummary[];
   /** Owners of all cells that it knows of. */
   readonly records: readonly CellRecord[];
+  /** Workers of the asker's domain, if the asker's list is older. */
+  readonly workers: WorkerList | null;
 }
 
 /** A batch for a cell that the receiver owns. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -107,9 +107,9 @@
   }
 
   #status(text: string, response: ServerResponse): void {
-    const question = parseBody<StatusQuestion>(text, ['from', 'configurationVersion']);
+    const question = parseBody<StatusQuestion>(text, ['from', 'configurationVersion', 'records']);
     if (!question) {
-      sendJson(response, 400, { detail: 'expected from and configurationVersion' });
+      sendJson(response, 400, { detail: 'expected from, configurationVersion and records' });
       return;
     }
     this.#heard(question.from);
--- /dev/null
+++ b/src/dispatcher/recordKeeper.ts
@@ -0,0 +1,198 @@
+/**
+ * The owners of the cells as this host knows them, from the store and from other hosts. Claims are
+ * compare-and-swaps in the store. When the store can't be reached, a host of the cell's own domain may
+ * claim without it: each host has fencing tokens of its own for that, so that workers obey one of two
+ * such claims, and the other host hears of it from them. The claim is written when the store is back.
+ */
+import type { Entry } from '../store/store';
+import {
+  cellKey,
+  decodeEntry,
+  encodeHost,
+  encodeRecord,
+  hostKey,
+  RECORD_PREFIX,
+  TOKEN_STEP,
+  type CellRecord,
+  type HostIdentity,
+} from './cellRecord';
+import type { DispatchJournal } from './journal';
+import type { RecordStore } from './platform';
+
+/** What a record keeper is built from. */
+export interface RecordKeeperParts {
+  readonly self: HostIdentity;
+  readonly store: RecordStore;
+  readonly journal: DispatchJournal;
+  /** Called with each newer owner of a cell. */
+  readonly onOwner: (record: CellRecord) => void;
+}
+
+const WATCH_AGAIN_MS = 200;
+
+/** Records of all cells. */
+export class RecordKeeper {
+  readonly #parts: RecordKeeperParts;
+
+  readonly #records = new Map<string, CellRecord>();
+
+  /** Records as the store holds them, with the revision of their last change. */
+  readonly #stored = new Map<string, { readonly token: number; readonly revision: number }>();
+
+  readonly #hosts = new Map<string, HostIdentity>();
+
+  #storeUp: boolean | null = null;
+
+  #closed = false;
+
+  constructor(parts: RecordKeeperParts) {
+    this.#parts = parts;
+  }
+
+  open(): void {
+    this.#watch();
+  }
+
+  close(): void {
+    this.#closed = true;
+  }
+
+  get(cell: string): CellRecord | null {
+    return this.#records.get(cell) ?? null;
+  }
+
+  all(): readonly CellRecord[] {
+    return [...this.#records.values()];
+  }
+
+  /** Other hosts of this host's domain that have registered. */
+  neighbours(): readonly HostIdentity[] {
+    const { self } = this.#parts;
+    return [...this.#hosts.values()].filter(
+      ({ hostId, domain }) => domain === self.domain && hostId !== self.hostId,
+    );
+  }
+
+  /** True if the record is newer than what the store is known to hold. */
+  isUnwritten({ cell, token }: CellRecord): boolean {
+    return (this.#stored.get(cell)?.token ?? 0) < token;
+  }
+
+  /** Takes a record if it is newer than the known one. */
+  learn(record: CellRecord, source: string): void {
+    const known = this.#records.get(record.cell);
+    if (known && known.token >= record.token) return;
+    this.#records.set(record.cell, record);
+    this.#parts.journal.decide('cell-owner', {
+      cell: record.cell,
+      owner: record.owner.hostId,
+      incarnation: record.owner.incarnation,
+      token: record.token,
+      source,
+    });
+    this.#parts.onOwner(record);
+  }
+
+  /** Claims a cell in the store; false if the store could not be asked. */
+  async claim(cell: string): Promise<boolean> {
+    const known = this.#records.get(cell)?.token ?? 0;
+    const token = (Math.floor(known / TOKEN_STEP) + 1) * TOKEN_STEP;
+    return this.write({ cell, owner: this.#parts.self, token });
+  }
+
+  /** Claims a cell without the store. */
+  claimAlone(cell: string): void {
+    const known = this.#records.get(cell);
+    if (!known) return;
+    const token = known.token + this.#rank() + 1;
+    // Tokens of the next claim in the store must stay above.
+    if (Math.floor(token / TOKEN_STEP) !== Math.floor(known.token / TOKEN_STEP)) return;
+    this.#parts.journal.decide('claim-without-store', { cell, token });
+    this.learn({ cell, owner: this.#parts.self, token }, 'own claim');
+  }
+
+  /** Writes a record unless the store holds another one than is known; false if it can't be asked. */
+  async write(record: CellRecord): Promise<boolean> {
+    const { store, journal } = this.#parts;
+    const { cell, token } = record;
+    const expected = this.#stored.get(cell)?.revision ?? 0;
+    const swapped = await store.swap(cellKey(cell), encodeRecord(record), expected);
+    if (this.#closed) return true;
+    if (swapped.err) {
+      journal.decide('claim-failed', { cell, token, expected, error: swapped.val.message });
+      return false;
+    }
+    journal.decide('claim', { cell, token, expected, won: swapped.val.applied });
+    if (swapped.val.current) this.#takeEntry(swapped.val.current);
+    return true;
+  }
+
+  /** Notes whether the store answers. */
+  storeSeen(up: boolean, detail: string): void {
+    if (this.#storeUp === up) return;
+    this.#storeUp = up;
+    this.#parts.journal.decide(up ? 'store-regained' : 'store-lost', { detail });
+  }
+
+  /** Place of this host among those of its domain; it tells their tokens apart. */
+  #rank(): number {
+    const { self } = this.#parts;
+    const ids = [self.hostId, ...this.neighbours().map(({ hostId }) => hostId)].sort();
+    return ids.indexOf(self.hostId);
+  }
+
+  #watch(): void {
+    if (this.#closed) return;
+    this.#parts.store.watch(
+      RECORD_PREFIX,
+      ({ entry }) => {
+        if (entry) this.#takeEntry(entry);
+      },
+      () => {
+        this.storeSeen(false, 'the watch of the records ended');
+        setTimeout(() => this.#watch(), WATCH_AGAIN_MS);
+      },
+      () => this.#read(),
+    );
+  }
+
+  async #read(): Promise<void> {
+    const listed = await this.#parts.store.list(RECORD_PREFIX);
+    if (this.#closed) return;
+    if (listed.err) {
+      this.storeSeen(false, listed.val.message);
+      return;
+    }
+    this.storeSeen(true, 'the records were read');
+    listed.val.forEach((entry) => this.#takeEntry(entry));
+    await this.#register(listed.val);
+  }
+
+  /** Lets the other hosts know where this one is. */
+  async #register(entries: readonly Entry[]): Promise<void> {
+    const { self, store } = this.#parts;
+    const key = hostKey(self.hostId);
+    if (this.#hosts.get(self.hostId)?.incarnation === self.incarnation) return;
+    const revision = entries.find((entry) => entry.key === key)?.modRevision ?? 0;
+    const swapped = await store.swap(key, encodeHost(self), revision);
+    if (swapped.err) {
+      this.#parts.journal.decide('registration-failed', { error: swapped.val.message });
+    }
+  }
+
+  #takeEntry(entry: Entry): void {
+    const decoded = decodeEntry(entry);
+    if (!decoded) {
+      this.#parts.journal.decide('record-unreadable', { key: entry.key });
+    } else if (decoded.type === 'host') {
+      this.#hosts.set(decoded.host.hostId, decoded.host);
+    } else {
+      const { record } = decoded;
+      const revision = entry.modRevision;
+      if ((this.#stored.get(record.cell)?.revision ?? 0) < revision) {
+        this.#stored.set(record.cell, { token: record.token, revision });
+      }
+      this.learn(record, 'store');
+    }
+  }
+}
