--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -25,14 +25,14 @@
   return order.slackFactor * chainMs + order.goalMs - order.waitedMs;
 }
 
-function entryOf({ name, failures, lastRun }: BatchTask, notBeforeMs: number): TaskEntry {
+function entryOf({ name, failures, lastRun, mayRun }: BatchTask, settledAtMs: number): TaskEntry {
   return {
     name,
     failures,
     lastRun,
     done: false,
     workerId: null,
-    notBeforeMs,
+    notBeforeMs: mayRun ? settledAtMs : 0,
     avoided: new Set(),
   };
 }
@@ -54,14 +54,15 @@
 
   #started: boolean;
 
-  constructor(order: TaskBatch, expectedMs: number, notBeforeMs: number, nowMs: number) {
+  /** `settledAtMs` is when runs of the previous owner are surely over. */
+  constructor(order: TaskBatch, expectedMs: number, settledAtMs: number, nowMs: number) {
     this.order = order;
     this.arrivedAtMs = nowMs;
     this.objectiveAtMs = nowMs + objectiveInMs(order, expectedMs);
     this.deadlineAtMs = nowMs + order.deadlineInMs;
     this.expectedMs = expectedMs;
     this.#started = order.mayRun;
-    this.tasks = order.tasks.map((task) => entryOf(task, notBeforeMs));
+    this.tasks = order.tasks.map((task) => entryOf(task, settledAtMs));
   }
 
   get id(): string {
@@ -91,18 +92,20 @@
     return this.started || this.order.begun;
   }
 
-  /** No older run of a task is in progress, so that all may start. */
-  release(nowMs: number): void {
-    this.tasks.forEach((entry) => {
-      const task = entry;
-      task.notBeforeMs = Math.min(task.notBeforeMs, nowMs);
-    });
-  }
-
   task(name: string): TaskEntry | undefined {
     return this.tasks.find((task) => task.name === name);
   }
 
+  /** How far its tasks have come, for the next owner of the cell. */
+  progress(): { readonly started: readonly string[]; readonly succeeded: readonly string[] } {
+    const running = this.tasks.filter(({ done, workerId }) => !done && workerId !== null);
+    const succeeded = this.tasks.filter(({ done }) => done);
+    return {
+      started: running.map(({ name }) => name),
+      succeeded: succeeded.map(({ name }) => name),
+    };
+  }
+
   /** Tasks that could be started now. */
   waiting(nowMs: number): readonly TaskEntry[] {
     return this.tasks.filter(
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -72,8 +72,8 @@
   offer(order: TaskBatch, nowMs: number): void {
     const { runTimes, batches } = this.#state;
     const expectedMs = runTimes.expectedMs(order.queue, order.estimateMs);
-    const notBeforeMs = order.mayRun ? this.#takeover.settledAtMs(nowMs) : 0;
-    const batch = new Batch(order, expectedMs, notBeforeMs, nowMs);
+    const settledAtMs = this.#takeover.settledAtMs(nowMs);
+    const batch = new Batch(order, expectedMs, settledAtMs, nowMs);
     const refusal = this.#admission.check(batch, nowMs);
     if (refusal) {
       this.#state.end(batch, refusal, nowMs);
@@ -105,7 +105,7 @@
   handOver(nowMs: number): void {
     this.#state.batches.forEach((batch) => {
       const outcome: BatchOutcome = batch.started
-        ? { type: 'lost', reason: BatchReason.handedOver, settled: false }
+        ? { type: 'lost', reason: BatchReason.handedOver, ...batch.progress() }
         : { type: 'refused', reason: BatchReason.handedOver, retryAfterMs: 0 };
       this.#state.batches.delete(batch.id);
       this.#state.end(batch, outcome, nowMs);
--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -4,11 +4,15 @@
  */
 import type { TaskShape } from './job';
 
-/** One task of a batch. `failures` counts its failed runs so far, `lastRun` its highest run number. */
+/** One task of a batch. */
 export interface BatchTask {
   readonly name: string;
+  /** Failed runs so far. */
   readonly failures: number;
+  /** Highest run number so far. */
   readonly lastRun: number;
+  /** A run of it that the cell's previous owner started may be in progress. */
+  readonly mayRun: boolean;
 }
 
 /** Tasks of one step that a submitter hands to the owner of a cell. */
@@ -59,10 +63,16 @@
   /** Nothing of the batch has started or ever will. */
   | { readonly type: 'refused'; readonly reason: BatchReason; readonly retryAfterMs: number }
   /**
-   * Given up after a start. `settled` says that no run of it is left; otherwise runs may go on until
-   * their leases end.
+   * Given up after a start. Runs of it may go on until they are stopped or their leases end.
    */
-  | { readonly type: 'lost'; readonly reason: BatchReason; readonly settled: boolean };
+  | {
+      readonly type: 'lost';
+      readonly reason: BatchReason;
+      /** Tasks of which a run may be in progress; null if that is not known. */
+      readonly started: readonly string[] | null;
+      /** Tasks that have succeeded. */
+      readonly succeeded: readonly string[];
+    };
 
 /** How full a cell is; sent with each answer. */
 export interface CellSummary {
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -142,7 +142,6 @@
     const worker = this.workers.get(workerId);
     if (!worker) return;
     worker.reachable = true;
-    worker.reported = true;
     report.ended.forEach((entry) => this.#end(worker, entry, nowMs));
     const listed = new Set(report.running.map(({ task, run }) => runKey(task, run)));
     report.running.forEach((entry) => this.#progress(worker, entry, nowMs));
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -1,7 +1,7 @@
 /**
  * Takes over the runs that a cell's previous owner started. Workers list what runs and what has ended;
  * the submitters' batches claim it, whichever comes first. A task that may still run under a lease of
- * the previous owner is not started before every worker has reported, or the leases are over.
+ * the previous owner is not started before those leases are over.
  */
 import { RunEnd } from './actions';
 import type { Batch, TaskEntry } from './batch';
@@ -21,12 +21,12 @@
   }
 
   /**
-   * Time from which a task that no worker lists is surely not running. A worker that has not reported
-   * here may still obey the previous owner, which stops when its submitter has turned away from it.
+   * Time from which a task that no worker lists is surely not running. The list of workers may lack one
+   * that still obeys the previous owner, which stops when its submitter has turned away from it.
    */
   settledAtMs(nowMs: number): number {
     const { leaseMs, abandonMs } = this.#state.options;
-    return this.#allReported() ? nowMs : nowMs + abandonMs + leaseMs;
+    return nowMs + abandonMs + leaseMs;
   }
 
   /** Finds runs of a new batch's tasks that are in progress or have ended without a claim. */
@@ -59,12 +59,10 @@
     else this.#claimEnd(task);
   }
 
-  /** After a report: batches whose tasks have all succeeded end, and the rest may start. */
+  /** Ends batches whose last task turned out to have succeeded under the previous owner. */
   update(nowMs: number): void {
-    const allReported = this.#allReported();
     this.#state.batches.forEach((batch) => {
       if (batch.isDone) this.#state.finish(batch, { type: 'done' }, nowMs);
-      else if (allReported) batch.release(nowMs);
     });
   }
 
@@ -79,11 +77,6 @@
     });
   }
 
-  #allReported(): boolean {
-    const workers = [...this.#state.ledger.workers.values()];
-    return workers.length > 0 && workers.every(({ reported }) => reported);
-  }
-
   #claim(batch: Batch, task: TaskEntry, run: Run): void {
     const claimed = run;
     const entry = task;
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -52,9 +52,6 @@
   /** All leases given to it are over by then, also on a slow clock of its own. */
   leasesEndMs = 0;
 
-  /** It has listed its runs since this owner took over. */
-  reported = false;
-
   #slowness = 1;
 
   constructor(entry: WorkerEntry) {
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -64,8 +64,11 @@
 
   #metricsServer: Server | null = null;
 
+  #drainMs: number;
+
   constructor(parts: DispatchHostParts) {
     this.#parts = parts;
+    this.#drainMs = parts.settings.drainMs;
     const { settings, platform, journal, metrics, clock } = parts;
     const queues = new QueueTable();
     const self: HostIdentity = {
@@ -145,18 +148,28 @@
     this.#metricsServer = metrics.listen(host, port);
   }
 
+  /** Changes the time that a drain may take. */
+  setDrainTime(drainMs: number): void {
+    this.#drainMs = drainMs;
+  }
+
   /** Hands the cells over and answers the jobs in progress; returns when that is done or time is up. */
   async drain(): Promise<void> {
-    const { settings, clock, journal } = this.#parts;
+    const { clock, journal } = this.#parts;
     const beganAtMs = clock.nowMs();
-    const lastMs = beganAtMs + settings.drainMs - EXIT_MARGIN_MS;
+    const lastMs = beganAtMs + this.#drainMs - EXIT_MARGIN_MS;
     this.dispatcher.drain();
     this.#cluster.leave();
     const isBusy = () => this.dispatcher.pending > 0 || this.#cluster.owners.length > 0;
-    while (clock.nowMs() < lastMs && (isBusy() || clock.nowMs() < beganAtMs + DRAIN_LEAST_MS)) {
+    await sleep(DRAIN_LEAST_MS);
+    // The balancer has had time to notice; what still comes is sent elsewhere as not run.
+    this.dispatcher.refuseNew();
+    while (clock.nowMs() < lastMs && isBusy()) {
       // eslint-disable-next-line no-await-in-loop -- polls until the work in progress has ended
       await sleep(DRAIN_POLL_MS);
     }
+    this.dispatcher.abandonAll();
+    await sleep(DRAIN_POLL_MS);
     journal.decide('drained', {
       elapsedMs: Math.round(clock.nowMs() - beganAtMs),
       pending: this.dispatcher.pending,
--- a/src/dispatcher/dispatcher.ts
+++ b/src/dispatcher/dispatcher.ts
@@ -18,6 +18,8 @@
 
   #draining = false;
 
+  #refusing = false;
+
   constructor(
     queues: QueueTable,
     runner: JobRunner,
@@ -51,7 +53,21 @@
     this.#draining = true;
   }
 
+  /** From now on jobs are refused as not run. */
+  refuseNew(): void {
+    this.#refusing = true;
+  }
+
+  /** Ends the jobs in progress, so that their callers get an answer before the process ends. */
+  abandonAll(): void {
+    this.#runner.abandonAll();
+  }
+
   async submit(request: JobRequest): Promise<JobOutcome> {
+    if (this.#refusing && !this.#runner.has(request.job.id)) {
+      this.refused(request.policy.name, request.job.id, 'draining');
+      return { type: 'refused', reason: 'draining', retryAfterMs: 0 };
+    }
     const startedAtMs = performance.now();
     const outcome = await this.#runner.run(request);
     const elapsedMs = performance.now() - startedAtMs;
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -87,6 +87,24 @@
   return `${jobId}.0.${stepIndex}.${index}`;
 }
 
+/** What is left of a part after its owner has gone. */
+function remainingOf(part: Part, outcome: BatchOutcome): Part {
+  const started = outcome.type === 'lost' ? outcome.started : null;
+  const succeeded = outcome.type === 'lost' ? outcome.succeeded : [];
+  const left = part.tasks.filter(({ name }) => !succeeded.includes(name));
+  const tasks = left.map((task) => ({
+    ...task,
+    lastRun: task.lastRun + RUN_NUMBER_GAP,
+    mayRun: started === null || started.includes(task.name),
+  }));
+  return { ...part, tasks };
+}
+
+/** The part once the leases of all its earlier runs are over. */
+function settledPart(part: Part): Part {
+  return { ...part, tasks: part.tasks.map((task) => ({ ...task, mayRun: false })) };
+}
+
 function noCell(job: RunningJob): JobOutcome {
   if (job.begun) return { type: 'lost', reason: 'no-cell' };
   return { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
@@ -159,6 +177,11 @@
     if (job.waiters <= 0) this.#abort(job, 'abandoned');
   }
 
+  /** Ends all jobs; each is answered as lost or refused. */
+  abandonAll(): void {
+    this.#jobs.forEach((job) => this.#abort(job, 'stopping'));
+  }
+
   /** Ends a job at a caller's request; false if it is not in progress here. */
   cancel(jobId: string): boolean {
     const job = this.#jobs.get(jobId);
@@ -237,6 +260,7 @@
       name: taskName(id, stepIndex, index),
       failures: 0,
       lastRun: 0,
+      mayRun: false,
     }));
     const part: Part = { step, tasks, otherStepsMs: declaredMs - step.estimateMs };
     const shares = this.#spread(part);
@@ -346,23 +370,22 @@
    * The owner of the cell is gone while the part may run. The next owner adopts the runs; without one
    * the part starts elsewhere when the leases are over.
    */
-  async #recover(job: RunningJob, part: Part, { cell, token }: SentBatch): Promise<JobOutcome> {
+  async #recover(job: RunningJob, part: Part, sent: SentBatch): Promise<JobOutcome> {
+    const { cell, token, outcome } = sent;
     const { cluster, clock, settleMs, journal } = this.#parts;
     const settledAtMs = clock.nowMs() + settleMs;
     const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
     journal.decide('owner-lost', { jobId: job.request.job.id, cell, token });
-    const renamed: Part = {
-      ...part,
-      tasks: part.tasks.map((task) => ({ ...task, lastRun: task.lastRun + RUN_NUMBER_GAP })),
-    };
+    const left = remainingOf(part, outcome);
+    if (left.tasks.length === 0) return { type: 'completed' };
     while (!job.abandoned && clock.nowMs() < lastChanceMs) {
       if ((cluster.ownerOf(cell)?.token ?? 0) > token && cluster.isServing(cell)) {
-        const batch = this.#batchOf(job, renamed, true, true);
+        const batch = this.#batchOf(job, left, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-        const sent = await this.#send(job, cell, batch);
-        return this.#conclude(job, renamed, sent);
+        const again = await this.#send(job, cell, batch);
+        return this.#conclude(job, left, again);
       }
-      if (clock.nowMs() >= settledAtMs) return this.#force(job, renamed);
+      if (clock.nowMs() >= settledAtMs) return this.#force(job, settledPart(left));
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
       await sleep(POLL_MS);
     }
--- a/src/dispatcher/journal.ts
+++ b/src/dispatcher/journal.ts
@@ -21,7 +21,7 @@
 export class BoundedJournal implements DispatchJournal {
   readonly #writer: LineWriter;
 
-  readonly #linesPerSecond: number;
+  #linesPerSecond: number;
 
   readonly #nowMs: () => number;
 
@@ -37,6 +37,11 @@
     this.#nowMs = nowMs;
   }
 
+  /** Changes the allowance of each kind of line. */
+  setLimit(linesPerSecond: number): void {
+    this.#linesPerSecond = linesPerSecond;
+  }
+
   /** Lines left out since the start. */
   get dropped(): number {
     return this.#dropped;
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -25,7 +25,7 @@
 const HTTP_OK = 200;
 
 const UNREACHABLE: BatchReply = {
-  outcome: { type: 'lost', reason: BatchReason.unreachable, settled: false },
+  outcome: { type: 'lost', reason: BatchReason.unreachable, started: null, succeeded: [] },
   summary: null,
 };
 
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -1,12 +1,18 @@
 /** The owner's side of a cell, against simulated workers in virtual time. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { BatchReason } from '../../src/cells/messages';
+import { BatchReason, type TaskBatch } from '../../src/cells/messages';
 import { batchOf, CellWorld } from './cellWorld';
 
 const SETTLE = { queue: 'settle', priority: 2, estimateMs: 900, deadlineInMs: 6000 } as const;
 const CHECK = { queue: 'check', priority: 1, estimateMs: 200, deadlineInMs: 2500 } as const;
 
+/** The batch as it comes to the next owner of the cell. */
+function again(batch: TaskBatch): TaskBatch {
+  const tasks = batch.tasks.map((task) => ({ ...task, mayRun: true }));
+  return { ...batch, batchId: `${batch.batchId}-again`, mayRun: true, begun: true, tasks };
+}
+
 describe('a cell serves batches', () => {
   it('runs all tasks of a batch once and reports it done', () => {
     const world = CellWorld.withWorkers(2);
@@ -93,7 +99,12 @@
     world.advance(100);
     world.workers.forEach(({ faults }) => Object.assign(faults, { silent: true }));
     world.advance(400);
-    expect(record.outcome).toEqual({ type: 'lost', reason: BatchReason.deadline, settled: false });
+    expect(record.outcome).toEqual({
+      type: 'lost',
+      reason: BatchReason.deadline,
+      started: [record.batch.tasks[0]?.name ?? ''],
+      succeeded: [],
+    });
   });
 
   it('takes a run whose start had no answer from the list of runs, without a second start', () => {
@@ -151,7 +162,7 @@
     first.cell.handOver(first.nowMs);
     expect(first.cell.take().some((action) => action.type === 'end')).toEqual(true);
     const second = new CellWorld(first.workers, first.nowMs);
-    const after = second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    const after = second.offer(again(batch));
     second.advance(1500);
     expect(before.outcome).toEqual(null);
     expect(after.outcome).toEqual({ type: 'done' });
@@ -166,7 +177,7 @@
     const [worker] = first.workers;
     worker?.finish(`${batch.tasks[0]?.name}#1`, 'succeeded');
     const second = new CellWorld(first.workers, first.nowMs + 20);
-    const after = second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    const after = second.offer(again(batch));
     expect(after.outcome).toEqual({ type: 'done' });
     expect(second.starts).toEqual([]);
   });
@@ -177,7 +188,7 @@
     first.offer(batch);
     first.advance(100);
     const second = new CellWorld(first.workers, first.nowMs, undefined, false);
-    const after = second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    const after = second.offer(again(batch));
     second.advance(1000);
     expect(after.outcome).toEqual({ type: 'done' });
     expect(second.starts).toEqual([]);
@@ -193,7 +204,7 @@
     const busy = second.workers.find(({ runs }) => runs.size > 0);
     Object.assign(busy?.faults ?? {}, { silent: true });
     second.advance(3000);
-    second.offer({ ...batch, batchId: 'again', mayRun: true, begun: true });
+    second.offer(again(batch));
     second.advance(1000);
     expect(second.starts).toEqual([]);
     second.advance(1500);
--- a/test/cells/cellWorld.ts
+++ b/test/cells/cellWorld.ts
@@ -51,6 +51,7 @@
       name: `${jobId}.0.0.${index}`,
       failures: 0,
       lastRun: 0,
+      mayRun: rest.mayRun ?? false,
     })),
     slackFactor: 1.6,
     goalMs: 60,
--- a/test/platform/deployment.ts
+++ b/test/platform/deployment.ts
@@ -77,7 +77,9 @@
     );
     this.hosts.push(...hosts);
     await Promise.all(hosts.map((host) => host.open()));
-    await until('every host is ready', () => this.hosts.every(({ host }) => host.dispatcher.ready));
+    await until('every host knows every cell', () =>
+      this.hosts.every(({ host }) => host.servedCells.length === this.#domains.length),
+    );
   }
 
   async #openWorker(id: string, domain: string): Promise<void> {
