--- /dev/null
+++ b/test/dispatcher/ownership.test.ts
@@ -0,0 +1,65 @@
+/** When a host claims a cell. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { CellRecord, HostIdentity } from '../../src/dispatcher/cellRecord';
+import { Ownership, OwnerHealth } from '../../src/dispatcher/ownership';
+
+function host(hostId: string, domain: string, incarnation = '1'): HostIdentity {
+  return { hostId, incarnation, domain, address: `10.0.0.1:${hostId.length}` };
+}
+
+function record(owner: HostIdentity): CellRecord {
+  return { cell: 'bole', owner, token: 1000 };
+}
+
+const RANDOM = { next: () => 0.5 };
+const SELF = host('bole-1', 'bole');
+const LIMIT_MS = 10_000;
+
+/** Time from a vacancy until the first claim, asking every 10 ms; null within ten seconds. */
+function claimAfterMs(
+  self: HostIdentity,
+  known: CellRecord | null,
+  health: OwnerHealth,
+): number | null {
+  const ownership = new Ownership(self, RANDOM, 0);
+  for (let nowMs = 0; nowMs <= LIMIT_MS; nowMs += 10) {
+    if (ownership.shouldClaim('bole', known, health, nowMs)) return nowMs;
+  }
+  return null;
+}
+
+describe('claims of a cell', () => {
+  const other = record(host('bole-2', 'bole'));
+
+  it('leaves a cell alone whose owner serves, or may', () => {
+    expect(claimAfterMs(SELF, other, OwnerHealth.serving)).toEqual(null);
+    expect(claimAfterMs(SELF, other, OwnerHealth.unknown)).toEqual(null);
+  });
+
+  it('claims a vacant cell of its own domain within 60 ms', () => {
+    [OwnerHealth.gone, OwnerHealth.leaving].forEach((health) => {
+      expect(claimAfterMs(SELF, other, health) ?? Infinity).toBeLessThanOrEqual(60);
+    });
+    expect(claimAfterMs(SELF, null, OwnerHealth.unknown) ?? Infinity).toBeLessThanOrEqual(60);
+  });
+
+  it('leaves another domain two seconds to find an owner of its own', () => {
+    const far = host('piassa-1', 'piassa');
+    expect(claimAfterMs(far, other, OwnerHealth.gone) ?? 0).toBeGreaterThanOrEqual(2000);
+  });
+
+  it('takes a cell back from a host of another domain, but not at once after its start', () => {
+    const foreign = record(host('piassa-1', 'piassa'));
+    expect(claimAfterMs(SELF, foreign, OwnerHealth.serving) ?? 0).toBeGreaterThanOrEqual(3000);
+  });
+
+  it('claims the cell that its own earlier process owned', () => {
+    const earlier = record(host('bole-1', 'bole', '0'));
+    expect(claimAfterMs(SELF, earlier, OwnerHealth.gone)).not.toEqual(null);
+  });
+
+  it('does not claim what it owns', () => {
+    expect(claimAfterMs(SELF, record(SELF), OwnerHealth.gone)).toEqual(null);
+  });
+});
--- /dev/null
+++ b/test/dispatcher/settings.test.ts
@@ -0,0 +1,42 @@
+/** Settings of a dispatcher: unknown keys are left alone, all findings are reported together. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { readDispatcherSettings } from '../../src/dispatcher/settings';
+
+const GOOD = `[host]
+id = front-1
+domain = bole
+domains = bole, piassa
+drain-seconds = 6.5
+[listen]
+callers = 10.0.0.1:8000
+readiness = 10.0.0.1:8001
+peers = 10.0.0.1:8002
+metrics = 10.0.0.1:9464
+[store]
+address = 10.0.0.9:8000
+[workers]
+lease-ms = 1000
+`;
+
+describe('settings of a dispatcher', () => {
+  it('reads a file, with defaults for what may be left out', () => {
+    const settings = readDispatcherSettings('a.ini', GOOD).unwrap();
+    expect(settings.domains).toEqual(['bole', 'piassa']);
+    expect(settings.drainMs).toEqual(6500);
+    expect(settings.seeds).toEqual([]);
+    expect(settings.linesPerSecond).toEqual(400);
+  });
+
+  it('leaves unknown sections and keys alone', () => {
+    const text = `${GOOD}\n[later]\nnew = 1\n`;
+    expect(readDispatcherSettings('a.ini', text).ok).toEqual(true);
+  });
+
+  it('reports every missing and wrong value with its place', () => {
+    const text = GOOD.replace('lease-ms = 1000', 'lease-ms = soon').replace('id = front-1\n', '');
+    const findings = readDispatcherSettings('a.ini', text);
+    const places = findings.err ? findings.val.map(({ section, key }) => `${section} ${key}`) : [];
+    expect(places).toEqual(['host id', 'workers lease-ms']);
+  });
+});
--- /dev/null
+++ b/test/platform/records.test.ts
@@ -0,0 +1,105 @@
+/** What the platform's workers, operators and clients write, decoded once. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { decodeJob } from '../../platform/jobs';
+import { decodeConfiguration, decodeWorker } from '../../platform/records';
+
+const WORKER = {
+  backend: 'huvo11a',
+  address: '10.128.0.9:8080',
+  zone: 'bole',
+  state: 'ready',
+  capacity: { cpu: 16_000, memMb: 32_768, gpu: 0 },
+  labels: ['a', 'r1-3'],
+  born: 12,
+};
+
+function worker(changes: object): ReturnType<typeof decodeWorker> {
+  return decodeWorker('servers/i-1', JSON.stringify({ ...WORKER, ...changes }));
+}
+
+describe('entries of workers', () => {
+  it('are read with the names of the product', () => {
+    const entry = worker({});
+    expect(entry?.id).toEqual('i-1');
+    expect(entry?.service).toEqual('huvo11a');
+    expect(entry?.cpuMillis).toEqual(16_000);
+    expect(entry?.draining).toEqual(false);
+    expect(worker({ state: 'draining' })?.draining).toEqual(true);
+  });
+
+  it('of another writer name no worker', () => {
+    const wrong = [
+      { backend: 7 },
+      { address: null },
+      { zone: undefined },
+      { state: 'sleeping' },
+      { capacity: 'much' },
+      { capacity: { cpu: 'x', memMb: 1 } },
+      { labels: [1] },
+    ];
+    wrong.forEach((changes) => expect(worker(changes)).toEqual(null));
+    ['', '[]', 'null', '{', '\u0000'].forEach((text) =>
+      expect(decodeWorker('servers/i-1', text)).toEqual(null),
+    );
+  });
+});
+
+describe('configurations', () => {
+  it('keep the queues that can be read', () => {
+    const route = { name: 'r', host: 'a', prefix: '/p/', backend: 's', priority: 1 };
+    const text = JSON.stringify({ version: 3, routes: [route, { name: 'x' }], backends: [] });
+    const configuration = decodeConfiguration(text);
+    expect(configuration?.bindings.map(({ policy }) => policy.name)).toEqual(['r']);
+    expect(decodeConfiguration('{}')).toEqual(null);
+  });
+
+  it('name what a queue needs that is not built', () => {
+    const recommendation = { decideMs: 1, periodMs: 1, validityMs: 1 };
+    const route = { name: 'r', host: 'a', prefix: '/p/', backend: 's', recommendation };
+    const configuration = decodeConfiguration(JSON.stringify({ version: 1, routes: [route] }));
+    expect(configuration?.bindings[0]?.unsupported).not.toEqual(null);
+  });
+});
+
+describe('jobs of clients', () => {
+  const step = { count: 2, cpu: 500, memMb: 256, estimateMs: 900 };
+  const kindOf = (body: object) => {
+    const job = decodeJob('0'.repeat(16), JSON.stringify(body));
+    return job.ok ? 'job' : job.val.kind;
+  };
+
+  it('are read with their steps', () => {
+    expect(kindOf({ spec: 'x', bestEffort: true, steps: [step, { ...step, after: [0] }] })).toEqual(
+      'job',
+    );
+  });
+
+  it('that ask for what is not built are told apart', () => {
+    const asks = [
+      { bestEffort: false, steps: [step] },
+      { bestEffort: true, repetitions: 3, steps: [step] },
+      { bestEffort: true, longRunning: true, steps: [step] },
+      ...['gang', 'sameRack', 'longRunning', 'targetMs', 'fills', 'maxUnavailable'].map(
+        (member) => ({
+          bestEffort: true,
+          steps: [{ ...step, [member]: 1 }],
+        }),
+      ),
+    ];
+    asks.forEach((body) => expect(kindOf(body)).toEqual('unsupported'));
+  });
+
+  it('that are malformed are told what was expected', () => {
+    const wrong = [
+      {},
+      { bestEffort: true, steps: [] },
+      { bestEffort: true, steps: [7] },
+      { bestEffort: true, steps: [{ ...step, count: 0 }] },
+      { bestEffort: true, steps: [{ ...step, cpu: -1 }] },
+      { bestEffort: true, steps: [{ ...step, after: [0] }] },
+      { bestEffort: true, spec: 'x'.repeat(4001), steps: [step] },
+    ];
+    wrong.forEach((body) => expect(kindOf(body)).toEqual('malformed'));
+  });
+});
