--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -201,7 +201,9 @@
   }
 
   #unfollow(workerId: string): void {
-    this.#sessions.get(workerId)?.close();
+    const session = this.#sessions.get(workerId);
+    session?.close();
+    if (session) this.#parts.control.forget(session.target);
     this.#sessions.delete(workerId);
     this.#parts.journal.decide('worker-unfollowed', { cell: this.#parts.cell, worker: workerId });
   }
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -15,11 +15,11 @@
 import type { CellRecord, HostIdentity } from './cellRecord';
 import type { DispatchJournal } from './journal';
 import { Ownership, OwnerHealth } from './ownership';
-import { StatusFailure, type PeerClient } from './peerClient';
-import type { BatchCall, PeerStatus, StatusQuestion } from './peerMessages';
-import { PeerMonitor } from './peerMonitor';
+import type { PeerClient } from './peerClient';
+import type { BatchCall } from './peerMessages';
+import { PeerTalk } from './peerTalk';
 import type { Platform } from './platform';
-import type { QueueConfiguration, QueueTable } from './queueTable';
+import type { QueueTable } from './queueTable';
 import { RecordKeeper } from './recordKeeper';
 import { CellLoads } from './router';
 import type { RenewOrder } from './workerControl';
@@ -79,7 +79,7 @@
 
   readonly #claiming = new Set<string>();
 
-  readonly #monitor = new PeerMonitor();
+  readonly #talk: PeerTalk;
 
   readonly #ownership: Ownership;
 
@@ -120,6 +120,26 @@
       onList: (domain, entries) => this.#owned.get(domain)?.setWorkers(entries),
       onAnswer: (up, detail) => this.#records.storeSeen(up, detail),
     });
+    this.#talk = new PeerTalk({
+      ...parts,
+      records: this.#records,
+      lists: this.#lists,
+      onSummaries: (summaries) => this.#noteLoads(summaries),
+      onAsked: () => this.#refreshHealth(clock.nowMs()),
+    });
+  }
+
+  /** The status calls between hosts. */
+  get talk(): PeerTalk {
+    return this.#talk;
+  }
+
+  get summaries(): readonly CellSummary[] {
+    return this.owners.map((owner) => owner.summary());
+  }
+
+  get isLeaving(): boolean {
+    return this.#leaving;
   }
 
   open(): void {
@@ -146,6 +166,7 @@
     this.#closed = true;
     if (this.#timer) clearInterval(this.#timer);
     this.#records.close();
+    this.#talk.close();
     this.#owned.forEach((owner) => owner.close());
     this.#owned.clear();
   }
@@ -197,33 +218,6 @@
     return this.#owned.get(cell)?.summary() ?? null;
   }
 
-  /** Answers another host's question, and takes what it knows. */
-  status({ from, configurationVersion, records, listVersion }: StatusQuestion): PeerStatus {
-    const { self, queues } = this.#parts;
-    const known = queues.configuration?.version ?? 0;
-    if (configurationVersion > known) this.#pullConfiguration(from.address);
-    records.forEach((record) => this.#records.learn(record, from.hostId));
-    return {
-      hostId: self.hostId,
-      incarnation: self.incarnation,
-      leaving: this.#leaving,
-      configurationVersion: known,
-      cells: this.owners.map((owner) => owner.summary()),
-      records: this.#records.all(),
-      workers: this.#lists.newerThan(from.domain, listVersion),
-    };
-  }
-
-  /** Puts a configuration in force if it is newer. */
-  configure(configuration: QueueConfiguration, source: string): void {
-    if (!this.#parts.queues.apply(configuration)) return;
-    this.#parts.journal.decide('configuration-in-force', {
-      version: configuration.version,
-      queues: configuration.bindings.length,
-      source,
-    });
-  }
-
   async #runHere(
     owner: CellOwner,
     batch: TaskBatch,
@@ -271,68 +265,24 @@
 
   #resume(nowMs: number): void {
     this.#parts.journal.decide('pause-detected', { gapMs: Math.round(nowMs - this.#lastTickMs) });
-    this.#monitor.resume(nowMs);
+    this.#talk.resume(nowMs);
     this.#resumeListener?.();
   }
 
   #askPeers(nowMs: number): void {
     this.#lastAskMs = nowMs;
-    const { self, queues, seeds } = this.#parts;
-    const records = this.#records.all();
-    const others = records
-      .map(({ owner }) => owner)
-      .filter(({ address }) => address !== self.address);
-    this.#monitor.setOwners(others, nowMs);
-    const lacksNews = records.length === 0 || queues.configuration === null;
-    const strangers = lacksNews ? seeds.filter((seed) => seed !== self.address) : [];
-    const addresses = new Set([
-      ...this.#monitor.addresses(),
-      ...strangers,
-      ...this.#uninformed(records),
-    ]);
-    addresses.forEach((address) => this.#ask(address));
-  }
-
-  /** Hosts that can't learn from the store of a claim that this host made without it. */
-  #uninformed(records: readonly CellRecord[]): readonly string[] {
-    const isUnwritten = records.some(
-      (record) => this.#owned.has(record.cell) && this.#records.isUnwritten(record),
-    );
-    return isUnwritten ? this.#records.neighbours().map(({ address }) => address) : [];
-  }
-
-  async #ask(address: string): Promise<void> {
-    const { self, queues, peers, clock } = this.#parts;
-    const question: StatusQuestion = {
-      from: self,
-      configurationVersion: queues.configuration?.version ?? 0,
-      records: this.#records.all(),
-      listVersion: this.#lists.versionOf(self.domain),
-    };
-    const status = await peers.status(address, question);
-    if (this.#closed) return;
-    if (status === StatusFailure.refused) {
-      this.#monitor.refused(address);
-    } else if (status !== StatusFailure.unanswered) {
-      this.#monitor.answered(address, status, clock.nowMs());
-      this.#learn(address, status);
-    }
-    this.#refreshHealth(clock.nowMs());
+    const hasUnwrittenClaims = this.owners.some(({ cell }) => {
+      const record = this.#records.get(cell);
+      return record !== null && this.#records.isUnwritten(record);
+    });
+    this.#talk.askAll(hasUnwrittenClaims, nowMs);
   }
 
-  #learn(address: string, status: PeerStatus): void {
-    status.cells.forEach((summary) => {
+  /** The loads of its own cells this host knows better. */
+  #noteLoads(summaries: readonly CellSummary[]): void {
+    summaries.forEach((summary) => {
       if (!this.#owned.has(summary.cell)) this.loads.set(summary);
     });
-    status.records.forEach((record) => this.#records.learn(record, status.hostId));
-    if (status.workers) this.#lists.learn(this.#parts.self.domain, status.workers);
-    const known = this.#parts.queues.configuration?.version ?? 0;
-    if (status.configurationVersion > known) this.#pullConfiguration(address);
-  }
-
-  async #pullConfiguration(address: string): Promise<void> {
-    const configuration = await this.#parts.peers.configuration(address);
-    if (configuration) this.configure(configuration, address);
   }
 
   #refreshHealth(nowMs: number): void {
@@ -343,7 +293,7 @@
         return;
       }
       const before = this.#health.get(cell);
-      const health = this.#monitor.health(owner, cell, nowMs);
+      const health = this.#talk.health(owner, cell, nowMs);
       this.#health.set(cell, health);
       if (before === health) return;
       this.#parts.journal.decide('owner-health', { cell, owner: owner.hostId, health });
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -14,6 +14,7 @@
 import type { DispatchMetrics } from './metrics';
 import { PeerClient } from './peerClient';
 import { PeerServer } from './peerServer';
+import { PartRunner } from './partRunner';
 import type { Platform } from './platform';
 import { QueueTable } from './queueTable';
 import type { DispatcherSettings } from './settings';
@@ -97,7 +98,7 @@
       random: { next: Math.random },
       journal,
     });
-    const runner = new JobRunner({
+    const partRunner = new PartRunner({
       cluster: this.#cluster,
       homeCell: settings.domain,
       prefix: `${settings.hostId}-${self.incarnation}`,
@@ -105,11 +106,13 @@
       clock,
       journal,
     });
+    const runner = new JobRunner({ parts: partRunner, clock, journal });
     const isServing = () => this.#cluster.serving().length > 0;
     this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
     this.#peerServer = new PeerServer(
       {
-        status: (question) => this.#cluster.status(question),
+        status: (question) =>
+          this.#cluster.talk.answer(question, this.#cluster.summaries, this.#cluster.isLeaving),
         run: (call) => this.#cluster.runForPeer(call),
         withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
         summary: (cell) => this.#cluster.summary(cell),
@@ -142,7 +145,7 @@
     await this.#peerServer.listen(peers.host, peers.port);
     this.#cluster.open();
     platform.configurations.follow((configuration) => {
-      this.#cluster.configure(configuration, 'store');
+      this.#cluster.talk.configure(configuration, 'store');
     });
     const { host, port } = splitAddress(settings.metricsAddress);
     this.#metricsServer = metrics.listen(host, port);
--- a/src/dispatcher/dispatcher.ts
+++ b/src/dispatcher/dispatcher.ts
@@ -1,7 +1,8 @@
 /** What the caller's interface needs of a dispatcher, whatever protocol callers speak. */
 import type { DispatchJournal } from './journal';
 import type { DispatchMetrics } from './metrics';
-import type { JobOutcome, JobRequest, JobRunner } from './jobRunner';
+import type { JobRunner } from './jobRunner';
+import type { JobOutcome, JobRequest } from './runningJob';
 import type { QueueTable } from './queueTable';
 
 /** Entry point for callers' requests. */
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -1,144 +1,33 @@
 /**
- * The submitter: runs the jobs that callers hand to this host. It hands the tasks of each step to the
- * owners of cells and answers when all have ended. A refusal is only given while nothing has started.
+ * The submitter: runs the jobs that callers hand to this host, step by step, and answers when all have
+ * ended. A refusal is only given while nothing has started.
  */
-import type { Job, JobStep, QueuePolicy } from '../cells/job';
-import { BatchReason, type BatchOutcome, type BatchTask, type TaskBatch } from '../cells/messages';
+import type { JobStep } from '../cells/job';
 import type { Clock } from '../core/clock';
-import type { Cluster } from './cluster';
 import type { DispatchJournal } from './journal';
-import { spread, type Share } from './router';
-
-/** How a job ended. */
-export type JobOutcome =
-  | { readonly type: 'completed' }
-  | { readonly type: 'failed' }
-  /** Nothing of it has run or ever will; the caller may come back after the given time. */
-  | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number }
-  /** Given up after a start; it may be submitted again. */
-  | { readonly type: 'lost'; readonly reason: string };
-
-/** A job that a caller waits for. */
-export interface JobRequest {
-  readonly job: Job;
-  readonly policy: QueuePolicy;
-  /** Time that the caller waits. */
-  readonly deadlineInMs: number;
-}
+import type { PartRunner } from './partRunner';
+import { firstObstacle, type JobOutcome, type JobRequest, type RunningJob } from './runningJob';
 
 /** What a job runner is built from. */
 export interface JobRunnerParts {
-  readonly cluster: Cluster;
-  readonly homeCell: string;
-  /** Differs between processes; batch ids begin with it. */
-  readonly prefix: string;
-  /** Time after which no run is left at an owner that this host has turned away from. */
-  readonly settleMs: number;
+  readonly parts: PartRunner;
   readonly clock: Clock;
   readonly journal: DispatchJournal;
 }
 
 /** Time kept back from the deadline for the answer to reach the caller. */
 const ANSWER_MARGIN_MS = 15;
-const POLL_MS = 20;
-/** Runs of a new owner get numbers well above those that the previous one may have used. */
-const RUN_NUMBER_GAP = 16;
-const RETRY_AFTER_MS = 300;
-/** Longest wait of a job for a cell to find its owner. */
-const CELL_WAIT_MS = 300;
-/** A cell refuses a batch within this time, or has taken it. */
-const REFUSAL_TIME_MS = 8;
-
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
-interface RunningJob {
-  readonly request: JobRequest;
-  readonly arrivedAtMs: number;
-  readonly deadlineAtMs: number;
-  readonly aborts: Set<AbortController>;
-  readonly outcome: Promise<JobOutcome>;
-  waiters: number;
-  /** A part of it has ended otherwise than refused, so that it can't be refused any more. */
-  begun: boolean;
-  /** Parts that have not been refused by all cells; they may have started. */
-  openParts: number;
-  abandoned: boolean;
-}
-
-/** Tasks of one step that go to one cell together. */
-interface Part {
-  readonly step: JobStep;
-  readonly tasks: readonly BatchTask[];
-  readonly otherStepsMs: number;
-}
-
-/** End of a batch, and which owner of the cell it was sent to. */
-interface SentBatch {
-  readonly cell: string;
-  readonly token: number;
-  readonly outcome: BatchOutcome;
-}
 
 function taskName(jobId: string, stepIndex: number, index: number): string {
   return `${jobId}.0.${stepIndex}.${index}`;
 }
 
-/** What is left of a part after its owner has gone. */
-function remainingOf(part: Part, outcome: BatchOutcome): Part {
-  const started = outcome.type === 'lost' ? outcome.started : null;
-  const succeeded = outcome.type === 'lost' ? outcome.succeeded : [];
-  const left = part.tasks.filter(({ name }) => !succeeded.includes(name));
-  const tasks = left.map((task) => ({
-    ...task,
-    lastRun: task.lastRun + RUN_NUMBER_GAP,
-    mayRun: started === null || started.includes(task.name),
-  }));
-  return { ...part, tasks };
-}
-
-/** The part once the leases of all its earlier runs are over. */
-function settledPart(part: Part): Part {
-  return { ...part, tasks: part.tasks.map((task) => ({ ...task, mayRun: false })) };
-}
-
-function noCell(job: RunningJob): JobOutcome {
-  if (job.begun) return { type: 'lost', reason: 'no-cell' };
-  return { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
-}
-
-/** Completed when all are; otherwise the first other outcome, and the rest is withdrawn. */
-function firstObstacle(
-  job: RunningJob,
-  outcomes: readonly Promise<JobOutcome>[],
-): Promise<JobOutcome> {
-  return new Promise((resolve) => {
-    let left = outcomes.length;
-    outcomes.forEach((pending) => {
-      pending.then((outcome) => {
-        left -= 1;
-        if (outcome.type !== 'completed') {
-          resolve(outcome);
-          job.aborts.forEach((abort) => abort.abort());
-        } else if (left === 0) {
-          resolve(outcome);
-        }
-      });
-    });
-  });
-}
-
 /** Jobs in progress on this host. */
 export class JobRunner {
   readonly #parts: JobRunnerParts;
 
   readonly #jobs = new Map<string, RunningJob>();
 
-  #batchCount = 0;
-
   constructor(parts: JobRunnerParts) {
     this.#parts = parts;
   }
@@ -241,19 +130,7 @@
     return firstObstacle(job, [...ends.values()]);
   }
 
-  /** Waits a little for the first cell after a start or a change of owner. */
-  async #awaitCell(job: RunningJob): Promise<void> {
-    const { cluster, clock } = this.#parts;
-    const untilMs = clock.nowMs() + CELL_WAIT_MS;
-    while (cluster.serving().length === 0 && cluster.expectsOwner && !job.abandoned) {
-      if (clock.nowMs() >= untilMs) return;
-      // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-      await sleep(POLL_MS);
-    }
-  }
-
-  async #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
-    await this.#awaitCell(job);
+  #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
     const { id, steps } = job.request.job;
     const declaredMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
     const tasks = Array.from({ length: step.taskCount }, (_, index) => ({
@@ -262,177 +139,7 @@
       lastRun: 0,
       mayRun: false,
     }));
-    const part: Part = { step, tasks, otherStepsMs: declaredMs - step.estimateMs };
-    const shares = this.#spread(part);
-    if (shares.length === 0) return noCell(job);
-    return this.#runShares(job, part, shares, true);
-  }
-
-  #spread({ step, tasks }: Part): readonly Share[] {
-    const { cluster, homeCell } = this.#parts;
-    const { cpuMillis } = step.shape;
-    return spread(cluster.serving(), homeCell, tasks.length, cpuMillis, step.estimateMs);
-  }
-
-  /** Hands the tasks of a part to several cells. */
-  #runShares(
-    job: RunningJob,
-    part: Part,
-    shares: readonly Share[],
-    maySplit: boolean,
-  ): Promise<JobOutcome> {
-    const { loads } = this.#parts.cluster;
-    const { shape, estimateMs } = part.step;
-    const running = job;
-    running.openParts += shares.length;
-    shares.forEach(({ cell, taskIndexes }) => {
-      loads.reserve(cell, taskIndexes.length, shape.cpuMillis, estimateMs);
-    });
-    const ends = shares.map(({ cell, taskIndexes }) => {
-      const tasks = part.tasks.filter((_, index) => taskIndexes.includes(index));
-      return this.#runPart(job, { ...part, tasks }, cell, maySplit);
-    });
-    return firstObstacle(job, ends);
-  }
-
-  /**
-   * Offers a part to one cell after the other until one takes it. The first refusal tells how full the
-   * cell really is, so that the part is spread anew where that is possible.
-   */
-  async #runPart(
-    job: RunningJob,
-    part: Part,
-    firstCell: string,
-    maySplit: boolean,
-  ): Promise<JobOutcome> {
-    const tried = new Set<string>();
-    let cell: string | null = firstCell;
-    let refusal: JobOutcome = noCell(job);
-    while (cell !== null) {
-      tried.add(cell);
-      const batch = this.#batchOf(job, part, job.begun, false);
-      // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
-      const sent = await this.#send(job, cell, batch);
-      const { outcome } = sent;
-      if (outcome.type !== 'refused') return this.#conclude(job, part, sent);
-      refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
-      const shares = maySplit && !job.abandoned ? this.#spread(part) : [];
-      if (shares.length > 1) return this.#splitAgain(job, part, shares);
-      cell = job.abandoned ? null : this.#nextCell(tried);
-    }
-    return this.#refusedByAll(job, part, refusal);
-  }
-
-  #splitAgain(job: RunningJob, part: Part, shares: readonly Share[]): Promise<JobOutcome> {
-    const running = job;
-    running.openParts -= 1;
-    return this.#runShares(job, part, shares, false);
-  }
-
-  /** The job is refused only if no other part of it was taken. */
-  async #refusedByAll(job: RunningJob, part: Part, refusal: JobOutcome): Promise<JobOutcome> {
-    const running = job;
-    running.openParts -= 1;
-    if (job.openParts > 0) await sleep(REFUSAL_TIME_MS);
-    if (job.abandoned || (job.openParts === 0 && !job.begun)) return refusal;
-    running.openParts += 1;
-    return this.#force(job, part);
-  }
-
-  /** Other parts of the job run, so this one is queued somewhere even though it will be late. */
-  async #force(job: RunningJob, part: Part): Promise<JobOutcome> {
-    const cell = this.#nextCell(new Set());
-    if (cell === null) return { type: 'lost', reason: 'no-cell' };
-    const sent = await this.#send(job, cell, this.#batchOf(job, part, true, false));
-    return this.#conclude(job, part, sent);
-  }
-
-  #nextCell(tried: ReadonlySet<string>): string | null {
-    const left = this.#parts.cluster.serving().filter(({ cell }) => !tried.has(cell));
-    const work = (cell: (typeof left)[number]) =>
-      cell.queuedCpuMillisMs / Math.max(1, cell.capacityCpuMillis);
-    return left.sort((one, other) => work(one) - work(other))[0]?.cell ?? null;
-  }
-
-  async #conclude(job: RunningJob, part: Part, sent: SentBatch): Promise<JobOutcome> {
-    const { outcome } = sent;
-    if (outcome.type === 'done') return { type: 'completed' };
-    if (outcome.type === 'failed') return { type: 'failed' };
-    const ownerLost =
-      outcome.reason === BatchReason.handedOver || outcome.reason === BatchReason.unreachable;
-    if (outcome.type === 'lost' && ownerLost && !job.abandoned) {
-      return this.#recover(job, part, sent);
-    }
-    return { type: 'lost', reason: outcome.reason };
-  }
-
-  /**
-   * The owner of the cell is gone while the part may run. The next owner adopts the runs; without one
-   * the part starts elsewhere when the leases are over.
-   */
-  async #recover(job: RunningJob, part: Part, sent: SentBatch): Promise<JobOutcome> {
-    const { cell, token, outcome } = sent;
-    const { cluster, clock, settleMs, journal } = this.#parts;
-    const settledAtMs = clock.nowMs() + settleMs;
-    const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
-    journal.decide('owner-lost', { jobId: job.request.job.id, cell, token });
-    const left = remainingOf(part, outcome);
-    if (left.tasks.length === 0) return { type: 'completed' };
-    while (!job.abandoned && clock.nowMs() < lastChanceMs) {
-      if ((cluster.ownerOf(cell)?.token ?? 0) > token && cluster.isServing(cell)) {
-        const batch = this.#batchOf(job, left, true, true);
-        // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-        const again = await this.#send(job, cell, batch);
-        return this.#conclude(job, left, again);
-      }
-      if (clock.nowMs() >= settledAtMs) return this.#force(job, settledPart(left));
-      // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-      await sleep(POLL_MS);
-    }
-    return { type: 'lost', reason: 'owner-lost' };
-  }
-
-  #batchOf(job: RunningJob, part: Part, begun: boolean, mayRun: boolean): TaskBatch {
-    const { policy, job: spec } = job.request;
-    const nowMs = this.#parts.clock.nowMs();
-    this.#batchCount += 1;
-    return {
-      batchId: `${this.#parts.prefix}-${this.#batchCount}`,
-      jobId: spec.id,
-      queue: policy.name,
-      service: policy.service,
-      priority: policy.priority,
-      maxAttempts: policy.maxAttempts,
-      payload: spec.payload,
-      shape: part.step.shape,
-      estimateMs: part.step.estimateMs,
-      tasks: part.tasks,
-      slackFactor: policy.slackFactor,
-      goalMs: policy.goalMs,
-      waitedMs: nowMs - job.arrivedAtMs,
-      otherStepsMs: part.otherStepsMs,
-      deadlineInMs: job.deadlineAtMs - nowMs,
-      begun,
-      mayRun,
-    };
-  }
-
-  async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
-    const token = this.#parts.cluster.ownerOf(cell)?.token ?? 0;
-    const abort = new AbortController();
-    job.aborts.add(abort);
-    const outcome = await this.#parts.cluster.run(cell, batch, abort);
-    job.aborts.delete(abort);
-    const running = job;
-    if (outcome.type !== 'refused') running.begun = true;
-    this.#parts.journal.decide('batch-answered', {
-      jobId: batch.jobId,
-      batchId: batch.batchId,
-      cell,
-      tasks: batch.tasks.length,
-      outcome: outcome.type,
-      ...('reason' in outcome ? { reason: outcome.reason } : {}),
-    });
-    return { cell, token, outcome };
+    const otherStepsMs = declaredMs - step.estimateMs;
+    return this.#parts.parts.run(job, { step, tasks, otherStepsMs });
   }
 }
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -1,6 +1,6 @@
 /** Calls to other hosts over HTTP. */
-import { Pool } from 'undici';
 import { BatchReason, type BatchOutcome } from '../cells/messages';
+import { PoolSet } from './keepAlivePool';
 import {
   parseBody,
   PeerPath,
@@ -21,7 +21,6 @@
 
 const STATUS_TIMEOUT_MS = 450;
 const CONNECT_TIMEOUT_MS = 400;
-const KEEP_ALIVE_MS = 60_000;
 const HTTP_OK = 200;
 
 const UNREACHABLE: BatchReply = {
@@ -44,7 +43,10 @@
 
 /** Client for the interface between hosts; no method rejects. */
 export class PeerClient {
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new PoolSet({
+    connections: null,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  });
 
   /** Batches in progress by address, so that they end when the host is found to be gone. */
   readonly #running = new Map<string, Set<AbortController>>();
@@ -90,13 +92,11 @@
   }
 
   async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
-    this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await this.#pools.close();
   }
 
   async #post(address: string, path: string, body: unknown, signal: AbortSignal): Promise<string> {
-    const response = await this.#pool(address).request({
+    const response = await this.#pools.to(address).request({
       method: 'POST',
       path,
       headers: { 'content-type': 'application/json' },
@@ -107,20 +107,4 @@
     if (response.statusCode !== HTTP_OK) throw new Error(`status ${response.statusCode}`);
     return text;
   }
-
-  #pool(address: string): Pool {
-    const known = this.#pools.get(address);
-    if (known) return known;
-    const pool = new Pool(`http://${address}`, {
-      connections: null,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-    });
-    this.#pools.set(address, pool);
-    return pool;
-  }
 }
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -85,6 +85,10 @@
     this.#clock = clock;
   }
 
+  get target(): WorkerTarget {
+    return this.#target;
+  }
+
   open(): void {
     this.#renew(0);
   }
