--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -97,8 +97,14 @@
   }
 
   /** How far its tasks have come, for the next owner of the cell. */
-  progress(): { readonly started: readonly string[]; readonly succeeded: readonly string[] } {
-    const running = this.tasks.filter(({ done, workerId }) => !done && workerId !== null);
+  progress(nowMs: number): {
+    readonly started: readonly string[];
+    readonly succeeded: readonly string[];
+  } {
+    const running = this.tasks.filter(
+      // A run of an owner before this one may be in progress until `notBeforeMs`.
+      ({ done, workerId, notBeforeMs }) => !done && (workerId !== null || notBeforeMs > nowMs),
+    );
     const succeeded = this.tasks.filter(({ done }) => done);
     return {
       started: running.map(({ name }) => name),
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -105,7 +105,7 @@
   handOver(nowMs: number): void {
     this.#state.batches.forEach((batch) => {
       const outcome: BatchOutcome = batch.started
-        ? { type: 'lost', reason: BatchReason.handedOver, ...batch.progress() }
+        ? { type: 'lost', reason: BatchReason.handedOver, ...batch.progress(nowMs) }
         : { type: 'refused', reason: BatchReason.handedOver, retryAfterMs: 0 };
       this.#state.batches.delete(batch.id);
       this.#state.end(batch, outcome, nowMs);
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -107,7 +107,7 @@
   giveUp(batch: Batch, reason: BatchReason, nowMs: number): void {
     if (!this.batches.has(batch.id)) return;
     const outcome: BatchOutcome = batch.started
-      ? { type: 'lost', reason, ...batch.progress() }
+      ? { type: 'lost', reason, ...batch.progress(nowMs) }
       : refusalOf(reason, nowMs - batch.objectiveAtMs);
     this.finish(batch, outcome, nowMs);
   }
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -212,6 +212,21 @@
     expect(second.overlaps).toEqual([]);
   });
 
+  it('hands a task on as started while a run of an earlier owner may be in progress', () => {
+    const first = CellWorld.withWorkers(2);
+    const batch = batchOf({ ...SETTLE, taskCount: 2 });
+    first.offer(batch);
+    first.advance(100);
+    const second = new CellWorld(first.workers, first.nowMs, undefined, false);
+    second.offer(again(batch));
+    second.cell.handOver(second.nowMs);
+    const end = second.cell.take().find((action) => action.type === 'end');
+    const outcome = end?.type === 'end' ? end.outcome : null;
+    expect(outcome?.type === 'lost' ? outcome.started : null).toEqual(
+      batch.tasks.map(({ name }) => name),
+    );
+  });
+
   it('stops runs that nobody claims', () => {
     const first = CellWorld.withWorkers(1);
     first.offer(batchOf({ ...SETTLE }));
