--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -3,6 +3,7 @@
 import { addConfigCommands } from './configCommands';
 import type { ProgramContext } from './context';
 import { ExitCode } from './exitCode';
+import { addExplainCommand } from './explainCommand';
 import { addHostCommands } from './hostCommands';
 import { UNREADABLE_FILE } from './inputFile';
 import { addJobCommands } from './jobCommands';
@@ -26,6 +27,7 @@
   addConfigCommands(program, context);
   addViewCommands(program, context);
   addJobCommands(program, context);
+  addExplainCommand(program, context);
   return program;
 }
 
