Send no batch of a job that has ended, and refuse a job only if none of its batches was taken

Found by reading and shown by the test. Whether it caused the tasks that users saw run twice on a large site is not shown here.

What callers saw: a job over several cells answered 504 whose other tasks started after the answer, so that the client's resubmission 1300 ms later could run beside them. One more: a job answered as not run while a batch of it was at an owner.

Cause: the first part that ended badly resolved the job and aborted the calls in progress, but did not mark the job as ended. Only a caller who left, a cancel or the deadline did. So: - a part that waited for the next owner of its cell, or for the other parts' refusals, sent its batch later, with no deadline timer left to abort it; - a remote part that was aborted looked like one whose owner is gone: it waited for the leases (about 2 s) and was started elsewhere. This took no fault of an owner, only two parts; - a local part that was withdrawn before its start looked refused by its cell, and went to the next one; - a step began if its predecessor succeeded in the moment in which the job was given up. And a job whose caller left while it waited for a first cell was still sent to that cell. A step that found no cell refused the whole job while another step's batch was in progress.

Change: RunningJob.end() is the one way in which a job ends. It marks the job, withdraws the calls and ends the waits. PartRunner#send, the only way to a cell, sends nothing once the job has ended. A part says refused if none of its batches was taken; joinOutcomes answers refused only if that holds for all parts, for which it withdraws the rest and waits for it. An answer no longer waits up to 20 ms for a sleeping part.

Seen by callers and in the log: a job that ends before its first batch is refused as `withdrawn` (429); it was `no-cell` (503) or sent. `job-answered` has no reason `abandoned` any more.

Evidence: test/dispatcher/partRunner.test.ts, real JobRunner and PartRunner in virtual time over cells that the test answers.

By mutation: end() without the mark, without the withdrawal, waits that end() does not end, a refusal that does not wait for the rest or does not look at it, and the check of #send together with that of run() fail tests. Alone, these are not caught, as another check covers them: the checks of #send, run(), #conclude and #refusedByAll, and end() after the answer.

--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../core/clock';
 import type { DispatchJournal } from './journal';
 import type { PartRunner } from './partRunner';
-import { firstObstacle, type JobOutcome, type JobRequest, type RunningJob } from './runningJob';
+import { joinOutcomes, RunningJob, type JobOutcome, type JobRequest } from './runningJob';
 
 /** What a job runner is built from. */
 export interface JobRunnerParts {
@@ -24,11 +24,18 @@
   return `${jobId}.0.${stepIndex}.${index}`;
 }
 
+/** A job in progress and those who wait for it. */
+interface JobEntry {
+  readonly job: RunningJob;
+  readonly outcome: Promise<JobOutcome>;
+  waiters: number;
+}
+
 /** Jobs in progress on this host. */
 export class JobRunner {
   readonly #parts: JobRunnerParts;
 
-  readonly #jobs = new Map<string, RunningJob>();
+  readonly #jobs = new Map<string, JobEntry>();
 
   constructor(parts: JobRunnerParts) {
     this.#parts = parts;
@@ -41,7 +48,7 @@
   /** Jobs of a queue of which nothing has started yet. */
   pendingOf(queue: string): number {
     return [...this.#jobs.values()].filter(
-      ({ request, begun }) => request.policy.name === queue && !begun,
+      ({ job }) => job.request.policy.name === queue && !job.begun,
     ).length;
   }
 
@@ -62,66 +69,56 @@
 
   /** A caller does not wait any more; the last one to leave ends the job. */
   abandon(jobId: string): void {
-    const job = this.#jobs.get(jobId);
-    if (!job) return;
-    job.waiters -= 1;
-    if (job.waiters <= 0) this.#abort(job, 'abandoned');
+    const entry = this.#jobs.get(jobId);
+    if (!entry) return;
+    entry.waiters -= 1;
+    if (entry.waiters <= 0) this.#abort(entry.job, 'abandoned');
   }
 
   /** Ends all jobs; each is answered as lost or refused. */
   abandonAll(): void {
-    this.#jobs.forEach((job) => this.#abort(job, 'stopping'));
+    this.#jobs.forEach(({ job }) => this.#abort(job, 'stopping'));
   }
 
   /** Ends a job at a caller's request; false if it is not in progress here. */
   cancel(jobId: string): boolean {
-    const job = this.#jobs.get(jobId);
-    if (!job) return false;
-    this.#abort(job, 'cancelled');
+    const entry = this.#jobs.get(jobId);
+    if (!entry) return false;
+    this.#abort(entry.job, 'cancelled');
     return true;
   }
 
   #begin(request: JobRequest): Promise<JobOutcome> {
     const arrivedAtMs = this.#parts.clock.nowMs();
     const { job, policy, deadlineInMs } = request;
-    let settle: (outcome: JobOutcome) => void = () => {};
-    const running: RunningJob = {
-      request,
-      arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + deadlineInMs - ANSWER_MARGIN_MS,
-      aborts: new Set(),
-      outcome: new Promise((resolve) => {
-        settle = resolve;
-      }),
-      waiters: 1,
-      begun: false,
-      openParts: 0,
-      abandoned: false,
-    };
-    this.#jobs.set(job.id, running);
+    const deadlineAtMs = arrivedAtMs + deadlineInMs - ANSWER_MARGIN_MS;
+    const running = new RunningJob(request, arrivedAtMs, deadlineAtMs);
     this.#parts.journal.decide('job-accepted', {
       jobId: job.id,
       queue: policy.name,
       tasks: job.steps.reduce((sum, step) => sum + step.taskCount, 0),
       deadlineInMs,
     });
+    const outcome = this.#runToEnd(running);
+    this.#jobs.set(job.id, { job: running, outcome, waiters: 1 });
+    return outcome;
+  }
+
+  async #runToEnd(job: RunningJob): Promise<JobOutcome> {
     const timer = setTimeout(
-      () => this.#abort(running, 'deadline'),
-      running.deadlineAtMs + OWNER_LATE_MS - arrivedAtMs,
+      () => this.#abort(job, 'deadline'),
+      job.deadlineAtMs + OWNER_LATE_MS - job.arrivedAtMs,
     );
-    this.#runSteps(running).then((outcome) => {
-      clearTimeout(timer);
-      this.#jobs.delete(job.id);
-      settle(outcome);
-    });
-    return running.outcome;
+    const outcome = await this.#runSteps(job);
+    job.end();
+    clearTimeout(timer);
+    this.#jobs.delete(job.request.job.id);
+    return outcome;
   }
 
   #abort(job: RunningJob, reason: string): void {
-    const aborted = job;
-    aborted.abandoned = true;
     this.#parts.journal.decide('job-aborted', { jobId: job.request.job.id, reason });
-    job.aborts.forEach((abort) => abort.abort());
+    job.end();
   }
 
   /** Runs the steps as their predecessors succeed. */
@@ -134,7 +131,7 @@
       return obstacle ?? this.#runStep(job, step, index);
     };
     steps.forEach((step, index) => ends.set(index, runAfter(step, index)));
-    return firstObstacle(job, [...ends.values()]);
+    return joinOutcomes(job, [...ends.values()]);
   }
 
   #runStep(job: RunningJob, step: JobStep, stepIndex: number): Promise<JobOutcome> {
--- a/src/dispatcher/partRunner.ts
+++ b/src/dispatcher/partRunner.ts
@@ -8,11 +8,17 @@
 import type { Cluster } from './cluster';
 import type { DispatchJournal } from './journal';
 import { spread, type Share } from './router';
-import { firstObstacle, type JobOutcome, type RunningJob } from './runningJob';
+import { joinOutcomes, type JobOutcome, type RunningJob } from './runningJob';
+
+/** What a part runner needs of the cells. */
+export type PartCells = Pick<
+  Cluster,
+  'loads' | 'homeCells' | 'expectsOwner' | 'serving' | 'ownerOf' | 'isServing' | 'run'
+>;
 
 /** What a part runner is built from. */
 export interface PartRunnerParts {
-  readonly cluster: Cluster;
+  readonly cluster: PartCells;
   readonly random: RandomSource;
   /** Differs between processes; batch ids begin with it. */
   readonly prefix: string;
@@ -31,11 +37,13 @@
 /** A cell refuses a batch within this time, or has taken it. */
 const REFUSAL_TIME_MS = 8;
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
+/** What is left of a job that has ended. */
+const NOT_SENT = {
+  type: 'refused',
+  reason: BatchReason.withdrawn,
+  retryAfterMs: RETRY_AFTER_MS,
+} as const;
+const NO_CELL: JobOutcome = { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
 
 /** Tasks of one step that go to one cell together. */
 export interface Part {
@@ -69,11 +77,6 @@
   return { ...part, tasks: part.tasks.map((task) => ({ ...task, mayRun: false })) };
 }
 
-function noCell(job: RunningJob): JobOutcome {
-  if (job.begun) return { type: 'lost', reason: 'no-cell' };
-  return { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
-}
-
 /** Runs the parts of jobs in cells. */
 export class PartRunner {
   readonly #parts: PartRunnerParts;
@@ -84,11 +87,12 @@
     this.#parts = parts;
   }
 
-  /** Runs all tasks of a part, spread over the cells. */
+  /** Runs all tasks of a part, spread over the cells. Refused only if none of its batches was taken. */
   async run(job: RunningJob, part: Part): Promise<JobOutcome> {
     await this.#awaitCell(job);
+    if (job.hasEnded) return NOT_SENT;
     const shares = this.#spread(part);
-    if (shares.length === 0) return noCell(job);
+    if (shares.length === 0) return NO_CELL;
     return this.#runShares(job, part, shares, true);
   }
 
@@ -96,10 +100,10 @@
   async #awaitCell(job: RunningJob): Promise<void> {
     const { cluster, clock } = this.#parts;
     const untilMs = clock.nowMs() + CELL_WAIT_MS;
-    while (cluster.serving().length === 0 && cluster.expectsOwner && !job.abandoned) {
+    while (cluster.serving().length === 0 && cluster.expectsOwner && !job.hasEnded) {
       if (clock.nowMs() >= untilMs) return;
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-      await sleep(POLL_MS);
+      await job.pause(POLL_MS);
     }
   }
 
@@ -131,7 +135,7 @@
       const tasks = part.tasks.filter((_, index) => taskIndexes.includes(index));
       return this.#runPart(job, { ...part, tasks }, cell, maySplit);
     });
-    return firstObstacle(job, ends);
+    return joinOutcomes(job, ends);
   }
 
   /**
@@ -146,7 +150,7 @@
   ): Promise<JobOutcome> {
     const tried = new Set<string>();
     let cell: string | null = firstCell;
-    let refusal: JobOutcome = noCell(job);
+    let refusal: JobOutcome = NO_CELL;
     while (cell !== null) {
       tried.add(cell);
       const batch = this.#batchOf(job, part, job.begun, false);
@@ -155,9 +159,9 @@
       const { outcome } = sent;
       if (outcome.type !== 'refused') return this.#conclude(job, part, sent);
       refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
-      const shares = maySplit && !job.abandoned ? this.#spread(part) : [];
+      const shares = maySplit && !job.hasEnded ? this.#spread(part) : [];
       if (shares.length > 1) return this.#splitAgain(job, part, shares);
-      cell = job.abandoned ? null : this.#nextCell(tried);
+      cell = job.hasEnded ? null : this.#nextCell(tried);
     }
     return this.#refusedByAll(job, part, refusal);
   }
@@ -168,13 +172,12 @@
     return this.#runShares(job, part, shares, false);
   }
 
-  /** The job is refused only if no other part of it was taken. */
+  /** The job is refused only if no other part of it was taken; else this part is queued all the same. */
   async #refusedByAll(job: RunningJob, part: Part, refusal: JobOutcome): Promise<JobOutcome> {
     const running = job;
     running.openParts -= 1;
-    if (job.openParts > 0) await sleep(REFUSAL_TIME_MS);
-    if (job.openParts === 0 && !job.begun) return refusal;
-    if (job.abandoned) return { type: 'lost', reason: 'abandoned' };
+    if (job.openParts > 0) await job.pause(REFUSAL_TIME_MS);
+    if (job.hasEnded || (job.openParts === 0 && !job.begun)) return refusal;
     running.openParts += 1;
     return this.#force(job, part);
   }
@@ -200,7 +203,7 @@
     if (outcome.type === 'failed') return { type: 'failed' };
     const ownerLost =
       outcome.reason === BatchReason.handedOver || outcome.reason === BatchReason.unreachable;
-    if (outcome.type === 'lost' && ownerLost && !job.abandoned) {
+    if (outcome.type === 'lost' && ownerLost && !job.hasEnded) {
       return this.#recover(job, part, sent);
     }
     return { type: 'lost', reason: outcome.reason };
@@ -218,7 +221,7 @@
     journal.decide('owner-lost', { jobId: job.request.job.id, cell, token });
     const left = remainingOf(part, outcome);
     if (left.tasks.length === 0) return { type: 'completed' };
-    while (!job.abandoned && clock.nowMs() < lastChanceMs) {
+    while (!job.hasEnded && clock.nowMs() < lastChanceMs) {
       if ((cluster.ownerOf(cell)?.token ?? 0) > token && cluster.isServing(cell)) {
         const batch = this.#batchOf(job, left, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
@@ -227,7 +230,7 @@
       }
       if (clock.nowMs() >= settledAtMs) return this.#force(job, settledPart(left));
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-      await sleep(POLL_MS);
+      await job.pause(POLL_MS);
     }
     return { type: 'lost', reason: 'owner-lost' };
   }
@@ -257,12 +260,14 @@
     };
   }
 
+  /** The only way to a cell: closed once the job has ended, and what is in progress is withdrawn then. */
   async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
     const token = this.#parts.cluster.ownerOf(cell)?.token ?? 0;
+    if (job.hasEnded) return { cell, token, outcome: NOT_SENT };
     const abort = new AbortController();
-    job.aborts.add(abort);
+    const forget = job.onEnd(() => abort.abort());
     const outcome = await this.#parts.cluster.run(cell, batch, abort);
-    job.aborts.delete(abort);
+    forget();
     const running = job;
     if (outcome.type !== 'refused') running.begun = true;
     this.#parts.journal.decide('batch-answered', {
--- /dev/null
+++ b/test/dispatcher/fakeCells.ts
@@ -0,0 +1,121 @@
+/** Cells without workers: a test answers each batch, and says who owns the cells. */
+import type { BatchOutcome, CellSummary, TaskBatch } from '../../src/cells/messages';
+import type { CellRecord } from '../../src/dispatcher/cellRecord';
+import type { PartCells } from '../../src/dispatcher/partRunner';
+import { CellLoads } from '../../src/dispatcher/router';
+
+/** Processor of one task, and of the room in a cell. */
+export const TASK_CPU_MILLIS = 1000;
+
+/** A batch that was handed to a cell. */
+export interface SentBatch {
+  readonly cell: string;
+  readonly batch: TaskBatch;
+  readonly sentAtMs: number;
+  outcome: BatchOutcome | null;
+  answer(outcome: BatchOutcome): void;
+}
+
+/** Where the owner of a cell is, as the submitter sees it. */
+export interface FakeCell {
+  readonly name: string;
+  /** The submitter's own host owns it; a batch that is withdrawn there is refused if it did not start. */
+  readonly isLocal: boolean;
+  readonly room: number;
+  token: number;
+  serves: boolean;
+}
+
+/** How a batch ends when its owner is gone, or the call to it is broken. */
+export const UNREACHABLE: BatchOutcome = {
+  type: 'lost',
+  reason: 'unreachable',
+  started: null,
+  succeeded: [],
+};
+
+/** Builds the refusal of a cell. */
+export function refused(reason: 'overloaded' | 'not-owner' | 'withdrawn'): BatchOutcome {
+  return { type: 'refused', reason, retryAfterMs: 10 };
+}
+
+/** Builds the end of a batch that its owner gave up after a start. */
+export function givenUp(reason: 'deadline' | 'withdrawn'): BatchOutcome {
+  return { type: 'lost', reason, started: null, succeeded: [] };
+}
+
+/** A cell with room for some tasks. */
+export function fakeCell(name: string, overrides: Partial<FakeCell> = {}): FakeCell {
+  return { name, isLocal: false, room: 1, token: 1000, serves: true, ...overrides };
+}
+
+/** The cells as one host sees them. */
+export class FakeCells implements PartCells {
+  readonly loads = new CellLoads();
+
+  readonly homeCells: ReadonlySet<string> = new Set();
+
+  readonly expectsOwner = true;
+
+  /** All batches, in the order of sending. */
+  readonly sent: SentBatch[] = [];
+
+  /** Called with each batch when it is sent. */
+  onSend: ((sent: SentBatch) => void) | null = null;
+
+  readonly #cells: readonly FakeCell[];
+
+  readonly #nowMs: () => number;
+
+  constructor(cells: readonly FakeCell[], nowMs: () => number) {
+    this.#cells = cells;
+    this.#nowMs = nowMs;
+  }
+
+  serving(): readonly CellSummary[] {
+    return this.#cells
+      .filter(({ serves }) => serves)
+      .map(({ name, room }) => ({
+        cell: name,
+        freeCpuMillis: [room * TASK_CPU_MILLIS],
+        capacityCpuMillis: room * TASK_CPU_MILLIS,
+        queuedCpuMillisMs: 0,
+      }));
+  }
+
+  ownerOf(cell: string): CellRecord {
+    const owner = { hostId: 'b', incarnation: '1', domain: 'd', address: '10.0.0.2:1', cores: 1 };
+    return { cell, owner, token: this.#cell(cell).token };
+  }
+
+  isServing(cell: string): boolean {
+    return this.#cell(cell).serves;
+  }
+
+  run(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
+    const { isLocal } = this.#cell(cell);
+    return new Promise((resolve) => {
+      const sent: SentBatch = {
+        cell,
+        batch,
+        sentAtMs: this.#nowMs(),
+        outcome: null,
+        answer: (outcome) => {
+          sent.outcome ??= outcome;
+          resolve(sent.outcome);
+        },
+      };
+      abort.signal.addEventListener('abort', () =>
+        sent.answer(isLocal ? refused('withdrawn') : UNREACHABLE),
+      );
+      this.sent.push(sent);
+      this.onSend?.(sent);
+    });
+  }
+
+  #cell(cell: string): FakeCell {
+    const found = this.#cells.find(({ name }) => name === cell);
+    if (!found) throw new Error(`no cell ${cell}`);
+    return found;
+  }
+}
