Log why the owner of a cell stops a run, and ends that no batch waits for

Users saw a task run twice at the same time. The logs could not tell whose run was left over: a stop left no line, nor did the end of a run that its batch had lost (`#end` of the ledger only kept it).

New lines: run-stop with its reason (that of the batch's end, unclaimed, moved, not-listed, stop-unanswered) and the ages of what led to it; run-end-unclaimed; batch-withdrawn with the time since the submitter was heard of.

Run: test/cells, test/dispatcher, test/platform/deployment.test.ts, test/cli/explain.test.ts; no failure (99 passes before the two new tests of the lines; cell.test.ts with them, 23 passes).

--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -115,10 +115,11 @@
   /** Ends a batch and stops what still runs of it. */
   finish(batch: Batch, outcome: BatchOutcome, nowMs: number): void {
     this.batches.delete(batch.id);
+    const reason = 'reason' in outcome ? outcome.reason : outcome.type;
     this.ledger.workers.forEach((worker) => {
       worker.runs.forEach((run) => {
         const isRunning = run.batchId === batch.id && run.state !== RunState.stopping;
-        if (isRunning) this.ledger.stop(run, nowMs);
+        if (isRunning) this.ledger.stop(run, reason, nowMs);
       });
     });
     this.end(batch, outcome, nowMs);
--- a/src/cells/progressWatch.ts
+++ b/src/cells/progressWatch.ts
@@ -4,6 +4,7 @@
 import { BatchReason } from './messages';
 import { isSlowedByWorker, isTooSlowFor, isWorthMoving, type Comparison } from './progress';
 import { RunState, type Run } from './run';
+import { StopReason } from './runLedger';
 import type { CellWorker } from './worker';
 
 /** A worker that slows a run down gets nothing new for this long. */
@@ -60,6 +61,6 @@
     task.avoided.add(run.workerId);
     const slow = worker;
     slow.restUntilMs = Math.max(worker.restUntilMs, nowMs + SLOW_REST_MS);
-    this.#state.ledger.stop(run, nowMs);
+    this.#state.ledger.stop(run, StopReason.moved, nowMs);
   }
 }
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -34,6 +34,18 @@
 
 /** Time for which a submitter may still claim the end of a run that the previous owner started. */
 const UNCLAIMED_KEPT_MS = 3000;
+/** Why a stop is sent, in the log; a batch that ends gives the reason of its outcome. */
+export const StopReason = {
+  /** No submitter has claimed a run that a previous owner started. */
+  unclaimed: 'unclaimed',
+  /** It goes on elsewhere, because its worker slows it down. */
+  moved: 'moved',
+  /** Its start had no answer, and the worker does not list it. */
+  notListed: 'not-listed',
+  /** The worker still lists it after a stop without an answer. */
+  stopUnanswered: 'stop-unanswered',
+} as const;
+
 /** A stop that is not confirmed is sent again after this time. */
 const STOP_AGAIN_MS = 200;
 /** The list of runs does not tell what a run needs; the worker refuses what does not fit beside it. */
@@ -107,8 +119,10 @@
     return end;
   }
 
-  stop(run: Run, nowMs: number): void {
+  /** Stops a run; `reason` is for the log. */
+  stop(run: Run, reason: string, nowMs: number): void {
     const stopped = run;
+    this.#logStop(run, reason, nowMs);
     stopped.state = RunState.stopping;
     stopped.stopSentAtMs = nowMs;
     const { workerId, task, run: number } = run;
@@ -220,7 +234,9 @@
     run.listed = true;
     this.#confirm(run, nowMs);
     const stopLost = run.state === RunState.stopping && run.stopConfirmedAtMs === null;
-    if (stopLost && nowMs - (run.stopSentAtMs ?? 0) > STOP_AGAIN_MS) this.stop(run, nowMs);
+    if (stopLost && nowMs - (run.stopSentAtMs ?? 0) > STOP_AGAIN_MS) {
+      this.stop(run, StopReason.stopUnanswered, nowMs);
+    }
     if (entry.percent !== run.percent) run.progressAtMs = nowMs;
     run.percent = entry.percent;
     run.reportedAtMs = nowMs;
@@ -261,6 +277,7 @@
       this.#events.ended(run, end, worker, nowMs);
       return;
     }
+    this.#logUnclaimedEnd(worker, { task, run: number, end }, run, nowMs);
     this.#unclaimedEnds.set(task, { end, run: number, seenAtMs: nowMs });
     this.#events.found(task);
   }
@@ -285,11 +302,51 @@
         this.#events.ended(run, end, worker, nowMs);
       } else if (run.state === RunState.unclear) {
         // The start may still arrive; a stop makes the worker refuse it.
-        this.stop(run, nowMs);
+        this.stop(run, StopReason.notListed, nowMs);
       }
     });
   }
 
+  /** Says how old is what led to a stop, and how long the run may go on without it. */
+  #logStop(run: Run, reason: string, nowMs: number): void {
+    const leasesEndMs = this.workers.get(run.workerId)?.leasesEndMs ?? nowMs;
+    this.#push({
+      type: 'decision',
+      decision: 'run-stop',
+      fields: {
+        jobId: run.jobId,
+        task: run.task,
+        run: run.run,
+        worker: run.workerId,
+        reason,
+        knownForMs: Math.round(nowMs - run.startedAtMs),
+        reportedAgoMs: Math.round(nowMs - run.reportedAtMs),
+        stopSentAgoMs: run.stopSentAtMs === null ? null : Math.round(nowMs - run.stopSentAtMs),
+        leaseLeftMs: Math.round(leasesEndMs - nowMs),
+      },
+    });
+  }
+
+  /** An end that no batch of this owner waits for; `run` is missing if it was never seen in progress. */
+  #logUnclaimedEnd(
+    worker: CellWorker,
+    { task, run: number, end }: Omit<EndedEntry, 'sequence'>,
+    run: Run | undefined,
+    nowMs: number,
+  ): void {
+    this.#push({
+      type: 'decision',
+      decision: 'run-end-unclaimed',
+      fields: {
+        task,
+        run: number,
+        worker: worker.entry.id,
+        end,
+        knownForMs: run ? Math.round(nowMs - run.startedAtMs) : null,
+      },
+    });
+  }
+
   #lapseAll(worker: CellWorker, nowMs: number): void {
     const runs = [...worker.runs.values()];
     worker.runs.clear();
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -8,6 +8,7 @@
 import type { CellState } from './cellState';
 import { BatchReason } from './messages';
 import { RunState, type Run } from './run';
+import { StopReason } from './runLedger';
 
 /** Time that a run found on a worker may go unclaimed by a submitter. */
 const CLAIM_WINDOW_MS = 600;
@@ -72,7 +73,9 @@
     ledger.workers.forEach((worker) => {
       worker.runs.forEach((run) => {
         const isUnclaimed = run.batchId === null && run.state === RunState.running;
-        if (isUnclaimed && nowMs - run.startedAtMs > CLAIM_WINDOW_MS) ledger.stop(run, nowMs);
+        if (isUnclaimed && nowMs - run.startedAtMs > CLAIM_WINDOW_MS) {
+          ledger.stop(run, StopReason.unclaimed, nowMs);
+        }
       });
     });
   }
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -60,6 +60,8 @@
 
   readonly #clock: Clock;
 
+  readonly #journal: DispatchJournal;
+
   readonly #server: Server;
 
   readonly #open = new Map<string, OpenBatch>();
@@ -74,6 +76,7 @@
   constructor(handler: PeerHandler, clock: Clock, journal: DispatchJournal) {
     this.#handler = handler;
     this.#clock = clock;
+    this.#journal = journal;
     this.#server = createServer((request, response) => {
       this.#serve(request, response).catch((error: unknown) => {
         journal.decide('peer-request-failed', { path: request.url, error: String(error) });
@@ -187,7 +190,13 @@
   }
 
   #withdraw({ call }: OpenBatch, reason: BatchReason): void {
-    const { batchId } = call.batch;
-    if (this.#open.delete(batchId)) this.#handler.withdraw(call.cell, batchId, reason);
+    const { cell, batch, from } = call;
+    const { batchId, jobId } = batch;
+    if (!this.#open.delete(batchId)) return;
+    const heardAtMs = this.#heardAtMs.get(`${from.hostId}/${from.incarnation}`);
+    const heardAgoMs = heardAtMs === undefined ? null : Math.round(this.#clock.nowMs() - heardAtMs);
+    const fields = { jobId, batchId, cell, submitter: from.hostId, reason, heardAgoMs };
+    this.#journal.decide('batch-withdrawn', fields);
+    this.#handler.withdraw(cell, batchId, reason);
   }
 }
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -272,4 +272,27 @@
     second.advance(800);
     expect(second.workers[0]?.runs.size).toEqual(0);
   });
+
+  // Without these lines, a stop for a submitter that is gone can not be told from any other.
+  it('logs why it stops a run, and an end that nobody waits for', () => {
+    const first = CellWorld.withWorkers(1);
+    first.offer(batchOf({ ...SETTLE }));
+    first.advance(50);
+    const second = new CellWorld(first.workers, first.nowMs);
+    second.advance(800);
+    const fieldsOf = (name: string) =>
+      second.decisions.filter(({ decision }) => decision === name).map(({ fields }) => fields);
+    expect(fieldsOf('run-stop').map(({ reason }) => reason)).toEqual(['unclaimed']);
+    expect(fieldsOf('run-end-unclaimed').map(({ end }) => end)).toEqual(['stopped']);
+  });
+
+  it('logs the reason of a batch that is withdrawn with each stop', () => {
+    const world = CellWorld.withWorkers(1);
+    const { batch } = world.offer(batchOf({ ...SETTLE, taskCount: 2 }));
+    world.advance(50);
+    world.cell.withdraw(batch.batchId, BatchReason.unreachable, world.nowMs);
+    world.advance(50);
+    const stops = world.decisions.filter(({ decision }) => decision === 'run-stop');
+    expect(stops.map(({ fields }) => fields.reason)).toEqual(['unreachable', 'unreachable']);
+  });
 });
