Begin no job whose caller has left before it is read, and follow callers by their connection

Cause: the end of the connection was read after the request, although both had arrived. Node ends a connection over several turns of the event loop before the response is closed, and each turn takes long on a host that has just started. The response of a pipelined request has no connection before its turn, so that its close is never told.

Change: a job begins after one whole turn of the event loop, and not if its caller has left; the caller is followed by its connection, for each submission by itself instead of by the job's id.

Ruled out: the owners; both cells ran one batch each and knew nothing of the other.

What remains: an end that has not arrived at the host when the job begins can't be seen; its runs are stopped when it arrives.

--- a/src/dispatcher/dispatcher.ts
+++ b/src/dispatcher/dispatcher.ts
@@ -1,4 +1,5 @@
 /** What the caller's interface needs of a dispatcher, whatever protocol callers speak. */
+import { pendingReads, type Caller } from './caller';
 import type { DispatchJournal } from './journal';
 import type { DispatchMetrics } from './metrics';
 import type { JobRunner } from './jobRunner';
@@ -64,13 +65,21 @@
     this.#runner.abandonAll();
   }
 
-  async submit(request: JobRequest): Promise<JobOutcome> {
+  /** Runs a job for a caller; null if the caller has left before it could begin. */
+  async submit(request: JobRequest, caller: Caller): Promise<JobOutcome | null> {
+    // A request may be read long after it was sent. If its caller has given it up, and may have sent it
+    // elsewhere, the end of the connection lies behind it.
+    await pendingReads();
+    if (caller.hasLeft) {
+      this.journal.decide('caller-left', { jobId: request.job.id, queue: request.policy.name });
+      return null;
+    }
     if (this.#refusing && !this.#runner.has(request.job.id)) {
       this.refused(request.policy.name, request.job.id, 'draining');
       return { type: 'refused', reason: 'draining', retryAfterMs: 0 };
     }
     const startedAtMs = performance.now();
-    const outcome = await this.#runner.run(request);
+    const outcome = await this.#runner.run(request, caller);
     const elapsedMs = performance.now() - startedAtMs;
     const reason = 'reason' in outcome ? outcome.reason : '';
     this.#metrics.jobEnded(request.policy.name, outcome.type, reason, elapsedMs);
@@ -90,10 +99,6 @@
     this.journal.decide('request-refused', { jobId, queue, reason });
   }
 
-  abandon(jobId: string): void {
-    this.#runner.abandon(jobId);
-  }
-
   cancel(jobId: string): boolean {
     return this.#runner.cancel(jobId);
   }
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -4,6 +4,7 @@
  */
 import type { JobStep } from '../cells/job';
 import type { Clock } from '../core/clock';
+import type { Caller } from './caller';
 import type { DispatchJournal } from './journal';
 import type { PartRunner } from './partRunner';
 import { joinOutcomes, RunningJob, type JobOutcome, type JobRequest } from './runningJob';
@@ -56,21 +57,26 @@
     return this.#jobs.has(jobId);
   }
 
-  /** Runs a job, or joins the same job that is already in progress here. */
-  run(request: JobRequest): Promise<JobOutcome> {
-    const known = this.#jobs.get(request.job.id);
-    if (known) {
-      known.waiters += 1;
-      this.#parts.journal.decide('job-joined', { jobId: request.job.id, waiters: known.waiters });
-      return known.outcome;
-    }
-    return this.#begin(request);
+  /** Runs a job, or joins the same job that is already in progress here, for as long as a caller waits. */
+  async run(request: JobRequest, caller: Caller): Promise<JobOutcome> {
+    const entry = this.#join(request.job.id) ?? this.#begin(request);
+    const forget = caller.onLeave(() => this.#leave(entry));
+    const outcome = await entry.outcome;
+    forget();
+    return outcome;
   }
 
-  /** A caller does not wait any more; the last one to leave ends the job. */
-  abandon(jobId: string): void {
+  #join(jobId: string): JobEntry | null {
     const entry = this.#jobs.get(jobId);
-    if (!entry) return;
+    if (!entry) return null;
+    entry.waiters += 1;
+    this.#parts.journal.decide('job-joined', { jobId, waiters: entry.waiters });
+    return entry;
+  }
+
+  /** The last caller to leave ends the job. */
+  #leave(left: JobEntry): void {
+    const entry = left;
     entry.waiters -= 1;
     if (entry.waiters <= 0) this.#abort(entry.job, 'abandoned');
   }
@@ -88,7 +94,7 @@
     return true;
   }
 
-  #begin(request: JobRequest): Promise<JobOutcome> {
+  #begin(request: JobRequest): JobEntry {
     const arrivedAtMs = this.#parts.clock.nowMs();
     const { job, policy, deadlineInMs } = request;
     const deadlineAtMs = arrivedAtMs + deadlineInMs - ANSWER_MARGIN_MS;
@@ -99,9 +105,9 @@
       tasks: job.steps.reduce((sum, step) => sum + step.taskCount, 0),
       deadlineInMs,
     });
-    const outcome = this.#runToEnd(running);
-    this.#jobs.set(job.id, { job: running, outcome, waiters: 1 });
-    return outcome;
+    const entry = { job: running, outcome: this.#runToEnd(running), waiters: 1 };
+    this.#jobs.set(job.id, entry);
+    return entry;
   }
 
   async #runToEnd(job: RunningJob): Promise<JobOutcome> {
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -1,5 +1,6 @@
 /** Cells without workers: a test answers each batch, and says who owns the cells. */
 import type { BatchOutcome, CellSummary, TaskBatch } from '../../src/cells/messages';
+import type { Caller } from '../../src/dispatcher/caller';
 import type { CellRecord } from '../../src/dispatcher/cellRecord';
 import type { PartCells } from '../../src/dispatcher/partRunner';
 import { CellLoads } from '../../src/dispatcher/router';
@@ -119,3 +120,6 @@
     return found;
   }
 }
+
+/** A caller that waits for its answer. */
+export const PRESENT_CALLER: Caller = { hasLeft: false, onLeave: () => () => {} };
--- a/test/dispatcher/partRunner.test.ts
+++ b/test/dispatcher/partRunner.test.ts
@@ -11,6 +11,7 @@
   fakeCell,
   FakeCells,
   givenUp,
+  PRESENT_CALLER,
   refused,
   TASK_CPU_MILLIS,
   UNREACHABLE,
@@ -78,7 +79,7 @@
       timeoutMs: 1500,
     };
     const job = { id: JOB_ID, payload: 'x', steps };
-    this.runner.run({ job, policy, deadlineInMs }).then((outcome) => {
+    this.runner.run({ job, policy, deadlineInMs }, PRESENT_CALLER).then((outcome) => {
       this.outcome = outcome;
       this.answeredAtMs = this.#clock.now;
     });
