Renew the connections to a host whose status call has no answer for 250 ms

What callers would see: after many connections went silent at once, an owner that serves counts as gone; its cell is claimed and the batches there are lost. And the withdrawal of a batch reaches the owner late.

Cause: each status call took another of the kept connections that had gone silent, and hung until its time limit.

--- a/src/dispatcher/keepAlivePool.ts
+++ b/src/dispatcher/keepAlivePool.ts
@@ -48,6 +48,14 @@
     this.#take(address, (pool) => pool.close());
   }
 
+  /** Renews the connections to one address, unless that was done between now and the call. */
+  renewer(address: string): () => void {
+    const pool = this.to(address);
+    return () => {
+      if (this.#pools.get(address) === pool) this.renew(address);
+    };
+  }
+
   /** Closes the connections to one address; calls in progress fail. */
   drop(address: string): void {
     this.#take(address, (pool) => pool.destroy());
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -24,6 +24,11 @@
 export type StatusFailure = (typeof StatusFailure)[keyof typeof StatusFailure];
 
 const STATUS_TIMEOUT_MS = 450;
+/**
+ * A question without an answer for so long may have taken a connection that went silent, and others that
+ * are kept may be silent too: the next one gets a new connection, well before the owner counts as gone.
+ */
+const RENEW_AFTER_MS = 250;
 const CONNECT_TIMEOUT_MS = 400;
 const HTTP_OK = 200;
 
@@ -72,6 +77,7 @@
   async status(address: string, question: StatusQuestion): Promise<PeerStatus | StatusFailure> {
     const askedAtMs = this.#clock.nowMs();
     const awaited = this.#calls.awaited(address) ?? undefined;
+    const renewal = setTimeout(this.#pools.renewer(address), RENEW_AFTER_MS);
     try {
       const text = await withTimeLimit(STATUS_TIMEOUT_MS, (signal) =>
         this.#post(address, PeerPath.status, { ...question, awaited }, signal),
@@ -84,6 +90,8 @@
     } catch (error) {
       this.#noteUnanswered(address, error);
       return isRefusal(error) ? StatusFailure.refused : StatusFailure.unanswered;
+    } finally {
+      clearTimeout(renewal);
     }
   }
 
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -76,6 +76,9 @@
   /** Batches that the owner has begun, in order. */
   readonly begun: string[] = [];
 
+  /** When a question of `ask` was first answered. */
+  answeredAtMs: number | null = null;
+
   readonly withdrawals = new Map<string, Withdrawal>();
 
   /** Log of the owner. */
@@ -135,7 +138,12 @@
 
   /** The submitter asks for the status from now on, as a host with batches in progress does. */
   ask(): void {
-    this.#asker = setInterval(() => this.client.status(this.#address, QUESTION), ASK_PERIOD_MS);
+    this.#asker = setInterval(() => this.#askOnce(), ASK_PERIOD_MS);
+  }
+
+  async #askOnce(): Promise<void> {
+    const status = await this.client.status(this.#address, QUESTION);
+    if (typeof status === 'object') this.answeredAtMs ??= performance.now();
   }
 
   stopAsking(): void {
--- a/test/dispatcher/withdrawnBatches.test.ts
+++ b/test/dispatcher/withdrawnBatches.test.ts
@@ -75,6 +75,27 @@
   });
 });
 
+describe('a submitter with many idle connections to an owner', () => {
+  const pair = new PeerPair();
+  before(() => pair.open());
+  after(() => pair.close());
+
+  // Guards against an owner that seems to be gone because each question takes another silent connection.
+  it('gets an answer soon after all of them went silent', async () => {
+    const together = Array.from({ length: 8 }, () => pair.send());
+    await until('the owner has all batches', () => pair.begun.length === together.length);
+    together.forEach(({ batchId }) => pair.end(batchId, { type: 'done' }));
+    await Promise.all(together.map(({ outcome }) => outcome));
+    await sleep(SETTLE_MS);
+    pair.silence();
+    const silentAtMs = performance.now();
+    pair.ask();
+    await until('a status is answered', () => pair.answeredAtMs !== null, 2000);
+    // An owner counts as gone after 600 ms without an answer.
+    expect((pair.answeredAtMs ?? Infinity) - silentAtMs).toBeLessThan(600);
+  });
+});
+
 describe('what a question says of the batches that are awaited', () => {
   const pair = new PeerPair();
   before(() => pair.open());
