Give a submitter 300 ms to be heard after a pause of the owner, and only once

What callers would see: a job whose host was lost runs on at an owner that stood still, beside its resubmission.

Cause: after each gap of 400 ms between two ticks all submitters counted as heard at that moment, so that the batches of a dead one went on for another 700 ms, and for ever with repeated pauses.

Evidence: test/dispatcher/submitters.test.ts, two of four fail before ('The value false is not equal to true', silence after a pause and after repeated pauses).

--- a/src/dispatcher/submitters.ts
+++ b/src/dispatcher/submitters.ts
@@ -9,9 +9,16 @@
 
 /** A submitter that has not been heard for this long is taken to be gone. */
 const SILENT_AFTER_MS = 700;
+/**
+ * After a pause of this process a submitter has this much time to be heard: it asks each 150 ms. Its runs
+ * went on during the pause, and its clients may send their jobs again 1300 ms after they lost it.
+ */
+const HEARD_AFTER_PAUSE_MS = 300;
 
 interface Submitter {
   heardAtMs: number;
+  /** It was given more time after a pause of this process; once until it is heard. */
+  excused: boolean;
   /** Found silent since it was last heard. */
   silent: boolean;
   /** Calls up to this number are awaited only if they are among `numbers`. */
@@ -33,6 +40,7 @@
     const isNewer = awaited !== undefined && awaited.upTo >= known.upTo;
     this.#known.set(keyOf(from), {
       heardAtMs: nowMs,
+      excused: false,
       silent: false,
       upTo: isNewer ? awaited.upTo : known.upTo,
       numbers: isNewer ? new Set(awaited.numbers) : known.numbers,
@@ -60,11 +68,14 @@
     return true;
   }
 
-  /** After a pause of this process: what was not heard in that time says nothing. */
+  /** After a pause of this process: what was not heard in that time says little. */
   resume(nowMs: number): void {
+    const heardAtMs = nowMs - SILENT_AFTER_MS + HEARD_AFTER_PAUSE_MS;
     this.#known.forEach((submitter) => {
+      if (submitter.excused) return;
       const resumed = submitter;
-      resumed.heardAtMs = nowMs;
+      resumed.heardAtMs = Math.max(submitter.heardAtMs, heardAtMs);
+      resumed.excused = true;
     });
   }
 }
--- /dev/null
+++ b/test/dispatcher/submitters.test.ts
@@ -0,0 +1,45 @@
+/** How long an owner takes a submitter to be alive that it does not hear. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { Submitters } from '../../src/dispatcher/submitters';
+import { SUBMITTER } from './peerPair';
+
+/** Longest time that the batches of a submitter which is gone may go on, less the stop of their runs. */
+const SILENT_MS = 700;
+/** A submitter asks each 150 ms. */
+const ASK_PERIOD_MS = 150;
+
+describe('a submitter that is not heard', () => {
+  it('is silent after 700 ms', () => {
+    const submitters = new Submitters();
+    submitters.heard(SUBMITTER, undefined, 0);
+    expect(submitters.isSilent(SUBMITTER, SILENT_MS)).toEqual(false);
+    expect(submitters.isSilent(SUBMITTER, SILENT_MS + 1)).toEqual(true);
+  });
+
+  // Guards against batches of a dead submitter that get the whole time anew with each pause of the owner.
+  it('has two periods of its questions to be heard after a pause of the owner', () => {
+    const submitters = new Submitters();
+    submitters.heard(SUBMITTER, undefined, 0);
+    const resumedAtMs = 1000;
+    submitters.resume(resumedAtMs);
+    expect(submitters.isSilent(SUBMITTER, resumedAtMs + 2 * ASK_PERIOD_MS)).toEqual(false);
+    expect(submitters.isSilent(SUBMITTER, resumedAtMs + 3 * ASK_PERIOD_MS)).toEqual(true);
+  });
+
+  // Guards against repeated pauses that keep the batches of a dead submitter for ever.
+  it('is found silent although the owner pauses again and again', () => {
+    const submitters = new Submitters();
+    submitters.heard(SUBMITTER, undefined, 0);
+    submitters.resume(500);
+    submitters.resume(1000);
+    expect(submitters.isSilent(SUBMITTER, 1001)).toEqual(true);
+  });
+
+  it('keeps the time at which it was heard if that was later', () => {
+    const submitters = new Submitters();
+    submitters.heard(SUBMITTER, undefined, 900);
+    submitters.resume(1000);
+    expect(submitters.isSilent(SUBMITTER, 900 + SILENT_MS)).toEqual(false);
+  });
+});
