Read what submitters said during a pause before holding them to be silent

What callers saw in the test: a batch withdrawn although its submitter asks each 150 ms, because the owner's own pause of a second counted as the submitter's silence; the check may come before the tick that notices the pause.

Evidence: test/dispatcher/withdrawnBatches.test.ts 'keeps the batches of a submitter that goes on asking' fails before: the value ["batch-13"] is not equal to [].

--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -33,6 +33,8 @@
 }
 
 const CHECK_PERIOD_MS = 100;
+/** A check that comes later than this follows a pause of the process. */
+const LATE_CHECK_MS = 3 * CHECK_PERIOD_MS;
 const KEEP_ALIVE_MS = 120_000;
 
 /** An end is kept so long for a submitter whose connection has gone silent. */
@@ -73,9 +75,12 @@
 
   readonly #timer: NodeJS.Timeout;
 
+  #checkedAtMs: number;
+
   constructor(handler: PeerHandler, clock: Clock, journal: DispatchJournal) {
     this.#handler = handler;
     this.#clock = clock;
+    this.#checkedAtMs = clock.nowMs();
     this.#journal = journal;
     this.#server = createServer((request, response) => {
       this.#serve(request, response).catch((error: unknown) => {
@@ -191,6 +196,10 @@
 
   #checkSubmitters(): void {
     const nowMs = this.#clock.nowMs();
+    const isLate = nowMs - this.#checkedAtMs > LATE_CHECK_MS;
+    this.#checkedAtMs = nowMs;
+    // What submitters said during the pause lies in the socket buffers and is read before the next check.
+    if (isLate) return;
     this.#open.forEach((open) => {
       const { from } = open.call;
       if (!this.#submitters.isSilent(from, nowMs)) return;
--- a/test/dispatcher/withdrawnBatches.test.ts
+++ b/test/dispatcher/withdrawnBatches.test.ts
@@ -96,6 +96,28 @@
   });
 });
 
+describe('an owner that stood still for a second', () => {
+  const pair = new PeerPair();
+  before(async () => {
+    await pair.open();
+    pair.ask();
+  });
+  after(() => pair.close());
+
+  // Guards against batches that are lost because the pause itself is taken for silence of the submitter.
+  it('keeps the batches of a submitter that goes on asking', async () => {
+    const batch = pair.send();
+    await until('the owner has the batch', () => pair.begun.length === 1);
+    await sleep(200);
+    const untilMs = performance.now() + 1000;
+    while (performance.now() < untilMs);
+    await sleep(500);
+    expect([...pair.withdrawals.keys()]).toEqual([]);
+    pair.end(batch.batchId, { type: 'done' });
+    expect(await isAnswered(batch.outcome)).toEqual({ type: 'done' });
+  });
+});
+
 describe('what a question says of the batches that are awaited', () => {
   const pair = new PeerPair();
   before(() => pair.open());
