Deliver what the proxy of the tests held back in order, and the end of a connection after it

Test tool only. A cut held back bytes and delivered them with `heal`, but together with the end of a connection that its sender had closed meanwhile, and the close of a connection overtook bytes that were delayed. The owner of a cell so learned at once that a late batch was not wanted any more. The end of a connection that was held now comes 50 ms after its bytes, and a close comes after the bytes before it. A reset still overtakes them: the platform loses such bytes too (DEPLOY.md, network).

The soak uses the same proxy: its faults peers-cut, store-cut, worker-cut and the delays act so too. The soak was not run for this commit.

--- a/test/soak/faultProxy.ts
+++ b/test/soak/faultProxy.ts
@@ -1,6 +1,6 @@
 /**
  * A TCP proxy on loopback that harms the connections through it: delays them, resets them, holds back
- * one direction or both, or silences those that exist while new ones work.
+ * one direction or both and delivers it later, or silences those that exist while new ones work.
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 
@@ -15,8 +15,15 @@
   /** Delivers nothing any more, without an end of the connection. */
   silenced: boolean;
   lastDeliveryAtMs: number;
+  endNotBeforeMs: number;
 }
 
+/**
+ * The end of a connection that was held back comes so long after the bytes before it, as on a network
+ * that sends packets again after a cut: the receiver acts on the bytes before it learns of the end.
+ */
+const END_LAG_MS = 50;
+
 /** Proxy in front of one address. */
 export class FaultProxy {
   readonly #server: Server;
@@ -52,7 +59,7 @@
     this.#delayMs = delayMs;
   }
 
-  /** Holds back what goes in these directions, until `heal`. */
+  /** Holds back what goes in these directions; `heal` delivers it, also what its sender has given up. */
   cut(directions: readonly Direction[]): void {
     directions.forEach((direction) => this.#cut.add(direction));
     this.#steer();
@@ -60,6 +67,11 @@
 
   /** Ends cuts and delays. */
   heal(): void {
+    const endNotBeforeMs = performance.now() + END_LAG_MS;
+    this.#pipes.forEach((pipe) => {
+      const healed = pipe;
+      if (this.#cut.has(pipe.direction)) healed.endNotBeforeMs = endNotBeforeMs;
+    });
     this.#cut.clear();
     this.#delayMs = 0;
     this.#steer();
@@ -88,21 +100,35 @@
       this.#pipe(client, server, Direction.forward),
       this.#pipe(server, client, Direction.backward),
     ];
-    pipes.forEach(({ from, to }) => {
+    pipes.forEach((pipe) => {
+      const { from, to } = pipe;
       from.on('error', () => to.destroy());
       from.on('close', () => {
-        pipes.forEach((pipe) => this.#pipes.delete(pipe));
-        to.destroy();
+        // A close must not overtake the bytes before it.
+        this.#deliver(pipe, () => {
+          pipes.forEach((closed) => this.#pipes.delete(closed));
+          to.destroy();
+        });
       });
     });
     this.#steer();
   }
 
   #pipe(from: Socket, to: Socket, direction: Direction): Pipe {
-    const pipe: Pipe = { from, to, direction, silenced: false, lastDeliveryAtMs: 0 };
+    const pipe: Pipe = {
+      from,
+      to,
+      direction,
+      silenced: false,
+      lastDeliveryAtMs: 0,
+      endNotBeforeMs: 0,
+    };
     this.#pipes.add(pipe);
-    from.on('data', (chunk) => this.#deliver(pipe, () => to.write(chunk)));
-    from.on('end', () => this.#deliver(pipe, () => to.end()));
+    from.on('data', (chunk) => this.#deliver(pipe, () => to.writable && to.write(chunk)));
+    from.on('end', () => {
+      pipe.lastDeliveryAtMs = Math.max(pipe.lastDeliveryAtMs, pipe.endNotBeforeMs);
+      this.#deliver(pipe, () => to.end());
+    });
     return pipe;
   }
 
