Offer a part again that a cell has refused as not run, also when its job has begun

Seen by callers: a job that has begun is answered 504 although the cell that was asked last has only refused its part as not run (it is not the owner any more, its process has changed), and other cells would take it.

Cause: a part of a begun job was forced into one cell, and sent to the next owner of a lost cell, once; any refusal there ended the job as lost.

Now all cells are asked in the end, and the next owner until the last moment at which the part can end. That owner may have adopted a run of the part without being told whose it is, so the part starts elsewhere only when the leases have ended that it may have renewed up to its last refusal.

Failing before (test/dispatcher/partRunner.test.ts): is offered to all cells again if its job has begun The value { 2 entries } is not equal to { type: "completed" } (actual: reason not-owner, type lost) is sent to the next owner of its cell again the same starts elsewhere only when the leases of the last owner that has refused it are over The value 0 is not equal to 1

--- a/src/dispatcher/partRunner.ts
+++ b/src/dispatcher/partRunner.ts
@@ -184,10 +184,19 @@
 
   /** Other parts of the job run, so this one is queued somewhere even though it will be late. */
   async #force(job: RunningJob, part: Part): Promise<JobOutcome> {
-    const cell = this.#nextCell(new Set());
-    if (cell === null) return { type: 'lost', reason: 'no-cell' };
-    const sent = await this.#send(job, cell, this.#batchOf(job, part, true, false));
-    return this.#conclude(job, part, sent);
+    const tried = new Set<string>();
+    let cell = this.#nextCell(tried);
+    let reason = 'no-cell';
+    while (cell !== null) {
+      tried.add(cell);
+      const batch = this.#batchOf(job, part, true, false);
+      // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
+      const sent = await this.#send(job, cell, batch);
+      if (sent.outcome.type !== 'refused') return this.#conclude(job, part, sent);
+      reason = sent.outcome.reason;
+      cell = job.hasEnded ? null : this.#nextCell(tried);
+    }
+    return { type: 'lost', reason };
   }
 
   #nextCell(tried: ReadonlySet<string>): string | null {
@@ -216,7 +225,7 @@
   async #recover(job: RunningJob, part: Part, sent: SentBatch): Promise<JobOutcome> {
     const { cell, token, outcome } = sent;
     const { cluster, clock, settleMs, journal } = this.#parts;
-    const settledAtMs = clock.nowMs() + settleMs;
+    let settledAtMs = clock.nowMs() + settleMs;
     const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
     journal.decide('owner-lost', { jobId: job.request.job.id, cell, token });
     const left = remainingOf(part, outcome);
@@ -226,7 +235,9 @@
         const batch = this.#batchOf(job, left, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
         const again = await this.#send(job, cell, batch);
-        return this.#conclude(job, left, again);
+        if (again.outcome.type !== 'refused') return this.#conclude(job, left, again);
+        // It has started nothing of the batch, but may have adopted a run and renewed its lease.
+        settledAtMs = clock.nowMs() + settleMs;
       }
       if (clock.nowMs() >= settledAtMs) return this.#force(job, settledPart(left));
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
--- a/test/dispatcher/partRunner.test.ts
+++ b/test/dispatcher/partRunner.test.ts
@@ -23,6 +23,7 @@
 const DEADLINE_MS = 9000;
 /** Well after the leases of any owner and all waits of a job. */
 const LONG_MS = 2 * DEADLINE_MS;
+const DONE = { type: 'done' } as const;
 
 function step(taskCount: number, after: readonly number[] = []): JobStep {
   return {
@@ -52,8 +53,11 @@
 
   readonly #clock: FakeClock;
 
+  readonly #cells: readonly FakeCell[];
+
   constructor(clock: FakeClock, cells: readonly FakeCell[]) {
     this.#clock = clock;
+    this.#cells = cells;
     const nowMs = () => clock.now;
     this.cells = new FakeCells(cells, nowMs);
     const common = { clock: { nowMs }, journal: { decide: () => {} } };
@@ -90,12 +94,25 @@
     await this.#clock.tickAsync(durationMs);
   }
 
+  cell(name: string | undefined): FakeCell {
+    const cell = this.#cells.find((one) => one.name === name);
+    if (!cell) throw new Error(`no cell ${name}`);
+    return cell;
+  }
+
   /** Cells of all batches, in the order of sending. */
   get sentTo(): readonly string[] {
     return this.cells.sent.map(({ cell }) => cell);
   }
 }
 
+/** Another host takes over the cell that has the first batch; the submitter notices. */
+async function changeOwner(world: World): Promise<void> {
+  const cell = world.cell(world.sentTo[0]);
+  cell.token += 1000;
+  await world.pass(50);
+}
+
 describe('a job that has been answered', () => {
   let clock: FakeClock;
 
@@ -242,6 +259,59 @@
   });
 });
 
+describe('a part that cells refuse as not run', () => {
+  let clock: FakeClock;
+
+  beforeEach(() => {
+    clock = install({ toFake: ['setTimeout', 'clearTimeout'] });
+  });
+
+  afterEach(() => clock.uninstall());
+
+  // Guards against a job answered as lost because the one cell asked in the end is no owner any more.
+  it('is offered to all cells again if its job has begun', async () => {
+    const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
+    await world.submit([step(1), step(1, [0])]);
+    const last = [refused('overloaded'), refused('overloaded'), refused('not-owner'), DONE];
+    world.cells.onSend = ({ answer }) => answer(last.shift() ?? DONE);
+    world.cells.sent[0]?.answer(DONE);
+    await world.pass(50);
+    expect(world.outcome).toEqual({ type: 'completed' });
+    expect(new Set(world.sentTo.slice(-2)).size).toEqual(2);
+  });
+
+  // Guards against a job answered as lost because the next owner of a cell did not take it at once.
+  it('is sent to the next owner of its cell again', async () => {
+    const world = new World(clock, [fakeCell('a')]);
+    await world.submit([step(1)]);
+    world.cells.sent[0]?.answer(UNREACHABLE);
+    await changeOwner(world);
+    world.cells.sent[1]?.answer(refused('not-owner'));
+    await world.pass(50);
+    world.cells.sent[2]?.answer(DONE);
+    await world.pass(0);
+    expect(world.outcome).toEqual({ type: 'completed' });
+    expect(world.cells.sent[2]?.batch.mayRun).toEqual(true);
+  });
+
+  // Guards against a second run of a task whose first one the next owner has adopted.
+  it('starts elsewhere only when the leases of the last owner that has refused it are over', async () => {
+    const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
+    await world.submit([step(1)]);
+    world.cells.sent[0]?.answer(UNREACHABLE);
+    await world.pass(SETTLE_MS - 100);
+    await changeOwner(world);
+    const refusedAtMs = clock.now;
+    const owners = world.sentTo[0];
+    world.cells.sent[1]?.answer(refused('not-owner'));
+    world.cell(owners).serves = false;
+    await world.pass(LONG_MS);
+    const elsewhere = world.cells.sent.filter(({ cell }) => cell !== owners);
+    expect(elsewhere.length).toEqual(1);
+    expect((elsewhere[0]?.sentAtMs ?? 0) - refusedAtMs).toBeGreaterThanOrEqual(SETTLE_MS);
+  });
+});
+
 /** What happens to the job next, and to whom. */
 interface Event {
   readonly afterMs: number;
