Refuse a batch that reaches its owner after its submitter may have given it up

Cause: while a failure domain is cut off, a submitter sends a batch to an owner on the other side, gives the owner up after 600 ms and closes the call. The kernel keeps the bytes and delivers them when the cut heals. To the owner the batch looked fresh, since all its times are durations from the sending, and it started tasks until the end of the connection came and withdrew the batch. The same holds for an owner that stood still or was suspended while the batch lay in its buffer.

Now a batch tells when it was sent, on its owner's clocks: each status answer tells both clocks of the process, and the submitter adds the time since the answer arrived. That estimate is never late, so a batch never seems too young; it seems too old by the time that the answer was on the way. Steady clock and time of day are both used: the first does not count a suspension, the second may be stepped back. Older than 400 ms, the batch is refused as not run (batch-refused, expired). With 700 ms until a silent submitter counts as gone, 100 ms until that is checked and 50 ms for a stop, that is 1250 ms, less than the 1300 ms after which a client sends again. A late batch does not count as a sign of life either.

The refusal brings the owner's clocks, so the submitter sends the part once more at once, as a new batch with fresh durations, and then elsewhere; a job of which nothing has run is refused, not lost. A batch that its owner runs or has run is joined or answered as before, at any age.

Hosts of the version before tell neither clocks nor time of sending: their batches, and batches to them, are taken as before.

--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -52,6 +52,8 @@
   withdrawn: 'withdrawn',
   superseded: 'superseded',
   unreachable: 'unreachable',
+  /** It came so late that its submitter may have given it up. */
+  expired: 'expired',
 } as const;
 export type BatchReason = (typeof BatchReason)[keyof typeof BatchReason];
 
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -4,7 +4,6 @@
  */
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
-import type { Clock } from '../core/clock';
 import { splitAddress } from '../settings/address';
 import type { HostIdentity } from './cellRecord';
 import { Cluster, type ClusterOptions } from './cluster';
@@ -13,6 +12,7 @@
 import { JobRunner } from './jobRunner';
 import type { DispatchMetrics } from './metrics';
 import { PeerClient } from './peerClient';
+import type { HostClock } from './peerClocks';
 import { PeerServer } from './peerServer';
 import { PartRunner } from './partRunner';
 import type { Platform } from './platform';
@@ -26,7 +26,7 @@
   readonly platform: Platform;
   readonly journal: DispatchJournal;
   readonly metrics: DispatchMetrics;
-  readonly clock: Clock;
+  readonly clock: HostClock;
   /** Log lines left out since the start. */
   readonly droppedLines: () => number;
 }
--- a/src/dispatcher/partRunner.ts
+++ b/src/dispatcher/partRunner.ts
@@ -36,6 +36,8 @@
 const CELL_WAIT_MS = 300;
 /** A cell refuses a batch within this time, or has taken it. */
 const REFUSAL_TIME_MS = 8;
+/** A refusal as expired tells the owner's clocks; a second one means that the way there is slow. */
+const EXPIRED_SENDS = 2;
 
 /** What is left of a job that has ended. */
 const NOT_SENT = {
@@ -59,6 +61,10 @@
   readonly outcome: BatchOutcome;
 }
 
+function isExpired({ outcome }: SentBatch): boolean {
+  return outcome.type === 'refused' && outcome.reason === BatchReason.expired;
+}
+
 /** What is left of a part after its owner has gone. */
 function remainingOf(part: Part, outcome: BatchOutcome): Part {
   const started = outcome.type === 'lost' ? outcome.started : null;
@@ -153,7 +159,7 @@
     let refusal: JobOutcome = NO_CELL;
     while (cell !== null) {
       tried.add(cell);
-      const batch = this.#batchOf(job, part, job.begun, false);
+      const batch = () => this.#batchOf(job, part, job.begun, false);
       // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
       const sent = await this.#send(job, cell, batch);
       const { outcome } = sent;
@@ -189,7 +195,7 @@
     let reason = 'no-cell';
     while (cell !== null) {
       tried.add(cell);
-      const batch = this.#batchOf(job, part, true, false);
+      const batch = () => this.#batchOf(job, part, true, false);
       // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
       const sent = await this.#send(job, cell, batch);
       if (sent.outcome.type !== 'refused') return this.#conclude(job, part, sent);
@@ -232,7 +238,7 @@
     if (left.tasks.length === 0) return { type: 'completed' };
     while (!job.hasEnded && clock.nowMs() < lastChanceMs) {
       if ((cluster.ownerOf(cell)?.token ?? 0) > token && cluster.isServing(cell)) {
-        const batch = this.#batchOf(job, left, true, true);
+        const batch = () => this.#batchOf(job, left, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
         const again = await this.#send(job, cell, batch);
         if (again.outcome.type !== 'refused') return this.#conclude(job, left, again);
@@ -271,8 +277,18 @@
     };
   }
 
+  /** Sends a batch, and once more as a new one if it came too late; the refusal says that it has not run. */
+  async #send(job: RunningJob, cell: string, batchOf: () => TaskBatch): Promise<SentBatch> {
+    let sent = await this.#sendOnce(job, cell, batchOf());
+    for (let sends = 1; sends < EXPIRED_SENDS && isExpired(sent); sends += 1) {
+      // eslint-disable-next-line no-await-in-loop -- sent again only when the owner has refused it
+      sent = await this.#sendOnce(job, cell, batchOf());
+    }
+    return sent;
+  }
+
   /** The only way to a cell: closed once the job has ended, and what is in progress is withdrawn then. */
-  async #send(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
+  async #sendOnce(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
     const token = this.#parts.cluster.ownerOf(cell)?.token ?? 0;
     if (job.hasEnded) return { cell, token, outcome: NOT_SENT };
     const abort = new AbortController();
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -1,9 +1,9 @@
 /** Calls to other hosts over HTTP. */
 import { BatchReason, type BatchOutcome } from '../cells/messages';
-import type { Clock } from '../core/clock';
 import { BatchCalls } from './batchCalls';
 import type { DispatchJournal } from './journal';
 import { PoolSet } from './keepAlivePool';
+import { laterOf, PeerClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
   PeerPath,
@@ -55,15 +55,19 @@
 
   readonly #calls = new BatchCalls();
 
-  readonly #clock: Clock;
+  readonly #clock: HostClock;
+
+  /** Clocks of the hosts that have answered. */
+  readonly #peerClocks: PeerClocks;
 
   readonly #journal: DispatchJournal;
 
   /** Hosts whose last status call had no answer. */
   readonly #unanswered = new Set<string>();
 
-  constructor(clock: Clock, journal: DispatchJournal) {
+  constructor(clock: HostClock, journal: DispatchJournal) {
     this.#clock = clock;
+    this.#peerClocks = new PeerClocks(clock);
     this.#journal = journal;
     const options = { connections: null, connectTimeoutMs: CONNECT_TIMEOUT_MS };
     this.#pools = new PoolSet(options, journal);
@@ -77,6 +81,7 @@
       );
       const status = parseBody<PeerStatus>(text, ['hostId', 'incarnation', 'cells', 'records']);
       if (!status) throw new Error('the status could not be read');
+      this.#peerClocks.note(address, status.incarnation, status.clocks);
       if (this.#unanswered.delete(address)) this.#journal.decide('peer-regained', { address });
       this.#checkBatches(address, status.batches, askedAtMs);
       return status;
@@ -98,6 +103,7 @@
   async run(address: string, call: BatchCall, abort: AbortController): Promise<BatchReply> {
     const { batchId } = call.batch;
     let sends = 0;
+    let sentAt: SendTime | undefined;
     let attempt: AbortController;
     const end = () => attempt.abort();
     abort.signal.addEventListener('abort', end, { once: true });
@@ -106,8 +112,10 @@
         attempt = new AbortController();
         sends += 1;
         this.#track(address, batchId, attempt, abort);
+        sentAt = laterOf(sentAt, this.#peerClocks.sendTime(address));
+        const sent: BatchCall = { ...call, isRetry: sends > 1, sentAt };
         // eslint-disable-next-line no-await-in-loop -- sent again only when the call before was broken
-        const reply = await this.#send(address, { ...call, isRetry: sends > 1 }, attempt.signal);
+        const reply = await this.#send(address, sent, attempt.signal);
         if (reply) return reply;
       } while (attempt.signal.aborted && !abort.signal.aborted);
       return UNREACHABLE;
@@ -154,7 +162,9 @@
   async #send(address: string, call: BatchCall, signal: AbortSignal): Promise<BatchReply | null> {
     try {
       const text = await this.#post(address, PeerPath.batches, call, signal);
-      return parseBody<BatchReply>(text, ['outcome']);
+      const reply = parseBody<BatchReply>(text, ['outcome']);
+      if (reply?.clocks) this.#peerClocks.note(address, call.ownerIncarnation, reply.clocks);
+      return reply;
     } catch (error) {
       const { batchId, jobId } = call.batch;
       const cause = { address, error: messageOf(error) };
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Bodies of the calls between hosts, and checks of what arrives. */
 import type { BatchOutcome, CellSummary, TaskBatch } from '../cells/messages';
 import type { CellRecord, HostIdentity } from './cellRecord';
+import type { ClockReading, SendTime } from './peerClocks';
 import type { WorkerList } from './workerLists';
 
 /** Paths of the interface between hosts. */
@@ -44,6 +45,8 @@
 export interface PeerStatus extends HostStatus {
   /** Batches of the asker in progress here, by id. */
   readonly batches: readonly string[];
+  /** Clocks at the moment of the answer; hosts of the version before do not tell them. */
+  readonly clocks?: ClockReading;
 }
 
 /** A batch for a cell that the receiver owns. */
@@ -55,12 +58,16 @@
   readonly ownerIncarnation: string;
   /** It has been sent before: only the same process can tell whether it runs. */
   readonly isRetry: boolean;
+  /** Hosts of the version before do not tell it, nor does one that does not know the owner's clocks. */
+  readonly sentAt?: SendTime;
 }
 
 /** End of a batch, with the state of the cell if the receiver owns it. */
 export interface BatchReply {
   readonly outcome: BatchOutcome;
   readonly summary: CellSummary | null;
+  /** Clocks of the receiver, with a refusal as expired: the next call needs them. */
+  readonly clocks?: ClockReading;
 }
 
 /** Reads a JSON body that must be an object with these members; null otherwise. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -5,9 +5,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
 import { BatchReason, type BatchOutcome, type CellSummary } from '../cells/messages';
-import type { Clock } from '../core/clock';
 import type { HostIdentity } from './cellRecord';
 import type { DispatchJournal } from './journal';
+import { ageMs, readClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
   PeerPath,
@@ -35,6 +35,13 @@
 const CHECK_PERIOD_MS = 100;
 const KEEP_ALIVE_MS = 120_000;
 
+/**
+ * A batch that is older when it comes is refused. Its client may send the job again 1300 ms after its
+ * submitter was lost, and nothing may run by then: this age, the time until the submitter counts as gone,
+ * the period of that check and 50 ms for a stop end before.
+ */
+const OLDEST_BATCH_MS = 400;
+
 /** An end is kept so long for a submitter whose connection has gone silent. */
 const END_KEPT_MS = 10_000;
 
@@ -58,7 +65,7 @@
 export class PeerServer {
   readonly #handler: PeerHandler;
 
-  readonly #clock: Clock;
+  readonly #clock: HostClock;
 
   readonly #journal: DispatchJournal;
 
@@ -73,7 +80,7 @@
 
   readonly #timer: NodeJS.Timeout;
 
-  constructor(handler: PeerHandler, clock: Clock, journal: DispatchJournal) {
+  constructor(handler: PeerHandler, clock: HostClock, journal: DispatchJournal) {
     this.#handler = handler;
     this.#clock = clock;
     this.#journal = journal;
@@ -134,7 +141,8 @@
     const batches = [...this.#open.values()]
       .filter(({ call }) => call.from.incarnation === question.from.incarnation)
       .map(({ call }) => call.batch.batchId);
-    sendJson(response, 200, { ...this.#handler.status(question), batches });
+    const clocks = readClocks(this.#clock);
+    sendJson(response, 200, { ...this.#handler.status(question), batches, clocks });
   }
 
   async #run(text: string, response: ServerResponse): Promise<void> {
@@ -143,15 +151,38 @@
       sendJson(response, 400, { detail: 'expected from, cell and batch' });
       return;
     }
-    this.#heard(call.from);
+    const age = this.#ageMs(call.sentAt);
+    if (age <= OLDEST_BATCH_MS) this.#heard(call.from);
     if (call.isRetry && call.ownerIncarnation !== this.#handler.incarnation) {
       sendJson(response, 409, { detail: 'the batch was sent to an earlier process' });
       return;
     }
-    const reply = this.#ended.get(call.batch.batchId) ?? (await this.#join(call, response));
+    const { batchId } = call.batch;
+    const known = this.#ended.get(batchId) ?? this.#refuse(call, age);
+    const reply = known ?? (await this.#join(call, response));
     if (!response.destroyed) sendJson(response, 200, reply);
   }
 
+  /** Age of a message. Hosts of the version before do not tell it: theirs are taken at any age. */
+  #ageMs(sentAt: SendTime | undefined): number {
+    return sentAt ? ageMs(sentAt, this.#handler.incarnation, readClocks(this.#clock)) : 0;
+  }
+
+  /**
+   * Refuses a batch that was held on the way so long that its submitter may have given it up; null if it
+   * may run. One that runs here already goes on.
+   */
+  #refuse({ batch }: BatchCall, age: number): BatchReply | null {
+    const { batchId, jobId } = batch;
+    if (age <= OLDEST_BATCH_MS || this.#open.has(batchId)) return null;
+    const reason = BatchReason.expired;
+    const limitMs = OLDEST_BATCH_MS;
+    const ageInMs = Math.round(age);
+    this.#journal.decide('batch-refused', { batchId, jobId, reason, ageMs: ageInMs, limitMs });
+    const outcome: BatchOutcome = { type: 'refused', reason, retryAfterMs: 0 };
+    return { outcome, summary: null, clocks: readClocks(this.#clock) };
+  }
+
   /** Runs a batch, or joins it if it has come before over another connection. */
   #join(call: BatchCall, response: ServerResponse): Promise<BatchReply> {
     const { batchId } = call.batch;
--- a/src/observe/requestCourse.ts
+++ b/src/observe/requestCourse.ts
@@ -29,6 +29,7 @@
   deadline: 'too little time was left to end it before its deadline',
   'handed-over': 'the owner of the cell gave it to another host',
   unreachable: 'the owner of the cell could not be reached any more',
+  expired: 'it reached the owners of the cells too late; it was refused without a start',
   'owner-lost': 'the owner of the cell was lost, and no other found its runs in time',
   superseded: 'the same job was submitted again and took its runs over',
   withdrawn: 'its caller did not wait any more',
--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -13,7 +13,7 @@
 import { FaultProxy } from '../soak/faultProxy';
 
 const SELF = { hostId: 'a', incarnation: '1', domain: 'bole', address: '10.0.0.1:1', cores: 1 };
-const CLOCK = { nowMs: () => performance.now() };
+const CLOCK = { nowMs: () => performance.now(), timeOfDayMs: () => Date.now() };
 const QUESTION = {
   from: SELF,
   configurationVersion: 1,
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -36,7 +36,9 @@
 };
 
 /** Builds the refusal of a cell. */
-export function refused(reason: 'overloaded' | 'not-owner' | 'withdrawn'): BatchOutcome {
+export function refused(
+  reason: 'overloaded' | 'not-owner' | 'withdrawn' | 'expired',
+): BatchOutcome {
   return { type: 'refused', reason, retryAfterMs: 10 };
 }
 
--- a/test/dispatcher/partRunner.test.ts
+++ b/test/dispatcher/partRunner.test.ts
@@ -268,6 +268,37 @@
 
   afterEach(() => clock.uninstall());
 
+  // Guards against a job refused by its only cell because a reading of its clocks was out of date.
+  it('is sent to the same cell once more, as a new batch, if it came too late', async () => {
+    const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
+    const outcomes = [refused('expired'), DONE];
+    world.cells.onSend = ({ answer }) => answer(outcomes.shift() ?? UNREACHABLE);
+    await world.submit([step(1)]);
+    expect(world.outcome).toEqual({ type: 'completed' });
+    expect(new Set(world.sentTo).size).toEqual(1);
+    expect(new Set(world.cells.sent.map(({ batch }) => batch.batchId)).size).toEqual(2);
+  });
+
+  // Guards against a cell whose connections are slow for long, tried without end.
+  it('goes to another cell if it came too late twice', async () => {
+    const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
+    const outcomes = [refused('expired'), refused('expired'), DONE];
+    world.cells.onSend = ({ answer }) => answer(outcomes.shift() ?? UNREACHABLE);
+    await world.submit([step(1)]);
+    const [first, second, third] = world.sentTo;
+    expect(world.outcome).toEqual({ type: 'completed' });
+    expect([first === second, second === third]).toEqual([true, false]);
+  });
+
+  // Guards against an answer that tells the caller less than is known: nothing has run.
+  it('is answered as not run if it came too late at all cells', async () => {
+    const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
+    world.cells.onSend = ({ answer }) => answer(refused('expired'));
+    await world.submit([step(1)]);
+    expect(world.outcome).toEqual({ type: 'refused', reason: 'expired', retryAfterMs: 10 });
+    expect(world.cells.sent.length).toEqual(4);
+  });
+
   // Guards against a job answered as lost because the one cell asked in the end is no owner any more.
   it('is offered to all cells again if its job has begun', async () => {
     const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
@@ -324,6 +355,7 @@
   'failed',
   'refused',
   'not-owner',
+  'expired',
   'unreachable',
   'given-up',
   'owner-goes',
@@ -356,6 +388,7 @@
   if (kind === 'failed') sent?.answer({ type: 'failed', task: '' });
   if (kind === 'refused') sent?.answer(refused('overloaded'));
   if (kind === 'not-owner') sent?.answer(refused('not-owner'));
+  if (kind === 'expired') sent?.answer(refused('expired'));
   if (kind === 'unreachable') sent?.answer(UNREACHABLE);
   if (kind === 'given-up') sent?.answer(givenUp('deadline'));
   if (kind === 'owner-goes' && cell) cell.serves = false;
--- a/test/platform/testHost.ts
+++ b/test/platform/testHost.ts
@@ -74,7 +74,7 @@
       },
       journal,
       metrics: new DispatchMetrics(),
-      clock: { nowMs: () => performance.now() },
+      clock: { nowMs: () => performance.now(), timeOfDayMs: () => Date.now() },
       droppedLines: () => 0,
     });
     this.#ingress = new Ingress(this.host.dispatcher);
