--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -54,6 +54,8 @@
   notAwaited: 'not-awaited',
   superseded: 'superseded',
   unreachable: 'unreachable',
+  /** It came so late that its submitter may have given it up. */
+  expired: 'expired',
 } as const;
 export type BatchReason = (typeof BatchReason)[keyof typeof BatchReason];
 
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -1,9 +1,9 @@
 /** Calls to other hosts over HTTP. */
 import { BatchReason, type BatchOutcome } from '../cells/messages';
-import type { Clock } from '../core/clock';
 import { BatchCalls, type BatchCallInProgress } from './batchCalls';
 import type { DispatchJournal } from './journal';
 import { PoolSet } from './keepAlivePool';
+import { laterOf, PeerClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
   PeerPath,
@@ -60,15 +60,19 @@
 
   readonly #calls = new BatchCalls();
 
-  readonly #clock: Clock;
+  readonly #clock: HostClock;
+
+  /** Clocks of the hosts that have answered. */
+  readonly #peerClocks: PeerClocks;
 
   readonly #journal: DispatchJournal;
 
   /** Hosts whose last status call had no answer. */
   readonly #unanswered = new Set<string>();
 
-  constructor(clock: Clock, journal: DispatchJournal) {
+  constructor(clock: HostClock, journal: DispatchJournal) {
     this.#clock = clock;
+    this.#peerClocks = new PeerClocks(clock);
     this.#journal = journal;
     const options = { connections: null, connectTimeoutMs: CONNECT_TIMEOUT_MS };
     this.#pools = new PoolSet(options, journal);
@@ -84,6 +88,7 @@
       );
       const status = parseBody<PeerStatus>(text, ['hostId', 'incarnation', 'cells', 'records']);
       if (!status) throw new Error('the status could not be read');
+      this.#peerClocks.note(address, status.incarnation, status.clocks);
       if (this.#unanswered.delete(address)) this.#journal.decide('peer-regained', { address });
       this.#checkBatches(address, status.batches, askedAtMs);
       return status;
@@ -109,6 +114,7 @@
     const number = this.#calls.nextNumber();
     let sends = 0;
     let reply: BatchReply | null = null;
+    let sentAt: SendTime | undefined;
     let attempt: AbortController;
     const end = () => attempt.abort();
     abort.signal.addEventListener('abort', end, { once: true });
@@ -117,7 +123,8 @@
         attempt = new AbortController();
         sends += 1;
         this.#track(address, { batchId, number }, attempt, abort);
-        const sent = { ...call, number, isRetry: sends > 1 };
+        sentAt = laterOf(sentAt, this.#peerClocks.sendTime(address));
+        const sent: BatchCall = { ...call, number, isRetry: sends > 1, sentAt };
         // eslint-disable-next-line no-await-in-loop -- sent again only when the call before was broken
         reply = await this.#send(address, sent, attempt.signal);
       } while (!reply && attempt.signal.aborted && !abort.signal.aborted);
@@ -172,7 +179,9 @@
   async #send(address: string, call: BatchCall, signal: AbortSignal): Promise<BatchReply | null> {
     try {
       const text = await this.#post(address, PeerPath.batches, call, signal);
-      return parseBody<BatchReply>(text, ['outcome']);
+      const reply = parseBody<BatchReply>(text, ['outcome']);
+      if (reply?.clocks) this.#peerClocks.note(address, call.ownerIncarnation, reply.clocks);
+      return reply;
     } catch (error) {
       const { batchId, jobId } = call.batch;
       const cause = { address, error: messageOf(error) };
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Bodies of the calls between hosts, and checks of what arrives. */
 import type { BatchOutcome, CellSummary, TaskBatch } from '../cells/messages';
 import type { CellRecord, HostIdentity } from './cellRecord';
+import type { ClockReading, SendTime } from './peerClocks';
 import type { WorkerList } from './workerLists';
 
 /** Paths of the interface between hosts. */
@@ -53,6 +54,8 @@
 export interface PeerStatus extends HostStatus {
   /** Batches of the asker in progress here, by id. */
   readonly batches: readonly string[];
+  /** Clocks at the moment of the answer; hosts of the version before do not tell them. */
+  readonly clocks?: ClockReading;
 }
 
 /** A batch for a cell that the receiver owns. */
@@ -66,12 +69,16 @@
   readonly isRetry: boolean;
   /** Rises with each call of the sender's process; absent from hosts of an earlier version. */
   readonly number?: number | undefined;
+  /** Hosts of the version before do not tell it, nor does one that does not know the owner's clocks. */
+  readonly sentAt?: SendTime;
 }
 
 /** End of a batch, with the state of the cell if the receiver owns it. */
 export interface BatchReply {
   readonly outcome: BatchOutcome;
   readonly summary: CellSummary | null;
+  /** Clocks of the receiver, with a refusal as expired: the next call needs them. */
+  readonly clocks?: ClockReading;
 }
 
 /** Reads a JSON body that must be an object with these members; null otherwise. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -6,9 +6,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
 import { BatchReason, type BatchOutcome, type CellSummary } from '../cells/messages';
-import type { Clock } from '../core/clock';
 import type { LogFields } from '../observe/observer';
 import type { DispatchJournal } from './journal';
+import { ageMs, readClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
   PeerPath,
@@ -37,6 +37,13 @@
 const LATE_CHECK_MS = 3 * CHECK_PERIOD_MS;
 const KEEP_ALIVE_MS = 120_000;
 
+/**
+ * A batch that is older when it comes is refused. Its client may send the job again 1300 ms after its
+ * submitter was lost, and nothing may run by then: this age, the time until the submitter counts as gone,
+ * the period of that check and 50 ms for a stop end before.
+ */
+const OLDEST_BATCH_MS = 400;
+
 /** An end is kept so long for a submitter whose connection has gone silent. */
 const END_KEPT_MS = 10_000;
 
@@ -60,7 +67,7 @@
 export class PeerServer {
   readonly #handler: PeerHandler;
 
-  readonly #clock: Clock;
+  readonly #clock: HostClock;
 
   readonly #journal: DispatchJournal;
 
@@ -77,7 +84,7 @@
 
   #checkedAtMs: number;
 
-  constructor(handler: PeerHandler, clock: Clock, journal: DispatchJournal) {
+  constructor(handler: PeerHandler, clock: HostClock, journal: DispatchJournal) {
     this.#handler = handler;
     this.#clock = clock;
     this.#checkedAtMs = clock.nowMs();
@@ -139,7 +146,8 @@
     const batches = [...this.#open.values()]
       .filter(({ call }) => call.from.incarnation === question.from.incarnation)
       .map(({ call }) => call.batch.batchId);
-    sendJson(response, 200, { ...this.#handler.status(question), batches });
+    const clocks = readClocks(this.#clock);
+    sendJson(response, 200, { ...this.#handler.status(question), batches, clocks });
   }
 
   async #run(text: string, response: ServerResponse): Promise<void> {
@@ -148,7 +156,8 @@
       sendJson(response, 400, { detail: 'expected from, cell and batch' });
       return;
     }
-    this.#submitters.heard(call.from, undefined, this.#clock.nowMs());
+    const age = this.#ageMs(call.sentAt);
+    if (age <= OLDEST_BATCH_MS) this.#submitters.heard(call.from, undefined, this.#clock.nowMs());
     if (!this.#submitters.isAwaited(call)) {
       this.#decide('batch-not-awaited', call, {});
       sendJson(response, 409, { detail: 'the sender does not wait for the batch any more' });
@@ -158,10 +167,32 @@
       sendJson(response, 409, { detail: 'the batch was sent to an earlier process' });
       return;
     }
-    const reply = this.#ended.get(call.batch.batchId) ?? (await this.#join(call, response));
+    const { batchId } = call.batch;
+    const known = this.#ended.get(batchId) ?? this.#refuse(call, age);
+    const reply = known ?? (await this.#join(call, response));
     if (!response.destroyed) sendJson(response, 200, reply);
   }
 
+  /** Age of a message. Hosts of the version before do not tell it: theirs are taken at any age. */
+  #ageMs(sentAt: SendTime | undefined): number {
+    return sentAt ? ageMs(sentAt, this.#handler.incarnation, readClocks(this.#clock)) : 0;
+  }
+
+  /**
+   * Refuses a batch that was held on the way so long that its submitter may have given it up; null if it
+   * may run. One that runs here already goes on.
+   */
+  #refuse({ batch }: BatchCall, age: number): BatchReply | null {
+    const { batchId, jobId } = batch;
+    if (age <= OLDEST_BATCH_MS || this.#open.has(batchId)) return null;
+    const reason = BatchReason.expired;
+    const limitMs = OLDEST_BATCH_MS;
+    const ageInMs = Math.round(age);
+    this.#journal.decide('batch-refused', { batchId, jobId, reason, ageMs: ageInMs, limitMs });
+    const outcome: BatchOutcome = { type: 'refused', reason, retryAfterMs: 0 };
+    return { outcome, summary: null, clocks: readClocks(this.#clock) };
+  }
+
   /** Runs a batch, or joins it if it has come before over another connection. */
   #join(call: BatchCall, response: ServerResponse): Promise<BatchReply> {
     const { batchId } = call.batch;
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -42,7 +42,7 @@
 
 /** Period at which a host asks an owner at which something runs for it. */
 const ASK_PERIOD_MS = 150;
-const CLOCK = { nowMs: () => performance.now() };
+const CLOCK = { nowMs: () => performance.now(), timeOfDayMs: () => Date.now() };
 
 /** A batch that the owner has withdrawn. */
 export interface Withdrawal {
