Extend no lease of a run that a new owner adopted and no batch has claimed

What callers could see: a task that runs twice at the same time. A host that is submitter of a job and owner of the cell that runs it dies; the client sends the job again 1300 ms later, another cell starts it, and the run of the first submission may still be in progress. Found by reading, shown by the tests; whether it caused what users saw is not known.

Cause: the next owner adopted the runs and its renewals extended the one lease of the worker, also for runs that nobody had claimed, until a stop 600 ms after the adoption; a lost stop or another change of owner prolonged that without end.

Now a lease is only extended by an owner that has the run's batch. While an adopted run on a worker is not claimed and not listed as ended, renewals carry no lease and wait a fifth of the usual time, and no task is started there, because a start carries a lease for everything on the worker. The window for claims is 250 ms, so that claimed runs beside it keep what is left of their lease (440 ms at least after a kill). A session tells of a report before it renews, because the report decides. The ledger counts the previous owner's lease from the adoption, so that a worker that falls silent right after it does not count as free.

Evidence, test/dispatcher/cellOwner.test.ts before the change, lease of 400 ms left at the adoption: does not extend the lease that the previous owner gave, even if stops are lost: 'The value undefined is not equal to { atMs: 400, end: "lapsed" }' (still in progress after 3 s) stops the run before that lease is over: 'The value 640 is not less than 400' does not extend it when the cell changes hands again, starts no task beside it: still in progress too (the two tests of claimed runs pass before and after) cell.test.ts without the line in the ledger: 'The value ["job44.0..."] is not equal to []' (overlaps).

Run: test/cells, test/dispatcher, test/platform/deployment.test.ts: 104 pass, with 'hands the cell over in a drain'.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -153,6 +153,11 @@
     this.#dispatch.run(nowMs);
   }
 
+  /** False while a lease would keep a run in progress that may have no submitter any more. */
+  mayExtendLeases(workerId: string): boolean {
+    return this.workers.get(workerId)?.holdsUnclaimed !== true;
+  }
+
   /** A renewal or start was sent to a worker: its leases end by `leasesEndMs`. */
   renewed(workerId: string, leasesEndMs: number): void {
     this.#state.ledger.renewed(workerId, leasesEndMs);
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -53,7 +53,7 @@
   constructor(id: string, options: CellOptions, events: RunEvents) {
     this.id = id;
     this.options = options;
-    this.ledger = new RunLedger(events, (action) => this.push(action));
+    this.ledger = new RunLedger(options.leaseMs, events, (action) => this.push(action));
   }
 
   push(action: CellAction): void {
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -69,13 +69,17 @@
 export class RunLedger {
   readonly workers = new Map<string, CellWorker>();
 
+  readonly #leaseMs: number;
+
   readonly #events: RunEvents;
 
   readonly #push: (action: CellAction) => void;
 
   readonly #unclaimedEnds = new Map<string, UnclaimedEnd>();
 
-  constructor(events: RunEvents, push: (action: CellAction) => void) {
+  /** `leaseMs` is the longest time from the giving of a lease to its end. */
+  constructor(leaseMs: number, events: RunEvents, push: (action: CellAction) => void) {
+    this.#leaseMs = leaseMs;
     this.#events = events;
     this.#push = push;
   }
@@ -265,6 +269,8 @@
     );
     run.listed = true;
     this.add(run);
+    // The previous owner may have renewed its lease until the worker obeyed this one.
+    this.renewed(worker.entry.id, nowMs + this.#leaseMs);
     this.#confirm(run, nowMs);
     this.#events.found(run.task);
   }
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -10,8 +10,13 @@
 import { RunState, type Run } from './run';
 import { StopReason } from './runLedger';
 
-/** Time that a run found on a worker may go unclaimed by a submitter. */
-const CLAIM_WINDOW_MS = 600;
+/**
+ * Time that a run found on a worker may go unclaimed by a submitter, in milliseconds. Leases there are
+ * not extended meanwhile, and the claimed runs beside it need that again. Submitters that are alive
+ * learn of a new owner within 150 ms. The least that is left of a lease after an owner was killed is
+ * 1000 ms less a renewal of 350, a status call of 150 and a claim of 60.
+ */
+const CLAIM_WINDOW_MS = 250;
 
 /** Takeover of one cell. */
 export class Takeover {
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -75,6 +75,15 @@
     return Math.max(0, this.entry.cpuMillis - this.usedCpuMillis);
   }
 
+  /**
+   * True while a run is here that a previous owner started and no submitter has claimed. A lease that
+   * is given now would cover it as well, and its submitter may be gone: its client relies on it being
+   * over with the last lease that the submitter's own owner gave.
+   */
+  get holdsUnclaimed(): boolean {
+    return [...this.runs.values()].some(({ batchId }) => batchId === null);
+  }
+
   /** True if new tasks may be started here. */
   isOpen(nowMs: number): boolean {
     const { entry, health } = this;
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -176,7 +176,10 @@
       control,
       fencingToken,
       options,
-      () => this.#sessions.size,
+      {
+        workerCount: () => this.#sessions.size,
+        mayExtendLeases: () => this.#cell.mayExtendLeases(workerId),
+      },
       {
         reported: (id, report) => {
           this.#cell.report(id, report, this.#now());
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -29,6 +29,14 @@
   return Math.round(Math.min(scaledMs, options.leaseMs * RENEW_SHARE));
 }
 
+/** What a session asks the owner of the cell. */
+export interface SessionQuestions {
+  /** Workers of the cell. */
+  workerCount(): number;
+  /** False while a run is on the worker that no lease of this owner may cover. */
+  mayExtendLeases(): boolean;
+}
+
 /** What a session tells the owner of the cell. */
 export interface SessionEvents {
   reported(workerId: string, report: WorkerReport): void;
@@ -44,6 +52,8 @@
 /** Covers rounding and the way of an order that is held up on the network. */
 const LEASE_MARGIN_MS = 30;
 const ASK_AGAIN_MS = 120;
+/** Share of the usual wait of a renewal while leases are not extended, so that they are soon after. */
+const WITHHELD_SHARE = 0.2;
 
 /** Latest end, on this host's clock, of a lease of `leaseMs` that is given at `nowMs`. */
 export function latestLeaseEndMs(leaseMs: number, nowMs: number): number {
@@ -66,7 +76,7 @@
 
   readonly #options: SessionOptions;
 
-  readonly #workerCount: () => number;
+  readonly #questions: SessionQuestions;
 
   readonly #events: SessionEvents;
 
@@ -87,7 +97,7 @@
     control: WorkerControl,
     fencingToken: number,
     options: SessionOptions,
-    workerCount: () => number,
+    questions: SessionQuestions,
     events: SessionEvents,
     clock: Clock,
   ) {
@@ -95,7 +105,7 @@
     this.#control = control;
     this.#fencingToken = fencingToken;
     this.#options = options;
-    this.#workerCount = workerCount;
+    this.#questions = questions;
     this.#events = events;
     this.#clock = clock;
   }
@@ -131,9 +141,11 @@
     if (this.#timer) clearTimeout(this.#timer);
   }
 
-  #renew(waitMs: number): void {
+  #renew(longestWaitMs: number): void {
     const sentAtMs = this.#clock.nowMs();
-    const leaseEndClockMs = this.#leaseEndClockMs();
+    const mayExtend = this.#questions.mayExtendLeases();
+    const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs() : null;
+    const waitMs = Math.round(longestWaitMs * (mayExtend ? 1 : WITHHELD_SHARE));
     if (leaseEndClockMs !== null) this.#noteLease();
     const acknowledged = this.#acknowledged;
     const order = { fencingToken: this.#fencingToken, acknowledged, leaseEndClockMs, waitMs };
@@ -185,10 +197,12 @@
       (highest, { sequence }) => Math.max(highest, sequence),
       this.#acknowledged,
     );
+    // Whether leases may be extended depends on what the worker has just listed.
+    this.#events.reported(this.#target.id, { sentAtMs, running: answer.running, ended });
+    if (this.#closed) return;
     // The first answer of a process only tells its clock; it is asked again at once, so that leases are
     // renewed, and starts that were on the way when it began are found.
-    this.#renew(first ? 0 : renewWaitMs(this.#options, this.#workerCount()));
-    this.#events.reported(this.#target.id, { sentAtMs, running: answer.running, ended });
+    this.#renew(first ? 0 : renewWaitMs(this.#options, this.#questions.workerCount()));
   }
 
   #forgetProcess(): void {
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -273,6 +273,21 @@
     expect(second.workers[0]?.runs.size).toEqual(0);
   });
 
+  // Guards against a second run under a lease that this owner has not given itself.
+  it('waits for the longest lease of the previous owner when the worker falls silent', () => {
+    const first = CellWorld.withWorkers(2);
+    const batch = batchOf({ ...SETTLE, estimateMs: 2000, deadlineInMs: 6000, taskCount: 1 });
+    first.offer(batch);
+    first.advance(100);
+    const second = new CellWorld(first.workers, first.nowMs);
+    const busy = second.workers.find(({ runs }) => runs.size > 0);
+    Object.assign(busy?.faults ?? {}, { silent: true });
+    second.offer({ ...batch, batchId: `${batch.batchId}-resubmitted`, begun: true });
+    second.advance(3000);
+    expect(second.starts.length).toEqual(1);
+    expect(second.overlaps).toEqual([]);
+  });
+
   // Without these lines, a stop for a submitter that is gone can not be told from any other.
   it('logs why it stops a run, and an end that nobody waits for', () => {
     const first = CellWorld.withWorkers(1);
--- a/test/cells/cellWorld.ts
+++ b/test/cells/cellWorld.ts
@@ -196,8 +196,6 @@
   #renew(simulated: SimulatedWorker): void {
     const worker = simulated;
     worker.nextRenewalMs = this.nowMs + RENEW_MS;
-    worker.leaseEndsAtMs = this.nowMs + LEASE_MS;
-    this.cell.renewed(worker.entry.id, this.nowMs + LEASE_MS * 1.02 + 30);
     const ended = worker.ended.slice(worker.reported);
     worker.reported = worker.ended.length;
     this.cell.report(
@@ -213,6 +211,14 @@
       },
       this.nowMs,
     );
+    this.#extendLeases(worker);
+  }
+
+  #extendLeases(simulated: SimulatedWorker): void {
+    const worker = simulated;
+    if (!this.cell.mayExtendLeases(worker.entry.id)) return;
+    worker.leaseEndsAtMs = this.nowMs + LEASE_MS;
+    this.cell.renewed(worker.entry.id, this.nowMs + LEASE_MS * 1.02 + 30);
   }
 
   #percentOf({ faults }: SimulatedWorker, run: SimulatedRun): number {
--- /dev/null
+++ b/test/dispatcher/cellOwner.test.ts
@@ -0,0 +1,123 @@
+/** Whose leases the owner of a cell extends, in virtual time. */
+import { describe, it, type TestContext } from 'node:test';
+import { expect } from 'earl';
+import { RunEnd } from '../../src/cells/actions';
+import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
+import { batchOf } from '../cells/cellWorld';
+import { LeasedWorker } from './leasedWorker';
+import { OwnerWorld } from './ownerWorld';
+
+const LEFT_OVER = 'gone.0.0.0';
+/** Least of a lease that is left when an owner has been killed: 1000 less 350, 150, 60 and the claim. */
+const LEASE_LEFT_MS = 400;
+/** Time in which a submitter hears of the new owner and hands its batch to it. */
+const CLAIM_MS = 150;
+
+/** A worker on which a run that nobody waits for is in progress. */
+function workerWithLeftOver(leaseLeftMs = LEASE_LEFT_MS): LeasedWorker {
+  const worker = new LeasedWorker('w0');
+  worker.leaseEndsAtMs = leaseLeftMs;
+  worker.hold(LEFT_OVER, 5000);
+  return worker;
+}
+
+function worldOf(context: TestContext, ...workers: LeasedWorker[]): OwnerWorld {
+  const world = new OwnerWorld(context, workers);
+  context.after(() => world.close());
+  return world;
+}
+
+/** The batch of a submitter that has lost the cell's previous owner. */
+function claimOf(jobId: string, runMs: number): TaskBatch {
+  return batchOf({
+    jobId,
+    payload: String(runMs),
+    estimateMs: runMs,
+    deadlineInMs: 6000,
+    begun: true,
+    mayRun: true,
+  });
+}
+
+function run(world: OwnerWorld, batch: TaskBatch): { outcome: BatchOutcome | null } {
+  const record: { outcome: BatchOutcome | null } = { outcome: null };
+  world.owner.run(batch).then((outcome) => {
+    record.outcome = outcome;
+  });
+  return record;
+}
+
+describe('a new owner of a cell and a run that its submitter can not claim', () => {
+  // Guards against a run that goes on while its client's second submission runs in another cell.
+  it('does not extend the lease that the previous owner gave, even if stops are lost', async (t) => {
+    const worker = workerWithLeftOver();
+    worker.lostStops = 100;
+    const world = worldOf(t, worker);
+    await world.advance(3000);
+    expect(worker.outcomes.get(LEFT_OVER)).toEqual({ end: RunEnd.lapsed, atMs: LEASE_LEFT_MS });
+  });
+
+  // Guards against a window for claims that is as long as a lease.
+  it('stops the run before that lease is over', async (t) => {
+    const worker = workerWithLeftOver();
+    const world = worldOf(t, worker);
+    await world.advance(3000);
+    expect(worker.outcomes.get(LEFT_OVER)?.end).toEqual(RunEnd.stopped);
+    expect(worker.outcomes.get(LEFT_OVER)?.atMs ?? Infinity).toBeLessThan(LEASE_LEFT_MS);
+  });
+
+  // Guards against an extension by each of several owners that follow one another.
+  it('does not extend it when the cell changes hands again', async (t) => {
+    const worker = workerWithLeftOver();
+    worker.lostStops = 100;
+    const first = worldOf(t, worker);
+    await first.advance(200);
+    await first.close();
+    const second = new OwnerWorld(t, [worker], 200);
+    t.after(() => second.close());
+    await second.advance(3000);
+    expect(worker.outcomes.get(LEFT_OVER)).toEqual({ end: RunEnd.lapsed, atMs: LEASE_LEFT_MS });
+  });
+
+  // A start carries a lease that covers everything on its worker.
+  it('starts no task beside it', async (t) => {
+    const worker = workerWithLeftOver();
+    worker.lostStops = 100;
+    const world = worldOf(t, worker);
+    await world.advance(5);
+    const record = run(world, batchOf({ payload: '60', goalMs: 3000, deadlineInMs: 5000 }));
+    await world.advance(1000);
+    expect(worker.outcomes.get(LEFT_OVER)).toEqual({ end: RunEnd.lapsed, atMs: LEASE_LEFT_MS });
+    expect(record.outcome).toEqual({ type: 'done' });
+  });
+});
+
+describe('a new owner of a cell and a run that its submitter claims', () => {
+  // Guards against losing work in an ordinary change of owner.
+  it('extends the lease in time, so that the run goes on to its end', async (t) => {
+    const batch = claimOf('alive', 1500);
+    const worker = new LeasedWorker('w0');
+    worker.leaseEndsAtMs = LEASE_LEFT_MS;
+    worker.hold('alive.0.0.0', 1500);
+    const world = worldOf(t, worker);
+    await world.advance(CLAIM_MS);
+    const record = run(world, batch);
+    await world.advance(2000);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(worker.starts).toEqual([]);
+  });
+
+  // Guards against a claimed run that lapses because the run beside it is not claimed.
+  it('extends the lease in time beside a run that nobody claims', async (t) => {
+    const batch = claimOf('alive', 1500);
+    const worker = workerWithLeftOver();
+    worker.hold('alive.0.0.0', 1500);
+    const world = worldOf(t, worker);
+    await world.advance(CLAIM_MS);
+    const record = run(world, batch);
+    await world.advance(2000);
+    expect(worker.outcomes.get(LEFT_OVER)?.end).toEqual(RunEnd.stopped);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(worker.starts).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/dispatcher/leasedWorker.ts
@@ -0,0 +1,111 @@
+/** A worker in virtual time with one lease for all its runs, as the platform promises. */
+import { RunEnd, type EndedEntry } from '../../src/cells/actions';
+import type {
+  RenewAnswer,
+  RenewOrder,
+  StartOrder,
+  StopOrder,
+} from '../../src/dispatcher/workerControl';
+
+const MAX_LEASE_MS = 1000;
+const STOP_MS = 20;
+
+/** How a run ended, and when. */
+export interface RunOutcome {
+  readonly end: RunEnd;
+  readonly atMs: number;
+}
+
+/** Waits in the time of the test. */
+export function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+/** One worker with a lease that covers all its runs. */
+export class LeasedWorker {
+  /** Stops that get lost, from the next one on. */
+  lostStops = 0;
+
+  silent = false;
+
+  leaseEndsAtMs = 0;
+
+  readonly id: string;
+
+  readonly outcomes = new Map<string, RunOutcome>();
+
+  readonly starts: { readonly task: string; readonly atMs: number }[] = [];
+
+  readonly #runs = new Map<
+    string,
+    { readonly run: number; readonly startedAtMs: number; readonly endsAtMs: number }
+  >();
+
+  readonly #ended: EndedEntry[] = [];
+
+  #sequence = 0;
+
+  #nowMs = 0;
+
+  constructor(id: string) {
+    this.id = id;
+  }
+
+  /** A run that the previous owner started. */
+  hold(task: string, runMs: number): void {
+    this.#begin(task, 1, runMs);
+  }
+
+  step(nowMs: number): void {
+    this.#nowMs = nowMs;
+    this.#runs.forEach(({ endsAtMs }, task) => {
+      if (endsAtMs <= nowMs) this.#finish(task, RunEnd.succeeded);
+      else if (this.leaseEndsAtMs <= nowMs) this.#finish(task, RunEnd.lapsed);
+    });
+  }
+
+  start({ task, run, payload, leaseEndClockMs }: StartOrder): void {
+    this.#extend(leaseEndClockMs);
+    this.starts.push({ task, atMs: this.#nowMs });
+    this.#begin(task, run, Number(payload));
+  }
+
+  async stop({ task, run }: StopOrder): Promise<void> {
+    await sleep(STOP_MS);
+    if (this.#runs.get(task)?.run === run) this.#finish(task, RunEnd.stopped);
+  }
+
+  async renew({ leaseEndClockMs, acknowledged, waitMs }: RenewOrder): Promise<RenewAnswer> {
+    if (leaseEndClockMs !== null) this.#extend(leaseEndClockMs);
+    const untilMs = this.#nowMs + waitMs;
+    const news = () => this.#ended.filter(({ sequence }) => sequence > acknowledged);
+    while (news().length === 0 && this.#nowMs < untilMs) {
+      // eslint-disable-next-line no-await-in-loop -- waits for an end
+      await sleep(1);
+    }
+    const running = [...this.#runs].map(([task, { run, startedAtMs, endsAtMs }]) => {
+      const share = (this.#nowMs - startedAtMs) / (endsAtMs - startedAtMs);
+      return { task, run, percent: Math.floor(100 * share) };
+    });
+    return { type: 'listed', clockMs: this.#nowMs, bornMs: 1, running, ended: news() };
+  }
+
+  #begin(task: string, run: number, runMs: number): void {
+    this.#runs.set(task, { run, startedAtMs: this.#nowMs, endsAtMs: this.#nowMs + runMs });
+  }
+
+  #extend(leaseEndClockMs: number): void {
+    const endMs = Math.min(this.#nowMs + MAX_LEASE_MS, leaseEndClockMs);
+    this.leaseEndsAtMs = Math.max(this.leaseEndsAtMs, endMs);
+  }
+
+  #finish(task: string, end: RunEnd): void {
+    const run = this.#runs.get(task)?.run ?? 0;
+    this.#runs.delete(task);
+    this.outcomes.set(task, { end, atMs: this.#nowMs });
+    this.#sequence += 1;
+    this.#ended.push({ sequence: this.#sequence, task, run, end });
+  }
+}
--- /dev/null
+++ b/test/dispatcher/ownerWorld.ts
@@ -0,0 +1,108 @@
+/**
+ * The owner of a cell with its sessions, against leased workers in virtual time. The workers' clocks
+ * run as the owner's.
+ */
+import { setImmediate as settled } from 'node:timers/promises';
+import type { TestContext } from 'node:test';
+import { StartAnswer } from '../../src/cells/actions';
+import { CellOwner } from '../../src/dispatcher/cellOwner';
+import type { DispatchJournal } from '../../src/dispatcher/journal';
+import {
+  StopAnswer,
+  type RenewAnswer,
+  type RenewOrder,
+  type StartOrder,
+  type StopOrder,
+  type WorkerControl,
+  type WorkerTarget,
+} from '../../src/dispatcher/workerControl';
+import { workerEntry } from '../cells/simulatedWorker';
+import { sleep, type LeasedWorker } from './leasedWorker';
+
+/** Time after which the client counts an order as unanswered. */
+const ORDER_TIMEOUT_MS = 120;
+
+/** An owner whose cell has the given workers; `advance` plays virtual time. */
+export class OwnerWorld implements WorkerControl {
+  readonly owner: CellOwner;
+
+  readonly workers: readonly LeasedWorker[];
+
+  readonly decisions: string[] = [];
+
+  readonly #timers: TestContext['mock']['timers'];
+
+  #nowMs: number;
+
+  constructor(context: TestContext, workers: readonly LeasedWorker[], nowMs = 0) {
+    this.#nowMs = nowMs;
+    this.#timers = context.mock.timers;
+    this.#timers.enable({ apis: ['setInterval', 'setTimeout'] });
+    this.workers = workers;
+    const journal: DispatchJournal = { decide: (decision) => this.decisions.push(decision) };
+    this.owner = new CellOwner({
+      cell: 'sofia-a',
+      fencingToken: 1000 + nowMs,
+      control: this,
+      options: { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 },
+      clock: { nowMs: () => this.#nowMs },
+      journal,
+      onFenced: () => undefined,
+    });
+    this.owner.setWorkers(workers.map(({ id }) => workerEntry(id)));
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    const untilMs = this.#nowMs + durationMs;
+    while (this.#nowMs < untilMs) {
+      this.#nowMs += 1;
+      this.workers.forEach((worker) => worker.step(this.#nowMs));
+      this.#timers.tick(1);
+      // eslint-disable-next-line no-await-in-loop -- answers come before time goes on
+      await settled();
+    }
+  }
+
+  async start(target: WorkerTarget, order: StartOrder): Promise<StartAnswer> {
+    const worker = this.#worker(target);
+    if (worker.silent) {
+      await sleep(ORDER_TIMEOUT_MS);
+      return StartAnswer.unclear;
+    }
+    worker.start(order);
+    return StartAnswer.accepted;
+  }
+
+  async stop(target: WorkerTarget, order: StopOrder): Promise<StopAnswer> {
+    const worker = this.#worker(target);
+    if (worker.silent || worker.lostStops > 0) {
+      worker.lostStops -= 1;
+      await sleep(ORDER_TIMEOUT_MS);
+      return StopAnswer.unclear;
+    }
+    worker.stop(order);
+    return StopAnswer.confirmed;
+  }
+
+  async renew(target: WorkerTarget, order: RenewOrder): Promise<RenewAnswer> {
+    const worker = this.#worker(target);
+    if (!worker.silent) return worker.renew(order);
+    await sleep(order.waitMs + ORDER_TIMEOUT_MS);
+    return { type: 'silent', error: 'timed out' };
+  }
+
+  forget(): void {
+    this.decisions.push('forgotten');
+  }
+
+  async close(): Promise<void> {
+    this.owner.close();
+    this.#timers.reset();
+  }
+
+  #worker({ id }: WorkerTarget): LeasedWorker {
+    const worker = this.workers.find((candidate) => candidate.id === id);
+    if (!worker) throw new Error(`no worker ${id}`);
+    return worker;
+  }
+}
