Keep no run of a withdrawn batch alive by renewals, and repeat a stop that had no answer at once

What callers could see: a task that runs twice at the same time, when a client sends a job again whose first submission has been given up and whose stop was lost. Found by reading, shown by the tests; whether it caused what users saw is not known.

Cause: renewals extended the lease of everything on a worker, also of runs that were being stopped for a batch without a submitter. A stop without an answer was only sent again after 200 ms and when a report listed the run, so each lost stop cost about a report more, and nothing bounded their number.

Now a run knows whether its batch is still awaited. While a run of an ended batch has no confirmed stop, renewals to its worker carry no lease and nothing is started there, as for adopted runs. A stop without an answer is sent again at the next tick of the cell, 50 ms after the one before at the earliest. So such a run ends at most a lease after the withdrawal, and usually one order's time-out per lost stop. Once a stop is confirmed, the platform ends the run within stopTimeoutMs, and leases are extended again.

Evidence, test/dispatcher/cellOwner.test.ts before the change: ends with the last lease before the withdrawal when all stops are lost: 'The value undefined is not equal to "lapsed"' (still in progress 3 s after the withdrawal) is stopped again as soon as a stop had no answer: 'The value 861 is not less than or equal to 605' (561 ms after the withdrawal with two lost stops; 305 at most now)

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -130,6 +130,11 @@
 
   stopConfirmed(task: string, run: number, workerId: string, nowMs: number): void {
     this.#state.ledger.stopConfirmed(runKey(task, run), workerId, nowMs);
+    this.#dispatch.run(nowMs);
+  }
+
+  stopUnanswered(task: string, run: number, workerId: string): void {
+    this.#state.ledger.stopUnanswered(runKey(task, run), workerId);
   }
 
   report(workerId: string, report: WorkerReport, nowMs: number): void {
@@ -155,7 +160,7 @@
 
   /** False while a lease would keep a run in progress that may have no submitter any more. */
   mayExtendLeases(workerId: string): boolean {
-    return this.workers.get(workerId)?.holdsUnclaimed !== true;
+    return this.workers.get(workerId)?.holdsLeftOver !== true;
   }
 
   /** A renewal or start was sent to a worker: its leases end by `leasesEndMs`. */
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -118,8 +118,10 @@
     const reason = 'reason' in outcome ? outcome.reason : outcome.type;
     this.ledger.workers.forEach((worker) => {
       worker.runs.forEach((run) => {
-        const isRunning = run.batchId === batch.id && run.state !== RunState.stopping;
-        if (isRunning) this.ledger.stop(run, reason, nowMs);
+        if (run.batchId !== batch.id) return;
+        const leftOver = run;
+        leftOver.awaited = false;
+        if (run.state !== RunState.stopping) this.ledger.stop(run, reason, nowMs);
       });
     });
     this.end(batch, outcome, nowMs);
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -40,7 +40,7 @@
   const { shape, task, jobId, reserved, nowMs } = query;
   if (reserved.has(worker.entry.id) || !worker.isOpen(nowMs)) return false;
   // A start carries a lease for everything on the worker.
-  if (worker.holdsUnclaimed) return false;
+  if (worker.holdsLeftOver) return false;
   if (task.avoided.has(worker.entry.id) || !worker.couldRun(shape)) return false;
   if (!worker.hasRoom(shape)) return false;
   return shape.tasksPerWorker === null || tasksOfJob(worker, jobId) < shape.tasksPerWorker;
--- a/src/cells/run.ts
+++ b/src/cells/run.ts
@@ -24,6 +24,8 @@
   readonly jobId: string;
   /** Batch that waits for it; null for a run that was found and is not claimed. */
   batchId: string | null;
+  /** That batch has no outcome yet. */
+  awaited: boolean;
   state: RunState;
   readonly startedAtMs: number;
   /** Run time that is expected on this worker. */
@@ -37,6 +39,8 @@
   /** When a stop was last sent, and when the worker confirmed one; null until then. */
   stopSentAtMs: number | null;
   stopConfirmedAtMs: number | null;
+  /** The stop that was sent last had no answer. */
+  stopUnanswered: boolean;
   /** Last progress that the worker reported, when it said so, and when it last changed. */
   percent: number;
   reportedAtMs: number;
@@ -60,12 +64,14 @@
 export function createRun(seed: RunSeed, nowMs: number): Run {
   return {
     ...seed,
+    awaited: seed.batchId !== null,
     state: RunState.starting,
     startedAtMs: nowMs,
     confirmedAtMs: null,
     listed: false,
     stopSentAtMs: null,
     stopConfirmedAtMs: null,
+    stopUnanswered: false,
     percent: 0,
     reportedAtMs: nowMs,
     progressAtMs: nowMs,
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -42,12 +42,14 @@
   moved: 'moved',
   /** Its start had no answer, and the worker does not list it. */
   notListed: 'not-listed',
-  /** The worker still lists it after a stop without an answer. */
+  /** The stop before had no answer, or the worker lists the run without having confirmed one. */
   stopUnanswered: 'stop-unanswered',
 } as const;
 
-/** A stop that is not confirmed is sent again after this time. */
+/** A stop that is not confirmed is sent again after this time if the worker still lists the run. */
 const STOP_AGAIN_MS = 200;
+/** Least time between two stops of a run: a worker may refuse them at once. */
+const STOP_PAUSE_MS = 50;
 /** The list of runs does not tell what a run needs; the worker refuses what does not fit beside it. */
 const UNKNOWN_SHAPE: TaskShape = {
   cpuMillis: 0,
@@ -129,6 +131,7 @@
     this.#logStop(run, reason, nowMs);
     stopped.state = RunState.stopping;
     stopped.stopSentAtMs = nowMs;
+    stopped.stopUnanswered = false;
     const { workerId, task, run: number } = run;
     this.#push({ type: 'stop', workerId, task, run: number });
   }
@@ -156,6 +159,12 @@
     if (run) run.stopConfirmedAtMs ??= nowMs;
   }
 
+  /** A stop may not have reached the worker; it is sent again. */
+  stopUnanswered(key: string, workerId: string): void {
+    const run = this.workers.get(workerId)?.runs.get(key);
+    if (run && run.stopConfirmedAtMs === null) run.stopUnanswered = true;
+  }
+
   report(workerId: string, report: WorkerReport, nowMs: number): void {
     const worker = this.workers.get(workerId);
     if (!worker) return;
@@ -197,12 +206,21 @@
       if (!worker.reachable && worker.runs.size > 0 && nowMs >= worker.leasesEndMs) {
         this.#lapseAll(worker, nowMs);
       }
+      if (worker.reachable) this.#stopAgain(worker, nowMs);
     });
     this.#unclaimedEnds.forEach(({ seenAtMs }, task) => {
       if (nowMs - seenAtMs > UNCLAIMED_KEPT_MS) this.#unclaimedEnds.delete(task);
     });
   }
 
+  #stopAgain(worker: CellWorker, nowMs: number): void {
+    worker.runs.forEach((run) => {
+      const unconfirmed = run.stopUnanswered && run.stopConfirmedAtMs === null;
+      const paused = nowMs - (run.stopSentAtMs ?? 0) >= STOP_PAUSE_MS;
+      if (unconfirmed && paused) this.stop(run, StopReason.stopUnanswered, nowMs);
+    });
+  }
+
   #listWorker(entry: WorkerEntry, nowMs: number): void {
     const known = this.workers.get(entry.id);
     if (!known) {
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -89,6 +89,7 @@
     const claimed = run;
     const entry = task;
     claimed.batchId = batch.id;
+    claimed.awaited = true;
     claimed.shape = batch.order.shape;
     claimed.queue = batch.order.queue;
     claimed.expectedMs = batch.expectedMs;
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -76,12 +76,16 @@
   }
 
   /**
-   * True while a run is here that a previous owner started and no submitter has claimed. A lease that
-   * is given now would cover it as well, and its submitter may be gone: its client relies on it being
-   * over with the last lease that the submitter's own owner gave.
+   * True while a run is here that no batch waits for: a previous owner started it and no submitter has
+   * claimed it, or its batch has ended and its stop is not confirmed. A lease that is given now would
+   * cover it as well, and its submitter may be gone: its client relies on it being over with the last
+   * lease that an owner with its batch gave.
    */
-  get holdsUnclaimed(): boolean {
-    return [...this.runs.values()].some(({ batchId }) => batchId === null);
+  get holdsLeftOver(): boolean {
+    return [...this.runs.values()].some(
+      ({ batchId, awaited, stopConfirmedAtMs }) =>
+        !awaited && (batchId === null || stopConfirmedAtMs === null),
+    );
   }
 
   /** True if new tasks may be started here. */
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -157,6 +157,7 @@
     session.stop(task, run).then((answer) => {
       if (this.#closed) return;
       if (answer === StopAnswer.fenced) this.#fenced(workerId);
+      if (answer === StopAnswer.unclear) this.#cell.stopUnanswered(task, run, workerId);
       if (answer !== StopAnswer.confirmed) return;
       this.#cell.stopConfirmed(task, run, workerId, this.#now());
       this.#act();
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -2,11 +2,13 @@
 import { describe, it, type TestContext } from 'node:test';
 import { expect } from 'earl';
 import { RunEnd } from '../../src/cells/actions';
-import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
+import { BatchReason, type BatchOutcome, type TaskBatch } from '../../src/cells/messages';
 import { batchOf } from '../cells/cellWorld';
 import { LeasedWorker } from './leasedWorker';
 import { OwnerWorld } from './ownerWorld';
 
+const WITHDRAWN_AT_MS = 300;
+const MAX_LEASE_MS = 1000;
 const LEFT_OVER = 'gone.0.0.0';
 /** Least of a lease that is left when an owner has been killed: 1000 less 350, 150, 60 and the claim. */
 const LEASE_LEFT_MS = 400;
@@ -92,6 +94,39 @@
   });
 });
 
+describe('the run of a batch that is withdrawn', () => {
+  /** A world whose only worker runs a batch, which is withdrawn after 300 ms. */
+  async function withdrawn(t: TestContext, lostStops: number): Promise<LeasedWorker> {
+    const worker = new LeasedWorker('w0');
+    const world = worldOf(t, worker);
+    await world.advance(5);
+    const batch = batchOf({ jobId: 'left', payload: '5000', estimateMs: 5000, deadlineInMs: 9000 });
+    run(world, { ...batch, goalMs: 9000 });
+    await world.advance(WITHDRAWN_AT_MS - 5);
+    worker.lostStops = lostStops;
+    world.owner.withdraw(batch.batchId, BatchReason.withdrawn);
+    await world.advance(3000);
+    return worker;
+  }
+
+  // Guards against renewals that keep a run in progress as long as its stops are lost.
+  it('ends with the last lease before the withdrawal when all stops are lost', async (t) => {
+    const worker = await withdrawn(t, 100);
+    const end = worker.outcomes.get('left.0.0.0');
+    expect(end?.end).toEqual(RunEnd.lapsed);
+    expect(end?.atMs ?? Infinity).toBeLessThanOrEqual(WITHDRAWN_AT_MS + MAX_LEASE_MS);
+  });
+
+  // Guards against waiting for a report before a stop that had no answer is sent again.
+  it('is stopped again as soon as a stop had no answer', async (t) => {
+    const worker = await withdrawn(t, 2);
+    const end = worker.outcomes.get('left.0.0.0');
+    expect(end?.end).toEqual(RunEnd.stopped);
+    // Two unanswered orders of 120 ms, each followed by a period of the timer, and the stop itself.
+    expect(end?.atMs ?? Infinity).toBeLessThanOrEqual(WITHDRAWN_AT_MS + 2 * (120 + 20) + 25);
+  });
+});
+
 describe('a new owner of a cell and a run that its submitter claims', () => {
   // Guards against losing work in an ordinary change of owner.
   it('extends the lease in time, so that the run goes on to its end', async (t) => {
