--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -157,6 +157,7 @@
     session.stop(task, run).then((answer) => {
       if (this.#closed) return;
       if (answer === StopAnswer.fenced) this.#fenced(workerId);
+      if (answer === StopAnswer.unclear) this.#cell.stopUnanswered(task, run, workerId);
       if (answer !== StopAnswer.confirmed) return;
       this.#cell.stopConfirmed(task, run, workerId, this.#now());
       this.#act();
@@ -176,7 +177,10 @@
       control,
       fencingToken,
       options,
-      () => this.#sessions.size,
+      {
+        workerCount: () => this.#sessions.size,
+        mayExtendLeases: () => this.#cell.mayExtendLeases(workerId),
+      },
       {
         reported: (id, report) => {
           this.#cell.report(id, report, this.#now());
