Refuse a batch that is meant for another process of its owner as not run

Seen by callers: nothing observed; the second way in which a batch starts at a process that its submitter has not chosen, from reading the code. The submitter names the process of the owner in each batch, but only batches that are sent again were checked. A process that has taken the place of the owner started any other batch, while the submitter took the owner for gone and waited for its leases. The clocks by which the age of a batch is told are those of one process as well.

Now the process refuses it as not run (batch-refused, not-owner), and the submitter tries elsewhere. A batch that is sent again stays lost there, since the process before may have run it.

Failing before (test/dispatcher/staleBatch.test.ts): a batch that is meant for another process is refused as not run: The value { type: "done" } is not equal to { 3 entries }.

Changed test: 'is lost, and does not run again, if another process answers in the place of its owner' (batchCalls.test.ts) sent its first batch to a process that did not answer there and relied on its start. It now sends it to the present process, which is then replaced by another. It checks the same outcome and the one run, and fails as before without the check of batches that are sent again.

--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -163,7 +163,10 @@
     try {
       const text = await this.#post(address, PeerPath.batches, call, signal);
       const reply = parseBody<BatchReply>(text, ['outcome']);
-      if (reply?.clocks) this.#peerClocks.note(address, call.ownerIncarnation, reply.clocks);
+      const { ownerIncarnation } = call;
+      if (reply?.clocks && ownerIncarnation) {
+        this.#peerClocks.note(address, ownerIncarnation, reply.clocks);
+      }
       return reply;
     } catch (error) {
       const { batchId, jobId } = call.batch;
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -54,8 +54,8 @@
   readonly from: HostIdentity;
   readonly cell: string;
   readonly batch: TaskBatch;
-  /** Process of the owner that the batch is meant for. */
-  readonly ownerIncarnation: string;
+  /** Process of the owner that the batch is meant for; hosts of an earlier version do not tell it. */
+  readonly ownerIncarnation?: string;
   /** It has been sent before: only the same process can tell whether it runs. */
   readonly isRetry: boolean;
   /** Hosts of the version before do not tell it, nor does one that does not know the owner's clocks. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -169,16 +169,21 @@
   }
 
   /**
-   * Refuses a batch that was held on the way so long that its submitter may have given it up; null if it
-   * may run. One that runs here already goes on.
+   * Refuses a batch that is meant for another process, or was held on the way so long that its submitter
+   * may have given it up; null if it may run. One that runs here already goes on.
    */
-  #refuse({ batch }: BatchCall, age: number): BatchReply | null {
+  #refuse({ batch, ownerIncarnation }: BatchCall, age: number): BatchReply | null {
     const { batchId, jobId } = batch;
-    if (age <= OLDEST_BATCH_MS || this.#open.has(batchId)) return null;
+    if (this.#open.has(batchId)) return null;
+    if (ownerIncarnation !== undefined && ownerIncarnation !== this.#handler.incarnation) {
+      const reason = BatchReason.notOwner;
+      this.#journal.decide('batch-refused', { batchId, jobId, reason, ownerIncarnation });
+      return { outcome: { type: 'refused', reason, retryAfterMs: 0 }, summary: null };
+    }
+    if (age <= OLDEST_BATCH_MS) return null;
     const reason = BatchReason.expired;
-    const limitMs = OLDEST_BATCH_MS;
-    const ageInMs = Math.round(age);
-    this.#journal.decide('batch-refused', { batchId, jobId, reason, ageMs: ageInMs, limitMs });
+    const timing = { ageMs: Math.round(age), limitMs: OLDEST_BATCH_MS };
+    this.#journal.decide('batch-refused', { batchId, jobId, reason, ...timing });
     const outcome: BatchOutcome = { type: 'refused', reason, retryAfterMs: 0 };
     return { outcome, summary: null, clocks: readClocks(this.#clock) };
   }
--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -49,9 +49,12 @@
   const batches: string[] = [];
   let end: (outcome: BatchOutcome) => void = () => {};
   const withdrawn: string[] = [];
+  let incarnation = '1';
   const server = new PeerServer(
     {
-      incarnation: '1',
+      get incarnation() {
+        return incarnation;
+      },
       status: () => STATUS,
       run: ({ batch }) => {
         batches.push(batch.batchId);
@@ -86,9 +89,10 @@
     await block?.release();
   });
 
-  function send(ownerIncarnation = '1'): Promise<BatchOutcome> {
+  function send(): Promise<BatchOutcome> {
     const batch = batchOf();
-    const call: BatchCall = { from: SELF, cell: 'bole', batch, ownerIncarnation, isRetry: false };
+    const owner = { ownerIncarnation: '1', isRetry: false };
+    const call: BatchCall = { from: SELF, cell: 'bole', batch, ...owner };
     return client.run(address, call, new AbortController()).then(({ outcome }) => outcome);
   }
 
@@ -127,12 +131,14 @@
 
   it('is lost, and does not run again, if another process answers in the place of its owner', async () => {
     batches.length = 0;
-    const outcome = send('0');
+    const outcome = send();
     await until('the owner has the batch', () => batches.length === 1);
     proxy?.silence();
     end({ type: 'done' });
+    incarnation = '2';
     await askFor(600);
     const ended = await Promise.race([outcome, sleep(1000)]);
+    incarnation = '1';
     expect(ended && ended.type === 'lost' && ended.started).toEqual(null);
     expect(batches.length).toEqual(1);
   });
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -267,9 +267,26 @@
       expect((await pair.post(callOf())).outcome).toEqual({ type: 'done' });
     }));
 
+  // Guards against the same for hosts that do not tell either for which process a batch is meant.
+  it('run batches that do not tell for which process they are', () =>
+    withPair(async (pair) => {
+      const { ownerIncarnation, ...call } = callOf();
+      expect((await pair.post(call)).outcome).toEqual({ type: 'done' });
+    }));
+
   // Guards against a submitter that does not send before it knows the owner's clock.
   it('send batches to an owner that has not told its clock', () =>
     withPair(async (pair) => {
       expect(await pair.run(callOf())).toEqual({ type: 'done' });
     }));
 });
+
+describe('a batch that is meant for another process', () => {
+  // Guards against a start by a process that its submitter has not chosen and does not watch.
+  it('is refused as not run', () =>
+    withPair(async (pair) => {
+      const { outcome } = await pair.post({ ...callOf(), ownerIncarnation: '0' });
+      expect(outcome).toEqual({ type: 'refused', reason: 'not-owner', retryAfterMs: 0 });
+      expect(pair.started).toEqual([]);
+    }));
+});
