Take a status question that the network held back for no sign of life

A question that was delivered late made an owner believe for 700 ms more that a submitter lives which may be gone, so that its runs went on beside those of the resubmitted jobs.

A question now tells when it was sent, as a batch does. Older than 400 ms it does not count. A submitter whose questions all take that long gets no answer within its 450 ms and gives the owner up itself; a step of the time of day is over with the next answer. Questions without a time, of hosts of the version before or from one that does not know the receiver's clocks yet, count as before.

Failing before (test/dispatcher/staleBatch.test.ts): does not keep the batches of a submitter that has fallen silent: The value [] is not equal to ["batch-16"], but it was expected to be equal.

--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -75,9 +75,10 @@
 
   async status(address: string, question: StatusQuestion): Promise<PeerStatus | StatusFailure> {
     const askedAtMs = this.#clock.nowMs();
+    const asked: StatusQuestion = { ...question, sentAt: this.#peerClocks.sendTime(address) };
     try {
       const text = await withTimeLimit(STATUS_TIMEOUT_MS, (signal) =>
-        this.#post(address, PeerPath.status, question, signal),
+        this.#post(address, PeerPath.status, asked, signal),
       );
       const status = parseBody<PeerStatus>(text, ['hostId', 'incarnation', 'cells', 'records']);
       if (!status) throw new Error('the status could not be read');
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -21,6 +21,8 @@
   readonly records: readonly CellRecord[];
   /** Version of its list of the workers of its own domain. */
   readonly listVersion: number;
+  /** Hosts of the version before do not tell it, nor does one that does not know the receiver's clocks. */
+  readonly sentAt?: SendTime;
 }
 
 /** What a host says of itself and of what it knows. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -36,11 +36,11 @@
 const KEEP_ALIVE_MS = 120_000;
 
 /**
- * A batch that is older when it comes is refused. Its client may send the job again 1300 ms after its
- * submitter was lost, and nothing may run by then: this age, the time until the submitter counts as gone,
- * the period of that check and 50 ms for a stop end before.
+ * A batch that is older when it comes is refused, and an older question is no sign of life. A client may
+ * send its job again 1300 ms after the submitter was lost, and nothing may run by then: this age, the
+ * time until the submitter counts as gone, the period of that check and 50 ms for a stop end before.
  */
-const OLDEST_BATCH_MS = 400;
+const OLDEST_MS = 400;
 
 /** An end is kept so long for a submitter whose connection has gone silent. */
 const END_KEPT_MS = 10_000;
@@ -137,7 +137,7 @@
       sendJson(response, 400, { detail: 'expected from, configurationVersion and records' });
       return;
     }
-    this.#heard(question.from);
+    this.#heard(question.from, this.#ageMs(question.sentAt));
     const batches = [...this.#open.values()]
       .filter(({ call }) => call.from.incarnation === question.from.incarnation)
       .map(({ call }) => call.batch.batchId);
@@ -152,7 +152,7 @@
       return;
     }
     const age = this.#ageMs(call.sentAt);
-    if (age <= OLDEST_BATCH_MS) this.#heard(call.from);
+    this.#heard(call.from, age);
     if (call.isRetry && call.ownerIncarnation !== this.#handler.incarnation) {
       sendJson(response, 409, { detail: 'the batch was sent to an earlier process' });
       return;
@@ -180,9 +180,9 @@
       this.#journal.decide('batch-refused', { batchId, jobId, reason, ownerIncarnation });
       return { outcome: { type: 'refused', reason, retryAfterMs: 0 }, summary: null };
     }
-    if (age <= OLDEST_BATCH_MS) return null;
+    if (age <= OLDEST_MS) return null;
     const reason = BatchReason.expired;
-    const timing = { ageMs: Math.round(age), limitMs: OLDEST_BATCH_MS };
+    const timing = { ageMs: Math.round(age), limitMs: OLDEST_MS };
     this.#journal.decide('batch-refused', { batchId, jobId, reason, ...timing });
     const outcome: BatchOutcome = { type: 'refused', reason, retryAfterMs: 0 };
     return { outcome, summary: null, clocks: readClocks(this.#clock) };
@@ -212,7 +212,9 @@
     return reply;
   }
 
-  #heard({ hostId, incarnation }: HostIdentity): void {
+  /** A message that was held on the way says nothing of its sender now. */
+  #heard({ hostId, incarnation }: HostIdentity, age: number): void {
+    if (age > OLDEST_MS) return;
     this.#heardAtMs.set(`${hostId}/${incarnation}`, this.#clock.nowMs());
   }
 
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -290,3 +290,21 @@
       expect(pair.started).toEqual([]);
     }));
 });
+
+describe('a status question that reaches a host late', () => {
+  // Guards against runs of a submitter that is gone, kept for 700 ms more by a question held back.
+  it('does not keep the batches of a submitter that has fallen silent', () =>
+    withAcquainted(async (pair) => {
+      const call = callOf('stays');
+      // Ends with the server.
+      pair.post(call).catch(() => null);
+      await until('the batch runs', () => pair.started.length === 1);
+      pair.cut();
+      const question = pair.ask();
+      await sleep(550);
+      pair.heal();
+      await question;
+      await sleep(450);
+      expect(pair.withdrawn).toEqual([call.batch.batchId]);
+    }));
+});
