--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -81,10 +81,11 @@
   async status(address: string, question: StatusQuestion): Promise<PeerStatus | StatusFailure> {
     const askedAtMs = this.#clock.nowMs();
     const awaited = this.#calls.awaited(address) ?? undefined;
+    const sentAt = this.#peerClocks.sendTime(address);
     const renewal = setTimeout(this.#pools.renewer(address), RENEW_AFTER_MS);
     try {
       const text = await withTimeLimit(STATUS_TIMEOUT_MS, (signal) =>
-        this.#post(address, PeerPath.status, { ...question, awaited }, signal),
+        this.#post(address, PeerPath.status, { ...question, awaited, sentAt }, signal),
       );
       const status = parseBody<PeerStatus>(text, ['hostId', 'incarnation', 'cells', 'records']);
       if (!status) throw new Error('the status could not be read');
@@ -180,7 +181,10 @@
     try {
       const text = await this.#post(address, PeerPath.batches, call, signal);
       const reply = parseBody<BatchReply>(text, ['outcome']);
-      if (reply?.clocks) this.#peerClocks.note(address, call.ownerIncarnation, reply.clocks);
+      const { ownerIncarnation } = call;
+      if (reply?.clocks && ownerIncarnation) {
+        this.#peerClocks.note(address, ownerIncarnation, reply.clocks);
+      }
       return reply;
     } catch (error) {
       const { batchId, jobId } = call.batch;
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -30,6 +30,8 @@
   readonly listVersion: number;
   /** Absent where no batch has been sent, and from hosts of an earlier version. */
   readonly awaited?: AwaitedCalls | undefined;
+  /** Hosts of the version before do not tell it, nor does one that does not know the receiver's clocks. */
+  readonly sentAt?: SendTime;
 }
 
 /** What a host says of itself and of what it knows. */
@@ -63,8 +65,8 @@
   readonly from: HostIdentity;
   readonly cell: string;
   readonly batch: TaskBatch;
-  /** Process of the owner that the batch is meant for. */
-  readonly ownerIncarnation: string;
+  /** Process of the owner that the batch is meant for; hosts of an earlier version do not tell it. */
+  readonly ownerIncarnation?: string;
   /** It has been sent before: only the same process can tell whether it runs. */
   readonly isRetry: boolean;
   /** Rises with each call of the sender's process; absent from hosts of an earlier version. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -7,11 +7,13 @@
 import { text as readText } from 'node:stream/consumers';
 import { BatchReason, type BatchOutcome, type CellSummary } from '../cells/messages';
 import type { LogFields } from '../observe/observer';
+import type { HostIdentity } from './cellRecord';
 import type { DispatchJournal } from './journal';
 import { ageMs, readClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
   PeerPath,
+  type AwaitedCalls,
   type BatchCall,
   type BatchReply,
   type HostStatus,
@@ -38,11 +40,11 @@
 const KEEP_ALIVE_MS = 120_000;
 
 /**
- * A batch that is older when it comes is refused. Its client may send the job again 1300 ms after its
- * submitter was lost, and nothing may run by then: this age, the time until the submitter counts as gone,
- * the period of that check and 50 ms for a stop end before.
+ * A batch that is older when it comes is refused, and an older question is no sign of life. A client may
+ * send its job again 1300 ms after the submitter was lost, and nothing may run by then: this age, the
+ * time until the submitter counts as gone, the period of that check and 50 ms for a stop end before.
  */
-const OLDEST_BATCH_MS = 400;
+const OLDEST_MS = 400;
 
 /** An end is kept so long for a submitter whose connection has gone silent. */
 const END_KEPT_MS = 10_000;
@@ -141,7 +143,7 @@
       sendJson(response, 400, { detail: 'expected from, configurationVersion and records' });
       return;
     }
-    this.#submitters.heard(question.from, question.awaited, this.#clock.nowMs());
+    this.#heard(question.from, question.awaited, this.#ageMs(question.sentAt));
     this.#withdrawNotAwaited(question.from.incarnation);
     const batches = [...this.#open.values()]
       .filter(({ call }) => call.from.incarnation === question.from.incarnation)
@@ -157,7 +159,7 @@
       return;
     }
     const age = this.#ageMs(call.sentAt);
-    if (age <= OLDEST_BATCH_MS) this.#submitters.heard(call.from, undefined, this.#clock.nowMs());
+    this.#heard(call.from, undefined, age);
     if (!this.#submitters.isAwaited(call)) {
       this.#decide('batch-not-awaited', call, {});
       sendJson(response, 409, { detail: 'the sender does not wait for the batch any more' });
@@ -179,16 +181,21 @@
   }
 
   /**
-   * Refuses a batch that was held on the way so long that its submitter may have given it up; null if it
-   * may run. One that runs here already goes on.
+   * Refuses a batch that is meant for another process, or was held on the way so long that its submitter
+   * may have given it up; null if it may run. One that runs here already goes on.
    */
-  #refuse({ batch }: BatchCall, age: number): BatchReply | null {
+  #refuse({ batch, ownerIncarnation }: BatchCall, age: number): BatchReply | null {
     const { batchId, jobId } = batch;
-    if (age <= OLDEST_BATCH_MS || this.#open.has(batchId)) return null;
+    if (this.#open.has(batchId)) return null;
+    if (ownerIncarnation !== undefined && ownerIncarnation !== this.#handler.incarnation) {
+      const reason = BatchReason.notOwner;
+      this.#journal.decide('batch-refused', { batchId, jobId, reason, ownerIncarnation });
+      return { outcome: { type: 'refused', reason, retryAfterMs: 0 }, summary: null };
+    }
+    if (age <= OLDEST_MS) return null;
     const reason = BatchReason.expired;
-    const limitMs = OLDEST_BATCH_MS;
-    const ageInMs = Math.round(age);
-    this.#journal.decide('batch-refused', { batchId, jobId, reason, ageMs: ageInMs, limitMs });
+    const timing = { ageMs: Math.round(age), limitMs: OLDEST_MS };
+    this.#journal.decide('batch-refused', { batchId, jobId, reason, ...timing });
     const outcome: BatchOutcome = { type: 'refused', reason, retryAfterMs: 0 };
     return { outcome, summary: null, clocks: readClocks(this.#clock) };
   }
@@ -217,6 +224,13 @@
     return reply;
   }
 
+  /** A message that was held on the way is no sign of life, but what was given up stays given up. */
+  #heard(from: HostIdentity, awaited: AwaitedCalls | undefined, age: number): void {
+    const nowMs = this.#clock.nowMs();
+    if (age <= OLDEST_MS) this.#submitters.heard(from, nowMs);
+    if (awaited) this.#submitters.learnAwaited(from, awaited, nowMs);
+  }
+
   /** The end of a call may have been lost on a connection that went silent. */
   #withdrawNotAwaited(incarnation: string): void {
     this.#open.forEach((open) => {
--- a/src/dispatcher/submitters.ts
+++ b/src/dispatcher/submitters.ts
@@ -34,17 +34,20 @@
 export class Submitters {
   readonly #known = new Map<string, Submitter>();
 
-  /** Notes a call of a submitter, with what it says it waits for, if it says so. */
-  heard(from: HostIdentity, awaited: AwaitedCalls | undefined, nowMs: number): void {
-    const known = this.#known.get(keyOf(from)) ?? { upTo: 0, numbers: new Set<number>() };
-    const isNewer = awaited !== undefined && awaited.upTo >= known.upTo;
-    this.#known.set(keyOf(from), {
-      heardAtMs: nowMs,
-      excused: false,
-      silent: false,
-      upTo: isNewer ? awaited.upTo : known.upTo,
-      numbers: isNewer ? new Set(awaited.numbers) : known.numbers,
-    });
+  /** Notes a sign of life. */
+  heard(from: HostIdentity, nowMs: number): void {
+    const submitter = this.#submitter(from, nowMs);
+    submitter.heardAtMs = nowMs;
+    submitter.excused = false;
+    submitter.silent = false;
+  }
+
+  /** Takes what a submitter says it waits for; what it said later stays in force. */
+  learnAwaited(from: HostIdentity, { upTo, numbers }: AwaitedCalls, nowMs: number): void {
+    const submitter = this.#submitter(from, nowMs);
+    if (upTo < submitter.upTo) return;
+    submitter.upTo = upTo;
+    submitter.numbers = new Set(numbers);
   }
 
   /** False if the submitter has said that it does not wait for the call any more. */
@@ -78,4 +81,19 @@
       resumed.excused = true;
     });
   }
+
+  #submitter(from: HostIdentity, nowMs: number): Submitter {
+    const key = keyOf(from);
+    const known = this.#known.get(key);
+    if (known) return known;
+    const submitter = {
+      heardAtMs: nowMs,
+      excused: false,
+      silent: false,
+      upTo: 0,
+      numbers: new Set<number>(),
+    };
+    this.#known.set(key, submitter);
+    return submitter;
+  }
 }
--- a/test/dispatcher/submitters.test.ts
+++ b/test/dispatcher/submitters.test.ts
@@ -12,7 +12,7 @@
 describe('a submitter that is not heard', () => {
   it('is silent after 700 ms', () => {
     const submitters = new Submitters();
-    submitters.heard(SUBMITTER, undefined, 0);
+    submitters.heard(SUBMITTER, 0);
     expect(submitters.isSilent(SUBMITTER, SILENT_MS)).toEqual(false);
     expect(submitters.isSilent(SUBMITTER, SILENT_MS + 1)).toEqual(true);
   });
@@ -20,7 +20,7 @@
   // Guards against batches of a dead submitter that get the whole time anew with each pause of the owner.
   it('has two periods of its questions to be heard after a pause of the owner', () => {
     const submitters = new Submitters();
-    submitters.heard(SUBMITTER, undefined, 0);
+    submitters.heard(SUBMITTER, 0);
     const resumedAtMs = 1000;
     submitters.resume(resumedAtMs);
     expect(submitters.isSilent(SUBMITTER, resumedAtMs + 2 * ASK_PERIOD_MS)).toEqual(false);
@@ -30,7 +30,7 @@
   // Guards against repeated pauses that keep the batches of a dead submitter for ever.
   it('is found silent although the owner pauses again and again', () => {
     const submitters = new Submitters();
-    submitters.heard(SUBMITTER, undefined, 0);
+    submitters.heard(SUBMITTER, 0);
     submitters.resume(500);
     submitters.resume(1000);
     expect(submitters.isSilent(SUBMITTER, 1001)).toEqual(true);
@@ -38,7 +38,7 @@
 
   it('keeps the time at which it was heard if that was later', () => {
     const submitters = new Submitters();
-    submitters.heard(SUBMITTER, undefined, 900);
+    submitters.heard(SUBMITTER, 900);
     submitters.resume(1000);
     expect(submitters.isSilent(SUBMITTER, 900 + SILENT_MS)).toEqual(false);
   });
