Give no lease to a worker that does not answer, so that its runs lapse and their tasks start elsewhere

What callers saw: tasks of a worker that fell silent waited until the deadline of their job (504) instead of starting elsewhere after about a second.

Cause: each unanswered renewal might have given a lease, so that the end of the leases was always a second ahead.

Evidence: test/dispatcher/cellOwner.test.ts 'loses its runs when the leases are over' fails before: the value [1, 0] is not equal to [1, 1].

--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -52,6 +52,8 @@
 /** Covers rounding and the way of an order that is held up on the network. */
 const LEASE_MARGIN_MS = 30;
 const ASK_AGAIN_MS = 120;
+/** One broken connection says little; the second call without an answer does. */
+const SILENT_AFTER_FAILURES = 2;
 /** Share of the usual wait of a renewal while leases are not extended, so that they are soon after. */
 const WITHHELD_SHARE = 0.2;
 
@@ -143,7 +145,9 @@
 
   #renew(longestWaitMs: number): void {
     const sentAtMs = this.#clock.nowMs();
-    const mayExtend = this.#questions.mayExtendLeases();
+    // A renewal without an answer may have given a lease, whose end the next one would push on.
+    const isSilent = this.#failures >= SILENT_AFTER_FAILURES;
+    const mayExtend = !isSilent && this.#questions.mayExtendLeases();
     const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs() : null;
     const waitMs = Math.round(longestWaitMs * (mayExtend ? 1 : WITHHELD_SHARE));
     if (leaseEndClockMs !== null) this.#noteLease();
@@ -167,10 +171,9 @@
     }
   }
 
-  /** One broken connection says little; the second call without an answer does. */
   #unanswered(error: string): void {
     this.#failures += 1;
-    if (this.#failures === 1) {
+    if (this.#failures < SILENT_AFTER_FAILURES) {
       this.#renew(0);
       return;
     }
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -156,3 +156,17 @@
     expect(worker.starts).toEqual([]);
   });
 });
+
+describe('a worker that never answers again', () => {
+  // Guards against renewals without an answer that push the end of the leases ahead of them.
+  it('loses its runs when the leases are over, so that the tasks start elsewhere', async (t) => {
+    const world = worldOf(t, new LeasedWorker('w0'), new LeasedWorker('w1'));
+    await world.advance(5);
+    run(world, batchOf({ payload: '900', estimateMs: 900, goalMs: 5000, deadlineInMs: 6000 }));
+    await world.advance(100);
+    const busy = world.workers.find(({ starts }) => starts.length > 0);
+    Object.assign(busy ?? {}, { silent: true });
+    await world.advance(3000);
+    expect(world.workers.map(({ starts }) => starts.length)).toEqual([1, 1]);
+  });
+});
