--- a/test/dispatcher/submitters.test.ts
+++ b/test/dispatcher/submitters.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { Submitters } from '../../src/dispatcher/submitters';
+import { batchOf } from '../cells/cellWorld';
 import { SUBMITTER } from './peerPair';
 
 /** Longest time that the batches of a submitter which is gone may go on, less the stop of their runs. */
@@ -42,4 +43,17 @@
     submitters.resume(1000);
     expect(submitters.isSilent(SUBMITTER, 900 + SILENT_MS)).toEqual(false);
   });
+
+  // Guards against a late question that brings back calls which its sender had given up.
+  it('does not await a call again that an earlier question has left out', () => {
+    const submitters = new Submitters();
+    submitters.heard(SUBMITTER, 0);
+    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [2] }, 600);
+    submitters.learnAwaited(SUBMITTER, { upTo: 1, numbers: [1] }, 601);
+    const call = { from: SUBMITTER, cell: 'bole', batch: batchOf(), isRetry: false };
+    const isAwaited = (number: number) => submitters.isAwaited({ ...call, number });
+    expect([isAwaited(1), isAwaited(2)]).toEqual([false, true]);
+    // What it says is no sign of life by itself.
+    expect(submitters.isSilent(SUBMITTER, SILENT_MS + 1)).toEqual(true);
+  });
 });
