Keep a call given up when two status questions of the same time overtake each other

Of two questions between which no call was begun, the older one, arriving last, brought back a call that the newer one had left out. Evidence: test/dispatcher/submitters.test.ts fails before ('The value true is not equal to false').

--- a/src/dispatcher/submitters.ts
+++ b/src/dispatcher/submitters.ts
@@ -46,8 +46,11 @@
   learnAwaited(from: HostIdentity, { upTo, numbers }: AwaitedCalls, nowMs: number): void {
     const submitter = this.#submitter(from, nowMs);
     if (upTo < submitter.upTo) return;
+    // Of two questions that overtook each other, with no call begun between, both say what was given up.
+    const isSame = upTo === submitter.upTo;
+    const awaited = isSame ? numbers.filter((number) => submitter.numbers.has(number)) : numbers;
     submitter.upTo = upTo;
-    submitter.numbers = new Set(numbers);
+    submitter.numbers = new Set(awaited);
   }
 
   /** False if the submitter has said that it does not wait for the call any more. */
--- a/test/dispatcher/submitters.test.ts
+++ b/test/dispatcher/submitters.test.ts
@@ -56,4 +56,14 @@
     // What it says is no sign of life by itself.
     expect(submitters.isSilent(SUBMITTER, SILENT_MS + 1)).toEqual(true);
   });
+
+  // Guards against an older question, overtaken by a newer one, that brings back a call given up between.
+  it('does not await a call again if no call was begun between two questions', () => {
+    const submitters = new Submitters();
+    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [2] }, 0);
+    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [1, 2] }, 1);
+    const call = { from: SUBMITTER, cell: 'bole', batch: batchOf(), isRetry: false };
+    expect(submitters.isAwaited({ ...call, number: 1 })).toEqual(false);
+    expect(submitters.isAwaited({ ...call, number: 2 })).toEqual(true);
+  });
 });
