Skip at most one check for silent submitters in a row

What callers would see: on a host whose checks always come late, the batches of a dead submitter run on beside their resubmissions. Cause: left out each check that followed a gap of 300 ms. Found by review.

Evidence: test/dispatcher/withdrawnBatches.test.ts, an owner blocked for 350 ms at a time: before, 'not in time: the batch is withdrawn'.

--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -86,6 +86,9 @@
 
   #checkedAtMs: number;
 
+  /** The last check was left out; the next one is made, however late it is. */
+  #wasSkipped = false;
+
   constructor(handler: PeerHandler, clock: HostClock, journal: DispatchJournal) {
     this.#handler = handler;
     this.#clock = clock;
@@ -244,7 +247,8 @@
     const isLate = nowMs - this.#checkedAtMs > LATE_CHECK_MS;
     this.#checkedAtMs = nowMs;
     // What submitters said during the pause lies in the socket buffers and is read before the next check.
-    if (isLate) return;
+    this.#wasSkipped = isLate && !this.#wasSkipped;
+    if (this.#wasSkipped) return;
     this.#open.forEach((open) => {
       const { from } = open.call;
       if (!this.#submitters.isSilent(from, nowMs)) return;
--- a/test/dispatcher/withdrawnBatches.test.ts
+++ b/test/dispatcher/withdrawnBatches.test.ts
@@ -118,6 +118,24 @@
   });
 });
 
+describe('an owner that is always late', () => {
+  const pair = new PeerPair();
+  before(() => pair.open());
+  after(() => pair.close());
+
+  // Guards against batches of a dead submitter that run on because each check follows a pause.
+  it('withdraws the batches of a submitter that is gone', async (t) => {
+    const batch = pair.send();
+    await until('the owner has the batch', () => pair.begun.length === 1);
+    const blocker = setInterval(() => {
+      const untilMs = performance.now() + 350;
+      while (performance.now() < untilMs);
+    }, 1);
+    t.after(() => clearInterval(blocker));
+    await until('the batch is withdrawn', () => pair.withdrawals.has(batch.batchId), 3000);
+  });
+});
+
 describe('what a question says of the batches that are awaited', () => {
   const pair = new PeerPair();
   before(() => pair.open());
