Start nothing after a pause until what arrived meanwhile has been read

Seen by callers: none in a log yet; found by review of the class of fault "acted on after the one that it belongs to has given it up" (a task ran twice at the same time). An owner stood still for 2.3 s with a batch waiting, and its submitter closed the call meanwhile; on waking a task of it was started at once.

Cause: timers that became due during a pause run before anything is read. The owner's timer, and also a worker's report that is read first, started the batch; the end of its call was read 3 ms later. A submitter sends a batch the same way after a wait, a refusal or the end of the step before, while the end of its client's connection lies unread.

Now one class, PauseWatch, finds a gap of more than 400 ms between two looks on either clock. Cluster uses it in place of its own comparison. A cell's owner looks at every event, its timer of 20 ms being the rarest; the cell then starts nothing for 450 ms, whatever it is told. Ends of calls, questions and the workers' refusals of an old fencing token are read and acted on at once, so they come first. The hold is longer than reading takes because a submitter may have gone or stood still as well: it has 300 ms to be heard after a pause, is checked each 100 ms, and is withdrawn then. The work on the hot path is one more reading of both clocks per event.

A step of the time of day forward causes a hold that was not needed. Leases are extended as before during the hold: a lease ends 1000 ms after the renewal before the pause in any case, an extension that precedes the reading of a withdrawal is followed by a stop within milliseconds, and runs left over by a lost stop get no lease already. Withholding leases for 450 ms would end runs that are waited for, if less is left of their lease after the pause.

A submitter reads what has arrived before each batch that follows a wait, a refused or lost batch, or another step; not before the first, since Dispatcher.submit does that. Two turns of the event loop each.

Failing before: test/dispatcher/cellOwner.test.ts does not start it if its submitter has closed the call meanwhile The value 3 is not equal to 2, but it was expected to be equal. does not start it either if its machine was suspended The value 3 is not equal to 2, but it was expected to be equal. starts it 450 ms after the pause, unless it is withdrawn The value 2401 is not greater than or equal to 2850, but it was expected to be. test/cells/cell.test.ts starts nothing for 450 ms, whatever it is told The value [{ 5 entries }] is not equal to [], but it was expected to be equal. test/dispatcher/partRunner.test.ts sends no further step The value ["a", "a"] is not equal to ["a"], but it was expected to be equal. is not offered to another cell after a refusal The value 2 is not equal to 1, but it was expected to be equal. is not sent to the next owner of its cell after a wait The value ["a", "a"] is not equal to ["a"], but it was expected to be equal. With the steady clock alone, the tests of a suspension in cellOwner.test.ts and pauseWatch.test.ts fail.

The virtual time of partRunner.test.ts now lets the event loop turn in real time between two timers: its fake clock jumped over the reads before sends. No check is changed; with the old PartRunner only the three new tests fail.

Not covered: after a suspension a silent submitter may count as gone only 700 ms after the pause, because `heardAtMs` is on the steady clock (Submitters.resume keeps what seems recent there); that Cluster notices a suspension is tested through PauseWatch only.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -168,6 +168,13 @@
     this.#state.ledger.renewed(workerId, leasesEndMs);
   }
 
+  /** The owner stood still for `gapMs`; what was said to it in that time is yet to be read. */
+  resumed(gapMs: number, nowMs: number): void {
+    const untilMs = this.#dispatch.hold(nowMs);
+    const holdMs = Math.round(untilMs - nowMs);
+    this.#state.decide('starts-held', { gapMs: Math.round(gapMs), holdMs });
+  }
+
   tick(nowMs: number): void {
     const { ledger, options } = this.#state;
     ledger.tick(nowMs);
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -10,6 +10,12 @@
 const BACKFILL_BATCHES = 8;
 /** Workers that are held free for the first batches that wait; the others take what fits. */
 const RESERVED_WORKERS = 1;
+/**
+ * Time after a pause of the owner in which nothing is started, in milliseconds. What arrived during the
+ * pause is read at once, but a submitter that is gone or stood still as well has only fallen silent: it
+ * has 300 ms to be heard, is checked each 100 ms, and the timer of that check may be late.
+ */
+const HOLD_MS = 450;
 
 function reserve(
   workers: readonly CellWorker[],
@@ -24,12 +30,21 @@
 export class Dispatch {
   readonly #state: CellState;
 
+  #heldUntilMs = -Infinity;
+
   constructor(state: CellState) {
     this.#state = state;
   }
 
+  /** Starts nothing for a while after a pause; returns until when. */
+  hold(nowMs: number): number {
+    this.#heldUntilMs = nowMs + HOLD_MS;
+    return this.#heldUntilMs;
+  }
+
   /** Starts whatever finds room now. */
   run(nowMs: number): void {
+    if (nowMs < this.#heldUntilMs) return;
     const queues = groupByQueue(this.#state.batches.values());
     if (queues.length === 0) return;
     const order = this.#state.queueOrder(nowMs);
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -7,8 +7,9 @@
 import type { CellAction, StartAnswer } from '../cells/actions';
 import type { BatchOutcome, BatchReason, CellSummary, TaskBatch } from '../cells/messages';
 import type { WorkerEntry } from '../cells/worker';
-import type { Clock } from '../core/clock';
 import type { DispatchJournal } from './journal';
+import { PauseWatch } from './pauseWatch';
+import type { HostClock } from './peerClocks';
 import type { WorkerControl } from './workerControl';
 import { StopAnswer } from './workerControl';
 import { latestLeaseEndMs, WorkerSession, type SessionOptions } from './workerSession';
@@ -19,7 +20,7 @@
   readonly fencingToken: number;
   readonly control: WorkerControl;
   readonly options: CellOptions & SessionOptions;
-  readonly clock: Clock;
+  readonly clock: HostClock;
   readonly journal: DispatchJournal;
   /** A worker obeys a newer owner, so this host must stop giving orders. */
   readonly onFenced: (workerId: string) => void;
@@ -40,12 +41,15 @@
 
   readonly #answers = new Map<string, Answer>();
 
+  readonly #pauses: PauseWatch;
+
   readonly #timer: NodeJS.Timeout;
 
   #closed = false;
 
   constructor(parts: CellOwnerParts) {
     this.#parts = parts;
+    this.#pauses = new PauseWatch(parts.clock);
     this.#cell = new Cell(parts.cell, {
       ...parts.options,
       leaseMs: latestLeaseEndMs(parts.options.leaseMs, 0),
@@ -103,8 +107,12 @@
     this.#sessions.clear();
   }
 
+  /** Time of an event for the cell, which hears first of a pause that the event ends. */
   #now(): number {
-    return this.#parts.clock.nowMs();
+    const gapMs = this.#pauses.look();
+    const nowMs = this.#parts.clock.nowMs();
+    if (gapMs > 0) this.#cell.resumed(gapMs, nowMs);
+    return nowMs;
   }
 
   #act(): void {
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -10,7 +10,7 @@
 } from '../cells/messages';
 import type { CellOptions } from '../cells/cellState';
 import type { WorkerEntry } from '../cells/worker';
-import type { Clock, RandomSource } from '../core/clock';
+import type { RandomSource } from '../core/clock';
 import { CellClaims } from './cellClaims';
 import { CellLayout } from './cellLayout';
 import type { CellOwner } from './cellOwner';
@@ -19,7 +19,9 @@
 import { LayoutChoice } from './layoutChoice';
 import { OwnedCells } from './ownedCells';
 import { OwnerHealth } from './ownership';
+import { PauseWatch } from './pauseWatch';
 import type { PeerClient } from './peerClient';
+import type { HostClock } from './peerClocks';
 import type { BatchCall } from './peerMessages';
 import { PeerTalk } from './peerTalk';
 import type { Platform } from './platform';
@@ -45,14 +47,12 @@
   readonly seeds: readonly string[];
   readonly queues: QueueTable;
   readonly options: ClusterOptions;
-  readonly clock: Clock;
+  readonly clock: HostClock;
   readonly random: RandomSource;
   readonly journal: DispatchJournal;
 }
 
 const TICK_MS = 25;
-/** A longer time between two ticks means that the process stood still. */
-const PAUSE_GAP_MS = 400;
 /** A vacant cell usually finds an owner within this time. */
 const TAKEOVER_TIME_MS = 1500;
 
@@ -88,7 +88,7 @@
 
   #timer: NodeJS.Timeout | null = null;
 
-  #lastTickMs: number;
+  readonly #pauses: PauseWatch;
 
   /** Since when no cell has served, or the time of the start. */
   #unservedSinceMs: number;
@@ -100,8 +100,8 @@
   constructor(parts: ClusterParts) {
     this.#parts = parts;
     const { self, platform, journal, clock, options } = parts;
-    this.#lastTickMs = clock.nowMs();
-    this.#unservedSinceMs = this.#lastTickMs;
+    this.#pauses = new PauseWatch(clock);
+    this.#unservedSinceMs = clock.nowMs();
     this.#records = new RecordKeeper({
       self,
       store: platform.store,
@@ -283,8 +283,8 @@
 
   #tick(): void {
     const nowMs = this.#parts.clock.nowMs();
-    if (nowMs - this.#lastTickMs > PAUSE_GAP_MS) this.#resume(nowMs);
-    this.#lastTickMs = nowMs;
+    const gapMs = this.#pauses.look();
+    if (gapMs > 0) this.#resume(gapMs, nowMs);
     this.#askPeers(nowMs);
     this.#refreshHealth(nowMs);
     this.#chooseLayout(nowMs);
@@ -298,8 +298,8 @@
     if (this.serving().length > 0) this.#unservedSinceMs = nowMs;
   }
 
-  #resume(nowMs: number): void {
-    this.#parts.journal.decide('pause-detected', { gapMs: Math.round(nowMs - this.#lastTickMs) });
+  #resume(gapMs: number, nowMs: number): void {
+    this.#parts.journal.decide('pause-detected', { gapMs: Math.round(gapMs) });
     this.#talk.resume(nowMs);
     this.#resumeListener?.();
   }
--- a/src/dispatcher/ownedCells.ts
+++ b/src/dispatcher/ownedCells.ts
@@ -1,10 +1,10 @@
 /** The cells that this host owns: begins to run them when their record names it, and lets them go. */
 import type { WorkerEntry } from '../cells/worker';
 import type { CellOptions } from '../cells/cellState';
-import type { Clock } from '../core/clock';
 import { CellOwner } from './cellOwner';
 import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from './journal';
+import type { HostClock } from './peerClocks';
 import type { WorkerControl } from './workerControl';
 import type { SessionOptions } from './workerSession';
 
@@ -12,7 +12,7 @@
 export interface OwnedCellsParts {
   readonly control: WorkerControl;
   readonly options: CellOptions & SessionOptions;
-  readonly clock: Clock;
+  readonly clock: HostClock;
   readonly journal: DispatchJournal;
 }
 
--- a/src/dispatcher/partRunner.ts
+++ b/src/dispatcher/partRunner.ts
@@ -5,6 +5,7 @@
 import type { JobStep } from '../cells/job';
 import { BatchReason, type BatchOutcome, type BatchTask, type TaskBatch } from '../cells/messages';
 import type { Clock, RandomSource } from '../core/clock';
+import { pendingReads } from './caller';
 import type { Cluster } from './cluster';
 import type { DispatchJournal } from './journal';
 import { spread, type Share } from './router';
@@ -83,6 +84,15 @@
   return { ...part, tasks: part.tasks.map((task) => ({ ...task, mayRun: false })) };
 }
 
+/**
+ * Waits, and reads what has arrived by then. If the process stood still, the end of the job, which its
+ * client has given up, may lie unread while the timer runs.
+ */
+async function pauseAndRead(job: RunningJob, delayMs: number): Promise<void> {
+  await job.pause(delayMs);
+  await pendingReads();
+}
+
 /** Runs the parts of jobs in cells. */
 export class PartRunner {
   readonly #parts: PartRunnerParts;
@@ -96,6 +106,7 @@
   /** Runs all tasks of a part, spread over the cells. Refused only if none of its batches was taken. */
   async run(job: RunningJob, part: Part): Promise<JobOutcome> {
     await this.#awaitCell(job);
+    if (part.step.after.length > 0) await pendingReads();
     if (job.hasEnded) return NOT_SENT;
     const shares = this.#spread(part);
     if (shares.length === 0) return NO_CELL;
@@ -109,7 +120,7 @@
     while (cluster.serving().length === 0 && cluster.expectsOwner && !job.hasEnded) {
       if (clock.nowMs() >= untilMs) return;
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-      await job.pause(POLL_MS);
+      await pauseAndRead(job, POLL_MS);
     }
   }
 
@@ -182,7 +193,7 @@
   async #refusedByAll(job: RunningJob, part: Part, refusal: JobOutcome): Promise<JobOutcome> {
     const running = job;
     running.openParts -= 1;
-    if (job.openParts > 0) await job.pause(REFUSAL_TIME_MS);
+    if (job.openParts > 0) await pauseAndRead(job, REFUSAL_TIME_MS);
     if (job.hasEnded || (job.openParts === 0 && !job.begun)) return refusal;
     running.openParts += 1;
     return this.#force(job, part);
@@ -247,7 +258,7 @@
       }
       if (clock.nowMs() >= settledAtMs) return this.#force(job, settledPart(left));
       // eslint-disable-next-line no-await-in-loop -- waits for the next owner
-      await job.pause(POLL_MS);
+      await pauseAndRead(job, POLL_MS);
     }
     return { type: 'lost', reason: 'owner-lost' };
   }
@@ -305,6 +316,8 @@
       outcome: outcome.type,
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
+    // What follows these ends may be another send, and the end of the job may be read after the reply.
+    if (outcome.type === 'refused' || outcome.type === 'lost') await pendingReads();
     return { cell, token, outcome };
   }
 }
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -311,3 +311,21 @@
     expect(stops.map(({ fields }) => fields.reason)).toEqual(['unreachable', 'unreachable']);
   });
 });
+
+describe('a cell whose owner stood still', () => {
+  // Guards against starts by a report, an answer or a batch that is read before a withdrawal.
+  it('starts nothing for 450 ms, whatever it is told', () => {
+    const { cell, task, run, workerId } = cellWithStart();
+    cell.resumed(2300, 3000);
+    cell.startAnswered(task, run, workerId, StartAnswer.accepted, 3001);
+    cell.report('w0', { sentAtMs: 3001, running: [], ended: [] }, 3002);
+    cell.report('w1', { sentAtMs: 3001, running: [], ended: [] }, 3002);
+    const long = { deadlineInMs: 9000, goalMs: 9000 };
+    cell.offer(batchOf(long), 3003);
+    cell.withdraw('other', BatchReason.withdrawn, 3004);
+    cell.tick(3449);
+    expect(startsOf(cell)).toEqual([]);
+    cell.tick(3450);
+    expect(startsOf(cell).length).toEqual(1);
+  });
+});
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -1,4 +1,4 @@
-/** Whose leases the owner of a cell extends, in virtual time. */
+/** Whose leases the owner of a cell extends, and when it starts nothing, in virtual time. */
 import { describe, it, type TestContext } from 'node:test';
 import { expect } from 'earl';
 import { RunEnd } from '../../src/cells/actions';
@@ -170,3 +170,69 @@
     expect(world.workers.map(({ starts }) => starts.length)).toEqual([1, 1]);
   });
 });
+
+describe('an owner that stood still while a batch waited', () => {
+  const PAUSE_MS = 2300;
+
+  /** A world whose only worker is full with two runs that end within the pause; a batch waits. */
+  async function waiting(t: TestContext): Promise<{ world: OwnerWorld; batch: TaskBatch }> {
+    const world = worldOf(t, new LeasedWorker('w0'));
+    await world.advance(5);
+    const long = { estimateMs: 600, payload: '600', goalMs: 9000, deadlineInMs: 9000 };
+    run(world, batchOf({ ...long, taskCount: 2 }));
+    const batch = batchOf({ ...long, jobId: 'waits', begun: true });
+    run(world, batch);
+    await world.advance(95);
+    return { world, batch };
+  }
+
+  function startsOf(world: OwnerWorld): readonly string[] {
+    return world.workers.flatMap(({ starts }) => starts.map(({ task }) => task));
+  }
+
+  function startedAtMs(world: OwnerWorld): number | undefined {
+    return world.workers[0]?.starts.find(({ task }) => task === 'waits.0.0.0')?.atMs;
+  }
+
+  // Guards against a start by the timer, which runs before the end of the submitter's call is read.
+  it('does not start it if its submitter has closed the call meanwhile', async (t) => {
+    const { world, batch } = await waiting(t);
+    expect(startsOf(world).length).toEqual(2);
+    world.pause(PAUSE_MS);
+    await world.advance(3);
+    world.owner.withdraw(batch.batchId, BatchReason.withdrawn);
+    await world.advance(2000);
+    expect(startsOf(world).length).toEqual(2);
+  });
+
+  // Guards against a start at the end of a suspension, which the steady clock does not count.
+  it('does not start it either if its machine was suspended', async (t) => {
+    const { world, batch } = await waiting(t);
+    await world.advance(350);
+    world.suspend(PAUSE_MS);
+    // The runs of the other batch end, so that there is room.
+    await world.advance(300);
+    world.owner.withdraw(batch.batchId, BatchReason.withdrawn);
+    await world.advance(2000);
+    expect(startsOf(world).length).toEqual(2);
+  });
+
+  // Guards against a hold that ends before a submitter that fell silent meanwhile counts as gone.
+  it('starts it 450 ms after the pause, unless it is withdrawn', async (t) => {
+    const { world } = await waiting(t);
+    world.pause(PAUSE_MS);
+    await world.advance(1000);
+    // The first and the last event may each come a period of the timer later.
+    expect(startedAtMs(world) ?? 0).toBeGreaterThanOrEqual(100 + PAUSE_MS + 450);
+    expect(startedAtMs(world) ?? Infinity).toBeLessThanOrEqual(100 + PAUSE_MS + 450 + 2 * 20);
+  });
+
+  // Guards against starts that are held after each short delay of a loaded host.
+  it('starts it at once after 350 ms', async (t) => {
+    const { world } = await waiting(t);
+    await world.advance(400);
+    world.pause(350);
+    await world.advance(25);
+    expect(startsOf(world).length).toEqual(3);
+  });
+});
--- a/test/dispatcher/ownerWorld.ts
+++ b/test/dispatcher/ownerWorld.ts
@@ -18,6 +18,7 @@
 } from '../../src/dispatcher/workerControl';
 import { workerEntry } from '../cells/simulatedWorker';
 import { sleep, type LeasedWorker } from './leasedWorker';
+import { MachineClock } from './machineClock';
 
 /** Time after which the client counts an order as unanswered. */
 const ORDER_TIMEOUT_MS = 120;
@@ -32,10 +33,13 @@
 
   readonly #timers: TestContext['mock']['timers'];
 
+  readonly #clock: MachineClock;
+
   #nowMs: number;
 
   constructor(context: TestContext, workers: readonly LeasedWorker[], nowMs = 0) {
     this.#nowMs = nowMs;
+    this.#clock = new MachineClock(0, 700_000, () => this.#nowMs);
     this.#timers = context.mock.timers;
     this.#timers.enable({ apis: ['setInterval', 'setTimeout'] });
     this.workers = workers;
@@ -45,7 +49,7 @@
       fencingToken: 1000 + nowMs,
       control: this,
       options: { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 },
-      clock: { nowMs: () => this.#nowMs },
+      clock: this.#clock,
       journal,
       onFenced: () => undefined,
     });
@@ -63,6 +67,20 @@
     }
   }
 
+  /** The owner's process stands still while its workers go on. */
+  pause(durationMs: number): void {
+    const untilMs = this.#nowMs + durationMs;
+    while (this.#nowMs < untilMs) {
+      this.#nowMs += 1;
+      this.workers.forEach((worker) => worker.step(this.#nowMs));
+    }
+  }
+
+  /** The owner's machine is suspended: its steady clock does not count the time. */
+  suspend(durationMs: number): void {
+    this.#clock.suspend(durationMs);
+  }
+
   async start(target: WorkerTarget, order: StartOrder): Promise<StartAnswer> {
     const worker = this.#worker(target);
     if (worker.silent) {
--- a/test/dispatcher/partRunner.test.ts
+++ b/test/dispatcher/partRunner.test.ts
@@ -1,5 +1,6 @@
 /** Guards against work of a job that goes on after the job was answered, and against untrue refusals. */
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { setImmediate as turnEnd } from 'node:timers/promises';
 import { install, type Clock as FakeClock } from '@sinonjs/fake-timers';
 import { expect } from 'earl';
 import fc from 'fast-check';
@@ -25,6 +26,16 @@
 const LONG_MS = 2 * DEADLINE_MS;
 const DONE = { type: 'done' } as const;
 
+/** Reads before sends take two turns of the event loop each, in real time; some follow one another. */
+const TURNS = 12;
+
+async function turnsOfTheLoop(): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one turn after the other
+    await turnEnd();
+  }
+}
+
 function step(taskCount: number, after: readonly number[] = []): JobStep {
   return {
     taskCount,
@@ -90,8 +101,20 @@
     await this.pass(0);
   }
 
+  /** Lets time pass; before each timer, what follows from the one before is done. */
   async pass(durationMs: number): Promise<void> {
-    await this.#clock.tickAsync(durationMs);
+    let isOver = false;
+    this.#clock.setTimeout(() => {
+      isOver = true;
+    }, durationMs);
+    while (!isOver) {
+      // eslint-disable-next-line no-await-in-loop -- one timer after the other
+      await turnsOfTheLoop();
+      this.#clock.next();
+    }
+    await turnsOfTheLoop();
+    this.#clock.tick(0);
+    await turnsOfTheLoop();
   }
 
   cell(name: string | undefined): FakeCell {
@@ -397,6 +420,57 @@
   if (kind === 'cancel') world.runner.cancel(JOB_ID);
 }
 
+describe('a job whose client gave it up while its submitter stood still', () => {
+  let clock: FakeClock;
+
+  beforeEach(() => {
+    clock = install({ toFake: ['setTimeout', 'clearTimeout'] });
+  });
+
+  afterEach(() => clock.uninstall());
+
+  /** The end of the client's connection is read in the next turn of the event loop. */
+  function leaveUnread(world: World): void {
+    setImmediate(() => world.runner.cancel(JOB_ID));
+  }
+
+  // Guards against a step that starts because the end of the one before it was read first.
+  it('sends no further step', async () => {
+    const world = new World(clock, [fakeCell('a')]);
+    await world.submit([step(1), step(1, [0])]);
+    world.cells.sent[0]?.answer(DONE);
+    leaveUnread(world);
+    await world.pass(100);
+    expect(world.sentTo).toEqual(['a']);
+  });
+
+  // Guards against a part that is offered elsewhere because a refusal was read first.
+  it('is not offered to another cell after a refusal', async () => {
+    const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
+    await world.submit([step(1)]);
+    world.cells.sent[0]?.answer(refused('not-owner'));
+    leaveUnread(world);
+    await world.pass(100);
+    expect(world.sentTo.length).toEqual(1);
+  });
+
+  // Guards against a part that the timer sends to the next owner before anything is read.
+  it('is not sent to the next owner of its cell after a wait', async () => {
+    const cell = fakeCell('a');
+    const world = new World(clock, [cell]);
+    await world.submit([step(1)]);
+    cell.serves = false;
+    world.cells.sent[0]?.answer(UNREACHABLE);
+    await world.pass(30);
+    // When the process wakes, the cell has a new owner, and the timer of the wait runs first.
+    Object.assign(cell, { serves: true, token: 2000 });
+    clock.tick(20);
+    leaveUnread(world);
+    await world.pass(100);
+    expect(world.sentTo).toEqual(['a']);
+  });
+});
+
 describe('any course of a job', () => {
   // Guards against a state of a part in which it does not see that its job has ended.
   it('leaves no batch behind its answer, and refuses only what no cell has taken', async () => {
