--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -90,6 +90,7 @@
       mayRun: order.mayRun,
     });
     if (batch.isDone) this.#state.finish(batch, { type: 'done' }, nowMs);
+    else if (batch.isOver(nowMs)) this.#state.giveUp(batch, BatchReason.deadline, nowMs);
     this.#dispatch.run(nowMs);
   }
 
@@ -168,6 +169,13 @@
     this.#state.ledger.renewed(workerId, leasesEndMs);
   }
 
+  /** The owner stood still for `gapMs`; what was said to it in that time is yet to be read. */
+  resumed(gapMs: number, nowMs: number): void {
+    const untilMs = this.#dispatch.hold(nowMs);
+    const holdMs = Math.round(untilMs - nowMs);
+    this.#state.decide('starts-held', { gapMs: Math.round(gapMs), holdMs });
+  }
+
   tick(nowMs: number): void {
     const { ledger, options } = this.#state;
     ledger.tick(nowMs);
