Hold a start without an answer possible until its worker confirms a stop, so that its task has no second run

Cause: the ledger took an unlisted start to be over once the lease that the start carries had ended. A worker that judges a late start by its own lease, which renewals extend, still carries it out.

Now such a start is over only when the worker has confirmed a stop and a list asked for after that lacks the run; unanswered stops are repeated at once as before. Without a confirmed stop its task goes on when all leases given to the worker are over, and the worker gets no other lease before a stop is confirmed or 30 s have passed since the start: a later lease would revive the start, also after a silence. A run that the worker confirmed was carried out, so a list asked for after that answer which lacks it still ends it at once. A worker that answers lists and never stops holds the task until the deadline of its batch, which then ends as lost (deadline); after that its leases are withheld. A worker in whose place another process answers counts as unreachable until it lists its runs: before, an unlisted start there was held until the deadline.

Evidence (failing with the ledger before): test/dispatcher/cellOwner.test.ts 'does not run beside a second run when its stops are lost at first': The value ["job7.0...."] is not equal to []; 'does not run beside a second run when its worker was silent beyond its leases': The value ["job9.0...."] is not equal to []; 'holds its task until the deadline if no stop is ever confirmed': The value "done" is not equal to "deadline". test/cells/cell.test.ts 'starts a task elsewhere after the leases when no list follows': The value [] is not equal to [["job34.0...", 2]].

The worker of these tests now also refuses starts whose lease is over, and runs not above one that was stopped or has ended there, as the platform promises.

--- a/src/cells/run.ts
+++ b/src/cells/run.ts
@@ -34,8 +34,13 @@
   confirmedAtMs: number | null;
   /** The worker's list of runs has shown it. */
   listed: boolean;
-  /** A start that arrives after this time is refused, because its lease is over. */
+  /** The lease that the start carries is over by then. */
   readonly startExpiresMs: number;
+  /**
+   * Its task may start elsewhere, because all leases given to the worker are over; the worker may still
+   * carry the start out under a later lease.
+   */
+  released: boolean;
   /** When a stop was last sent, and when the worker confirmed one; null until then. */
   stopSentAtMs: number | null;
   stopConfirmedAtMs: number | null;
@@ -69,6 +74,7 @@
     startedAtMs: nowMs,
     confirmedAtMs: null,
     listed: false,
+    released: false,
     stopSentAtMs: null,
     stopConfirmedAtMs: null,
     stopUnanswered: false,
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -1,7 +1,7 @@
 /**
  * The runs of a cell: what was started where, and what the workers say became of it. A worker's lists
  * are the truth; a run is only held to be over when the worker says so, when it has started anew, or
- * when every lease that it was ever given has ended. Until then its task starts nowhere else.
+ * when every lease that its worker was ever given has ended. Until then its task starts nowhere else.
  */
 import {
   RunEnd,
@@ -67,6 +67,11 @@
   [StartAnswer.restarted]: 50,
 };
 
+/** True if the worker has said neither that it carried the start out nor that it never will. */
+function isUnclearStart({ confirmedAtMs, stopConfirmedAtMs }: Run): boolean {
+  return confirmedAtMs === null && stopConfirmedAtMs === null;
+}
+
 /** Runs of one cell, by worker. */
 export class RunLedger {
   readonly workers = new Map<string, CellWorker>();
@@ -190,6 +195,8 @@
     if (!worker) return;
     const over = [...worker.runs].filter(([, run]) => run.listed);
     worker.restart();
+    // Whether the process that answers now is the worker at all, its list will tell.
+    worker.reachable = false;
     over.forEach(([key]) => worker.runs.delete(key));
     over.forEach(([, run]) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
   }
@@ -207,6 +214,7 @@
         this.#lapseAll(worker, nowMs);
       }
       if (worker.reachable) this.#stopAgain(worker, nowMs);
+      worker.forgetReleased(nowMs);
     });
     this.#unclaimedEnds.forEach(({ seenAtMs }, task) => {
       if (nowMs - seenAtMs > UNCLAIMED_KEPT_MS) this.#unclaimedEnds.delete(task);
@@ -249,7 +257,7 @@
 
   #progress(worker: CellWorker, entry: RunningEntry, nowMs: number): void {
     const run = worker.runs.get(runKey(entry.task, entry.run));
-    if (!run) {
+    if (!run || run.released) {
       this.#adopt(worker, entry, nowMs);
       return;
     }
@@ -306,7 +314,11 @@
     this.#events.found(task);
   }
 
-  /** Deals with runs that a list lacks although it was asked for after their start. */
+  /**
+   * Deals with runs that a list lacks although it was asked for after their start. One that the worker
+   * had confirmed, or whose stop it has confirmed, is over: it refuses the start from then on. A start
+   * without an answer may be carried out late, as long as the worker has a lease by any order.
+   */
   #checkAbsent(
     worker: CellWorker,
     listed: ReadonlySet<string>,
@@ -318,12 +330,14 @@
       const overSinceMs = Math.min(
         run.stopConfirmedAtMs ?? Infinity,
         run.confirmedAtMs ?? Infinity,
-        run.startExpiresMs,
       );
+      const leasesEndMs = Math.max(run.startExpiresMs, worker.leasesEndMs);
       if (sentAtMs > overSinceMs) {
         worker.runs.delete(key);
         const end = run.state === RunState.stopping ? RunEnd.stopped : RunEnd.lapsed;
-        this.#events.ended(run, end, worker, nowMs);
+        if (!run.released) this.#events.ended(run, end, worker, nowMs);
+      } else if (sentAtMs > leasesEndMs) {
+        this.#release(worker, run, nowMs);
       } else if (run.state === RunState.unclear) {
         // The start may still arrive; a stop makes the worker refuse it.
         this.stop(run, StopReason.notListed, nowMs);
@@ -331,6 +345,16 @@
     });
   }
 
+  /**
+   * Lets the task of an unclear start go on when all leases given to its worker are over. The worker
+   * gets no other lease before it has confirmed a stop, because it may carry the start out under it.
+   */
+  #release(worker: CellWorker, run: Run, nowMs: number): void {
+    if (run.released) return;
+    worker.keepReleased(run);
+    this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
+  }
+
   /** Says how old is what led to a stop, and how long the run may go on without it. */
   #logStop(run: Run, reason: string, nowMs: number): void {
     const leasesEndMs = this.workers.get(run.workerId)?.leasesEndMs ?? nowMs;
@@ -374,6 +398,9 @@
   #lapseAll(worker: CellWorker, nowMs: number): void {
     const runs = [...worker.runs.values()];
     worker.runs.clear();
-    runs.forEach((run) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
+    runs.filter(isUnclearStart).forEach((run) => worker.keepReleased(run));
+    runs.forEach((run) => {
+      if (!run.released) this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
+    });
   }
 }
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -4,7 +4,7 @@
  */
 import { WorkerHealth } from '../core/health';
 import type { TaskShape } from './job';
-import type { Run } from './run';
+import { runKey, RunState, type Run } from './run';
 
 /** A worker in the platform's list. */
 export interface WorkerEntry {
@@ -25,6 +25,12 @@
 const SLOWNESS_LEAST = 0.2;
 const SLOWNESS_MOST = 20;
 
+/**
+ * A start without an answer is carried out within this time, or never. The platform says seconds; 12
+ * have been seen.
+ */
+const LATE_START_MS = 30_000;
+
 /** State of one worker in its cell. */
 export class CellWorker {
   entry: WorkerEntry;
@@ -88,6 +94,24 @@
     );
   }
 
+  /** Remembers a run that no batch waits for any more and whose stop is not confirmed. */
+  keepReleased(run: Run): void {
+    this.runs.set(runKey(run.task, run.run), {
+      ...run,
+      batchId: null,
+      awaited: false,
+      released: true,
+      state: RunState.stopping,
+      stopUnanswered: true,
+    });
+  }
+
+  forgetReleased(nowMs: number): void {
+    this.runs.forEach((run, key) => {
+      if (run.released && nowMs - run.startedAtMs > LATE_START_MS) this.runs.delete(key);
+    });
+  }
+
   /** True if new tasks may be started here. */
   isOpen(nowMs: number): boolean {
     const { entry, health } = this;
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -16,15 +16,17 @@
   return cell.take().filter((action): action is Start => action.type === 'start');
 }
 
-/** A cell of two workers, one of which has accepted a start at 4 ms and not listed it yet. */
-function cellWithStart(): Pick<Start, 'task' | 'run' | 'workerId'> & { readonly cell: Cell } {
+/** A cell of two workers, one of which has answered a start at 4 ms and not listed it yet. */
+function cellWithStart(
+  answer: StartAnswer = StartAnswer.accepted,
+): Pick<Start, 'task' | 'run' | 'workerId'> & { readonly cell: Cell } {
   const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
   const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
   cell.setWorkers(entries, 0);
   entries.forEach(({ id }) => cell.report(id, { sentAtMs: 0, running: [], ended: [] }, 1));
   cell.offer(batchOf({ taskCount: 1, deadlineInMs: 3000, goalMs: 1000 }), 2);
   const { task = '', run = 0, workerId = '' } = startsOf(cell)[0] ?? {};
-  cell.startAnswered(task, run, workerId, StartAnswer.accepted, 4);
+  cell.startAnswered(task, run, workerId, answer, 4);
   return { cell, task, run, workerId };
 }
 
@@ -146,6 +148,17 @@
     expect(startsOf(cell)).toEqual([]);
   });
 
+  // Guards against a task that is held until its deadline by a worker whose place another one has taken.
+  it('starts a task elsewhere after the leases when no list follows the start of another process', () => {
+    const { cell, task, run, workerId } = cellWithStart(StartAnswer.unclear);
+    cell.renewed(workerId, 1100);
+    cell.workerRestarted(workerId, 130);
+    cell.tick(1000);
+    expect(startsOf(cell)).toEqual([]);
+    cell.tick(1200);
+    expect(startsOf(cell).map((start) => [start.task, start.run])).toEqual([[task, run + 1]]);
+  });
+
   it('starts a task again at once when the worker that was running it has started anew', () => {
     const { cell, task, run, workerId } = cellWithStart();
     cell.report(workerId, { sentAtMs: 5, running: [{ task, run, percent: 5 }], ended: [] }, 6);
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -170,3 +170,67 @@
     expect(world.workers.map(({ starts }) => starts.length)).toEqual([1, 1]);
   });
 });
+
+describe('a start that has no answer and is carried out late', () => {
+  const LONG = { payload: '900', estimateMs: 900, goalMs: 9000, deadlineInMs: 12_000 } as const;
+
+  /** A world whose worker that is chosen first leaves a start unanswered, and carries it out late. */
+  function lateWorld(t: TestContext, lateMs: number, lostStops: number): OwnerWorld {
+    const first = new LeasedWorker('w0');
+    Object.assign(first, { lateStartsMs: [lateMs], lostStops });
+    return worldOf(t, first, new LeasedWorker('w1'));
+  }
+
+  // Guards against a second run after the lease of the start, which renewals have extended at the worker.
+  it('does not run beside a second run when its stops are lost at first', async (t) => {
+    const world = lateWorld(t, 1679, 12);
+    await world.advance(5);
+    const record = run(world, batchOf(LONG));
+    await world.advance(8000);
+    expect(world.overlaps).toEqual([]);
+    expect(record.outcome).toEqual({ type: 'done' });
+  });
+
+  // Guards against holding the task until the late start, although the worker refuses it by then.
+  it('lets its task start again once a stop is confirmed and a list lacks the run', async (t) => {
+    const world = lateWorld(t, 5000, 0);
+    await world.advance(5);
+    run(world, batchOf(LONG));
+    await world.advance(800);
+    expect(world.workers.flatMap(({ starts }) => starts).length).toEqual(1);
+    await world.advance(7000);
+    expect(world.workers.flatMap(({ starts }) => starts).length).toEqual(1);
+  });
+
+  // Guards against leases that make the worker carry the start out when it answers again.
+  it('does not run beside a second run when its worker was silent beyond its leases', async (t) => {
+    const world = lateWorld(t, 1900, 0);
+    await world.advance(5);
+    const record = run(world, batchOf(LONG));
+    await world.advance(3);
+    const [first, second] = world.workers;
+    Object.assign(first ?? {}, { silent: true });
+    await world.advance(1500);
+    expect(second?.starts.length).toEqual(1);
+    Object.assign(first ?? {}, { silent: false, lostStops: 3 });
+    await world.advance(3000);
+    expect(world.overlaps).toEqual([]);
+    expect(record.outcome).toEqual({ type: 'done' });
+  });
+
+  // Guards against a caller that waits beyond its deadline, and against a worker that is lost for good.
+  it('holds its task until the deadline if no stop is ever confirmed, and uses the worker again', async (t) => {
+    const worker = new LeasedWorker('w0');
+    Object.assign(worker, { lateStartsMs: [100_000], lostStops: 1e9 });
+    const world = worldOf(t, worker);
+    await world.advance(5);
+    const record = run(world, batchOf({ ...LONG, deadlineInMs: 3000 }));
+    await world.advance(3100);
+    const { outcome } = record;
+    expect(outcome?.type === 'lost' ? outcome.reason : outcome?.type).toEqual(BatchReason.deadline);
+    await world.advance(30_000);
+    const next = run(world, batchOf({ ...LONG, payload: '60' }));
+    await world.advance(400);
+    expect(next.outcome).toEqual({ type: 'done' });
+  });
+});
--- a/test/dispatcher/leasedWorker.ts
+++ b/test/dispatcher/leasedWorker.ts
@@ -1,5 +1,5 @@
 /** A worker in virtual time with one lease for all its runs, as the platform promises. */
-import { RunEnd, type EndedEntry } from '../../src/cells/actions';
+import { RunEnd, StartAnswer, type EndedEntry } from '../../src/cells/actions';
 import type {
   RenewAnswer,
   RenewOrder,
@@ -30,6 +30,12 @@
 
   silent = false;
 
+  /** Starts that have no answer, from the next one on; each is carried out after this time. */
+  lateStartsMs: number[] = [];
+
+  /** Judges a start by its own lease, not by that of the worker, which renewals extend. */
+  judgesOwnLease = false;
+
   leaseEndsAtMs = 0;
 
   readonly id: string;
@@ -45,6 +51,9 @@
 
   readonly #ended: EndedEntry[] = [];
 
+  /** Highest run of each task that was stopped or has ended here. */
+  readonly #highestRuns = new Map<string, number>();
+
   #sequence = 0;
 
   #nowMs = 0;
@@ -66,13 +75,24 @@
     });
   }
 
-  start({ task, run, payload, leaseEndClockMs }: StartOrder): void {
+  /** Names of the tasks in progress. */
+  get tasks(): readonly string[] {
+    return [...this.#runs.keys()];
+  }
+
+  start({ task, run, payload, leaseEndClockMs }: StartOrder): StartAnswer {
+    if (this.#runs.get(task)?.run === run) return StartAnswer.accepted;
     this.#extend(leaseEndClockMs);
+    if (run <= (this.#highestRuns.get(task) ?? 0)) return StartAnswer.stale;
+    const leaseEndMs = this.judgesOwnLease ? leaseEndClockMs : this.leaseEndsAtMs;
+    if (this.#nowMs >= leaseEndMs) return StartAnswer.late;
     this.starts.push({ task, atMs: this.#nowMs });
     this.#begin(task, run, Number(payload));
+    return StartAnswer.accepted;
   }
 
   async stop({ task, run }: StopOrder): Promise<void> {
+    this.#retire(task, run);
     await sleep(STOP_MS);
     if (this.#runs.get(task)?.run === run) this.#finish(task, RunEnd.stopped);
   }
@@ -104,8 +124,14 @@
   #finish(task: string, end: RunEnd): void {
     const run = this.#runs.get(task)?.run ?? 0;
     this.#runs.delete(task);
+    this.#retire(task, run);
     this.outcomes.set(task, { end, atMs: this.#nowMs });
     this.#sequence += 1;
     this.#ended.push({ sequence: this.#sequence, task, run, end });
   }
+
+  /** Runs up to this one are refused from now on. */
+  #retire(task: string, run: number): void {
+    this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
+  }
 }
--- a/test/dispatcher/ownerWorld.ts
+++ b/test/dispatcher/ownerWorld.ts
@@ -30,6 +30,11 @@
 
   readonly decisions: string[] = [];
 
+  /** Moments from which a task was in progress twice. */
+  readonly overlaps: string[] = [];
+
+  #doubles = new Set<string>();
+
   readonly #timers: TestContext['mock']['timers'];
 
   #nowMs: number;
@@ -60,6 +65,7 @@
       this.#timers.tick(1);
       // eslint-disable-next-line no-await-in-loop -- answers come before time goes on
       await settled();
+      this.#noteOverlaps();
     }
   }
 
@@ -69,8 +75,11 @@
       await sleep(ORDER_TIMEOUT_MS);
       return StartAnswer.unclear;
     }
-    worker.start(order);
-    return StartAnswer.accepted;
+    const lateMs = worker.lateStartsMs.shift();
+    if (lateMs === undefined) return worker.start(order);
+    setTimeout(() => worker.start(order), lateMs);
+    await sleep(ORDER_TIMEOUT_MS);
+    return StartAnswer.unclear;
   }
 
   async stop(target: WorkerTarget, order: StopOrder): Promise<StopAnswer> {
@@ -100,6 +109,21 @@
     this.#timers.reset();
   }
 
+  #noteOverlaps(): void {
+    const seen = new Set<string>();
+    const doubles = new Set<string>();
+    this.workers.forEach(({ tasks }) =>
+      tasks.forEach((task) => {
+        if (seen.has(task)) doubles.add(task);
+        seen.add(task);
+      }),
+    );
+    doubles.forEach((task) => {
+      if (!this.#doubles.has(task)) this.overlaps.push(`${task} at ${this.#nowMs} ms`);
+    });
+    this.#doubles = doubles;
+  }
+
   #worker({ id }: WorkerTarget): LeasedWorker {
     const worker = this.workers.find((candidate) => candidate.id === id);
     if (!worker) throw new Error(`no worker ${id}`);
