Start no task of a job that is submitted again while a run of it is being stopped or waits here

What callers saw: a task of a job ran twice at the same time when its client sent the job again and the new batch reached the cell in which the run before was still being stopped.

Cause: a new batch looked for earlier runs of its tasks, but ignored those that were being stopped, and batches of the same job whose tasks still waited. Both then started the tasks.

Now a new batch takes over every run of its tasks that is not known to be over. A task whose run is being stopped waits for its end (listed, lapsed, worker started anew) and starts with a higher number, or is done if the run had succeeded before its stop. Leases stay withheld from such a run. The batch before ends as lost (superseded; 504 to its caller) also if nothing of it has started: a refusal would send its tasks to another cell. For the same reason a batch whose tasks have a run or wait here is not refused as late. Of ends that nobody claimed, a new submission takes only the run number, because a worker refuses lower ones; the job runs anew. A run that a worker tells of while its task waits is claimed by any batch, and a task with several runs waits for all of them.

The end of a batch uses the map, too.

Evidence (failing with src/cells before): test/dispatcher/cellOwner.test.ts 'starts when the end of the stopped run is known' and 'gives the stopped run no lease after the withdrawal': The value ["twice.0..."] is not equal to []; 'takes the success of a run that ended before its stop': The value null is not equal to { type: "done" }. test/cells/cell.test.ts 'ends a first submission that waits as lost': The value [undefined, "done"] is not equal to ["lost", "done"]; 'refuses no submission of which a run is being stopped': The value ["refused", { 3 entries }] is not equal to ["refused", null]; 'runs a task again that ended without a claim': The value [1] is not equal to [2]; 'claims a run that is found while its task waits': The value [1] is not equal to [4].

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -75,7 +75,8 @@
     const settledAtMs = this.#takeover.settledAtMs(nowMs);
     const batch = new Batch(order, expectedMs, settledAtMs, nowMs);
     const refusal = this.#admission.check(batch, nowMs);
-    if (refusal) {
+    // Elsewhere, a task that may be in progress here would start at once.
+    if (refusal && !this.#takeover.concerns(batch)) {
       this.#state.end(batch, refusal, nowMs);
       return;
     }
@@ -183,6 +184,7 @@
     const found = this.#state.taskOf(run);
     if (!found) return;
     found.task.workerId = null;
+    this.#takeover.claimRun(found.batch, found.task);
     // The worker knows a higher number of this task, from a submission that is gone.
     if (answer === StartAnswer.stale) found.task.lastRun = found.task.lastRun * 2 + 1;
     if (answer === StartAnswer.invalid) {
@@ -218,6 +220,7 @@
         return;
       }
     }
+    this.#takeover.claimRun(batch, task);
     if (!this.#canEnd(batch, nowMs)) this.#state.giveUp(batch, BatchReason.deadline, nowMs);
   }
 
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -116,8 +116,8 @@
   finish(batch: Batch, outcome: BatchOutcome, nowMs: number): void {
     this.batches.delete(batch.id);
     const reason = 'reason' in outcome ? outcome.reason : outcome.type;
-    this.ledger.workers.forEach((worker) => {
-      worker.runs.forEach((run) => {
+    batch.tasks.forEach(({ name }) => {
+      this.ledger.runsOf(name).forEach((run) => {
         if (run.batchId !== batch.id) return;
         const leftOver = run;
         leftOver.awaited = false;
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -13,6 +13,7 @@
 } from './actions';
 import type { TaskShape } from './job';
 import { createRun, runKey, RunState, type Run } from './run';
+import { TaskRuns } from './taskRuns';
 import { CellWorker, type WorkerEntry } from './worker';
 
 /** What a run's batch hears. */
@@ -76,6 +77,8 @@
 export class RunLedger {
   readonly workers = new Map<string, CellWorker>();
 
+  readonly #taskRuns = new TaskRuns();
+
   readonly #leaseMs: number;
 
   readonly #events: RunEvents;
@@ -115,12 +118,15 @@
   }
 
   add(run: Run): void {
-    this.workers.get(run.workerId)?.runs.set(runKey(run.task, run.run), run);
+    const worker = this.workers.get(run.workerId);
+    if (!worker) return;
+    worker.runs.set(runKey(run.task, run.run), run);
+    this.#taskRuns.add(run);
   }
 
-  find(task: string): Run | null {
-    const runs = [...this.workers.values()].flatMap((worker) => [...worker.runs.values()]);
-    return runs.find((run) => run.task === task && run.state !== RunState.stopping) ?? null;
+  /** Runs of a task that may be in progress, also those that are being stopped. */
+  runsOf(task: string): readonly Run[] {
+    return this.#taskRuns.of(task);
   }
 
   /** The end of a task that a previous owner started; it can be claimed once. */
@@ -152,7 +158,7 @@
     } else if (answer === StartAnswer.fenced) {
       this.#push({ type: 'stepDown', workerId });
     } else {
-      worker.runs.delete(key);
+      this.#remove(worker, run);
       worker.restUntilMs = Math.max(worker.restUntilMs, nowMs + (REST_MS[answer] ?? 0));
       this.#events.notStarted(run, answer, nowMs);
     }
@@ -193,12 +199,12 @@
   restarted(workerId: string, nowMs: number): void {
     const worker = this.workers.get(workerId);
     if (!worker) return;
-    const over = [...worker.runs].filter(([, run]) => run.listed);
+    const over = [...worker.runs.values()].filter(({ listed }) => listed);
     worker.restart();
     // Whether the process that answers now is the worker at all, its list will tell.
     worker.reachable = false;
-    over.forEach(([key]) => worker.runs.delete(key));
-    over.forEach(([, run]) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
+    over.forEach((run) => this.#remove(worker, run));
+    over.forEach((run) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
   }
 
   renewed(workerId: string, leasesEndMs: number): void {
@@ -302,9 +308,8 @@
   }
 
   #end(worker: CellWorker, { task, run: number, end }: EndedEntry, nowMs: number): void {
-    const key = runKey(task, number);
-    const run = worker.runs.get(key);
-    worker.runs.delete(key);
+    const run = worker.runs.get(runKey(task, number));
+    if (run) this.#remove(worker, run);
     if (run && run.batchId !== null) {
       this.#events.ended(run, end, worker, nowMs);
       return;
@@ -333,7 +338,7 @@
       );
       const leasesEndMs = Math.max(run.startExpiresMs, worker.leasesEndMs);
       if (sentAtMs > overSinceMs) {
-        worker.runs.delete(key);
+        this.#remove(worker, run);
         const end = run.state === RunState.stopping ? RunEnd.stopped : RunEnd.lapsed;
         if (!run.released) this.#events.ended(run, end, worker, nowMs);
       } else if (sentAtMs > leasesEndMs) {
@@ -351,6 +356,7 @@
    */
   #release(worker: CellWorker, run: Run, nowMs: number): void {
     if (run.released) return;
+    this.#remove(worker, run);
     worker.keepReleased(run);
     this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
   }
@@ -395,9 +401,14 @@
     });
   }
 
+  #remove(worker: CellWorker, run: Run): void {
+    worker.runs.delete(runKey(run.task, run.run));
+    this.#taskRuns.delete(run);
+  }
+
   #lapseAll(worker: CellWorker, nowMs: number): void {
     const runs = [...worker.runs.values()];
-    worker.runs.clear();
+    runs.forEach((run) => this.#remove(worker, run));
     runs.filter(isUnclearStart).forEach((run) => worker.keepReleased(run));
     runs.forEach((run) => {
       if (!run.released) this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -35,34 +35,48 @@
     return nowMs + abandonMs + leaseMs;
   }
 
-  /** Finds runs of a new batch's tasks that are in progress or have ended without a claim. */
+  /** True if tasks of a new batch wait here for an earlier submission, or may be in progress here. */
+  concerns(batch: Batch): boolean {
+    const { ledger } = this.#state;
+    if (batch.tasks.some(({ name }) => ledger.runsOf(name).length > 0)) return true;
+    return this.#earlierBatches(batch).length > 0;
+  }
+
+  /**
+   * Takes over from earlier submissions of a new batch's tasks, and finds runs of them that are in
+   * progress or have ended without a claim.
+   */
   claimFor(batch: Batch, nowMs: number): void {
-    const { ledger, batches } = this.#state;
-    const superseded = new Set<Batch>();
+    const superseded = this.#earlierBatches(batch);
     batch.tasks.forEach((task) => {
-      const run = ledger.find(task.name);
-      if (run) {
-        const before = run.batchId === null ? undefined : batches.get(run.batchId);
-        if (before) superseded.add(before);
-        this.#claim(batch, task, run);
-      } else if (batch.order.mayRun) {
-        this.#claimEnd(task);
-      }
+      if (!this.claimRun(batch, task)) this.#claimEnd(batch, task);
+    });
+    superseded.forEach((before) => {
+      // A refusal would send its tasks to another cell.
+      before.markStarted();
+      this.#state.giveUp(before, BatchReason.superseded, nowMs);
     });
-    superseded.forEach((before) => this.#state.giveUp(before, BatchReason.superseded, nowMs));
   }
 
   /** A worker has told of a run after the batch that waits for it had come. */
   found(name: string): void {
-    const { batches, ledger } = this.#state;
-    const batch = [...batches.values()].find(
-      (candidate) => candidate.order.mayRun && candidate.task(name)?.workerId === null,
-    );
+    const batch = [...this.#state.batches.values()].find((candidate) => {
+      const task = candidate.task(name);
+      return task !== undefined && !task.done && task.workerId === null;
+    });
     const task = batch?.task(name);
-    if (!batch || !task || task.done) return;
-    const run = ledger.find(name);
+    if (batch && task && !this.claimRun(batch, task)) this.#claimEnd(batch, task);
+  }
+
+  /**
+   * Claims a run of a task that may be in progress; false if there is none. The task waits for the end
+   * of a run that is being stopped, and is then started with a higher number if it has not succeeded.
+   */
+  claimRun(batch: Batch, task: TaskEntry): boolean {
+    const runs = this.#state.ledger.runsOf(task.name);
+    const run = runs.find(({ state }) => state !== RunState.stopping) ?? runs[0];
     if (run) this.#claim(batch, task, run);
-    else this.#claimEnd(task);
+    return run !== undefined;
   }
 
   /** Ends batches whose last task turned out to have succeeded under the previous owner. */
@@ -85,25 +99,40 @@
     });
   }
 
+  /** Batches of the same job that have tasks of this one: its client has submitted the job again. */
+  #earlierBatches(batch: Batch): readonly Batch[] {
+    const { jobId } = batch.order;
+    return [...this.#state.batches.values()].filter(
+      (other) =>
+        other !== batch &&
+        other.order.jobId === jobId &&
+        other.tasks.some(({ name }) => batch.task(name) !== undefined),
+    );
+  }
+
   #claim(batch: Batch, task: TaskEntry, run: Run): void {
     const claimed = run;
     const entry = task;
     claimed.batchId = batch.id;
-    claimed.awaited = true;
+    // No lease covers a run that is being stopped because its submitter may be gone.
+    if (run.state !== RunState.stopping) claimed.awaited = true;
     claimed.shape = batch.order.shape;
     claimed.queue = batch.order.queue;
     claimed.expectedMs = batch.expectedMs;
     entry.workerId = run.workerId;
     entry.lastRun = Math.max(entry.lastRun, run.run);
     batch.markStarted();
-    this.#state.decide('run-claimed', { task: run.task, run: run.run, worker: run.workerId });
+    const { task: name, run: number, workerId, state } = run;
+    this.#state.decide('run-claimed', { task: name, run: number, worker: workerId, state });
   }
 
-  #claimEnd(task: TaskEntry): void {
+  #claimEnd(batch: Batch, task: TaskEntry): void {
     const end = this.#state.ledger.takeUnclaimedEnd(task.name);
     if (!end) return;
     const entry = task;
     entry.lastRun = Math.max(entry.lastRun, end.run);
+    // A job that is submitted anew runs from the start.
+    if (!batch.order.mayRun) return;
     entry.notBeforeMs = 0;
     if (end.end === RunEnd.succeeded) entry.done = true;
     if (end.end === RunEnd.failed) entry.failures += 1;
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -1,7 +1,7 @@
 /** The owner's side of a cell, against simulated workers in virtual time. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { StartAnswer, type CellAction } from '../../src/cells/actions';
+import { RunEnd, StartAnswer, type CellAction } from '../../src/cells/actions';
 import { Cell } from '../../src/cells/cell';
 import { BatchReason, type TaskBatch } from '../../src/cells/messages';
 import { batchOf, CellWorld } from './cellWorld';
@@ -148,6 +148,24 @@
     expect(startsOf(cell)).toEqual([]);
   });
 
+  // Guards against a third start beside a run that its worker carried out after all of its leases.
+  it('starts no task whose first run turns up when its second has ended', () => {
+    const { cell, task, run, workerId } = cellWithStart(StartAnswer.unclear);
+    cell.renewed(workerId, 1100);
+    cell.workerSilent(workerId, 300);
+    cell.tick(1110);
+    const [second] = startsOf(cell);
+    expect([second?.task, second?.run, second?.workerId === workerId]).toEqual([task, 2, false]);
+    const running = [{ task, run, percent: 5 }];
+    cell.report(workerId, { sentAtMs: 1200, running, ended: [] }, 1201);
+    const ended = [{ sequence: 1, task, run: 2, end: RunEnd.lapsed }];
+    cell.report(second?.workerId ?? '', { sentAtMs: 1200, running: [], ended }, 1210);
+    expect(startsOf(cell)).toEqual([]);
+    const late = [{ sequence: 1, task, run, end: RunEnd.lapsed }];
+    cell.report(workerId, { sentAtMs: 1220, running: [], ended: late }, 1230);
+    expect(startsOf(cell).map((start) => [start.task, start.run])).toEqual([[task, 3]]);
+  });
+
   // Guards against a task that is held until its deadline by a worker whose place another one has taken.
   it('starts a task elsewhere after the leases when no list follows the start of another process', () => {
     const { cell, task, run, workerId } = cellWithStart(StartAnswer.unclear);
@@ -324,3 +342,74 @@
     expect(stops.map(({ fields }) => fields.reason)).toEqual(['unreachable', 'unreachable']);
   });
 });
+
+describe('a cell to which a job is submitted again', () => {
+  const jobId = 'again';
+
+  // Guards against two batches that both start a task which still waits when the second one comes.
+  it('ends a first submission that waits as lost, so that it is not sent to another cell', () => {
+    const world = CellWorld.withWorkers(1);
+    world.offer(batchOf({ ...SETTLE, taskCount: 2 }));
+    const waiting = { ...SETTLE, jobId, begun: true, goalMs: 5000 };
+    const first = world.offer(batchOf(waiting));
+    const second = world.offer(batchOf(waiting));
+    world.advance(2000);
+    expect([first.outcome?.type, second.outcome?.type]).toEqual(['lost', 'done']);
+    expect(world.starts.filter(({ task }) => task === 'again.0.0.0').length).toEqual(1);
+  });
+
+  // Guards against a refusal that sends a task to another cell while a run of it is stopped here.
+  it('refuses no submission of which a run is being stopped', () => {
+    const world = CellWorld.withWorkers(1);
+    const first = world.offer(batchOf({ ...SETTLE, jobId, taskCount: 2 }));
+    world.advance(100);
+    world.cell.withdraw(first.batch.batchId, BatchReason.withdrawn, world.nowMs);
+    const other = world.offer(batchOf({ ...SETTLE, taskCount: 2 }));
+    const second = world.offer(batchOf({ ...SETTLE, jobId, taskCount: 2 }));
+    expect([other.outcome?.type, second.outcome]).toEqual(['refused', null]);
+    world.advance(2500);
+    expect(second.outcome).toEqual({ type: 'done' });
+    expect(world.overlaps).toEqual([]);
+  });
+
+  // Guards against a refused start, and against a result that belongs to a submission that is gone.
+  it('runs a task again that ended without a claim, with a higher number', () => {
+    const before = CellWorld.withWorkers(1);
+    before.offer(batchOf({ jobId }));
+    before.advance(30);
+    before.workers[0]?.finish('again.0.0.0#1', 'succeeded');
+    const world = new CellWorld(before.workers, before.nowMs + 20);
+    const record = world.offer(batchOf({ jobId }));
+    world.advance(100);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.starts.map(({ run }) => run)).toEqual([2]);
+  });
+
+  // Guards against a start when one of two runs that earlier owners left has ended.
+  it('starts a task when all runs of it that were found have ended', () => {
+    const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+    cell.setWorkers([workerEntry('w0'), workerEntry('w1')], 0);
+    const name = 'again.0.0.0';
+    const listOf = (run: number) => [{ task: name, run, percent: 5 }];
+    const endOf = (run: number) => [{ sequence: 1, task: name, run, end: RunEnd.lapsed }];
+    cell.report('w0', { sentAtMs: 1, running: listOf(1), ended: [] }, 2);
+    cell.report('w1', { sentAtMs: 1, running: listOf(2), ended: [] }, 2);
+    cell.offer(batchOf({ jobId, begun: true, deadlineInMs: 3000, goalMs: 1000 }), 3);
+    cell.report('w0', { sentAtMs: 4, running: [], ended: endOf(1) }, 5);
+    expect(startsOf(cell)).toEqual([]);
+    cell.report('w1', { sentAtMs: 6, running: [], ended: endOf(2) }, 7);
+    expect(startsOf(cell).map(({ run }) => run)).toEqual([3]);
+  });
+
+  // Guards against a start beside a run of which its worker tells after the submission has come.
+  it('claims a run that is found while its task waits', () => {
+    const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+    cell.setWorkers([workerEntry('w0')], 0);
+    cell.offer(batchOf({ jobId, begun: true, deadlineInMs: 3000, goalMs: 1000 }), 1);
+    const running = [{ task: 'again.0.0.0', run: 3, percent: 5 }];
+    cell.report('w0', { sentAtMs: 2, running, ended: [] }, 3);
+    expect(startsOf(cell)).toEqual([]);
+    cell.report('w0', { sentAtMs: 4, running: [], ended: [] }, 5);
+    expect(startsOf(cell).map(({ run }) => run)).toEqual([4]);
+  });
+});
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -234,3 +234,68 @@
     expect(next.outcome).toEqual({ type: 'done' });
   });
 });
+
+describe('a job that its client submits again while a run of it is here', () => {
+  const FIRST = { jobId: 'twice', estimateMs: 900, goalMs: 9000, deadlineInMs: 12_000 } as const;
+
+  /** A world in which the first submission is running; both workers lose `lostStops` stops. */
+  async function submittedOnce(
+    t: TestContext,
+    runMs: number,
+    lostStops: number,
+  ): Promise<{ world: OwnerWorld; first: TaskBatch; record: { outcome: BatchOutcome | null } }> {
+    const workers = ['w0', 'w1'].map((id) => new LeasedWorker(id));
+    workers.forEach((worker) => Object.assign(worker, { lostStops }));
+    const world = worldOf(t, ...workers);
+    await world.advance(5);
+    const first = batchOf({ ...FIRST, payload: String(runMs) });
+    const record = run(world, first);
+    await world.advance(WITHDRAWN_AT_MS - 5);
+    return { world, first, record };
+  }
+
+  // Guards against a start beside an earlier run that is being stopped.
+  it('starts when the end of the stopped run is known, with a higher number', async (t) => {
+    const { world, first } = await submittedOnce(t, 5000, 3);
+    world.owner.withdraw(first.batchId, BatchReason.withdrawn);
+    const record = run(world, batchOf({ ...FIRST, payload: '900' }));
+    await world.advance(3000);
+    expect(world.overlaps).toEqual([]);
+    const starts = world.workers.flatMap((worker) => worker.starts);
+    expect(starts.map((start) => start.run)).toEqual([1, 2]);
+    expect(record.outcome).toEqual({ type: 'done' });
+  });
+
+  // Guards against renewals for a run whose submitter is gone, because a new batch waits for its end.
+  it('gives the stopped run no lease after the withdrawal', async (t) => {
+    const { world, first } = await submittedOnce(t, 5000, 1e9);
+    world.owner.withdraw(first.batchId, BatchReason.withdrawn);
+    const record = run(world, batchOf({ ...FIRST, payload: '900' }));
+    await world.advance(3000);
+    expect(world.overlaps).toEqual([]);
+    expect(record.outcome).toEqual({ type: 'done' });
+    const starts = world.workers.flatMap((worker) => worker.starts);
+    expect(starts[1]?.atMs ?? Infinity).toBeLessThanOrEqual(WITHDRAWN_AT_MS + MAX_LEASE_MS + 100);
+  });
+
+  // Guards against a second start of a task that has ended well before its stop arrived.
+  it('takes the success of a run that ended before its stop', async (t) => {
+    const { world, first } = await submittedOnce(t, 400, 3);
+    world.owner.withdraw(first.batchId, BatchReason.withdrawn);
+    const record = run(world, batchOf({ ...FIRST, payload: '900' }));
+    await world.advance(400);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(world.workers.flatMap(({ starts }) => starts).length).toEqual(1);
+  });
+
+  // Guards against two batches that both wait for, and start, one task.
+  it('ends the first submission as lost, and goes on with its run', async (t) => {
+    const { world, record } = await submittedOnce(t, 900, 0);
+    const second = run(world, batchOf({ ...FIRST, payload: '900' }));
+    await world.advance(1000);
+    const reason = record.outcome?.type === 'lost' ? record.outcome.reason : null;
+    expect(reason).toEqual(BatchReason.superseded);
+    expect(second.outcome).toEqual({ type: 'done' });
+    expect(world.workers.flatMap(({ starts }) => starts).length).toEqual(1);
+  });
+});
--- a/test/dispatcher/leasedWorker.ts
+++ b/test/dispatcher/leasedWorker.ts
@@ -42,7 +42,7 @@
 
   readonly outcomes = new Map<string, RunOutcome>();
 
-  readonly starts: { readonly task: string; readonly atMs: number }[] = [];
+  readonly starts: { readonly task: string; readonly run: number; readonly atMs: number }[] = [];
 
   readonly #runs = new Map<
     string,
@@ -58,6 +58,10 @@
 
   #nowMs = 0;
 
+  #fencingToken = 0;
+
+  #life = 1;
+
   constructor(id: string) {
     this.id = id;
   }
@@ -75,29 +79,52 @@
     });
   }
 
+  /** Tells this process of the worker from those after it. */
+  get life(): number {
+    return this.#life;
+  }
+
+  /** Another process takes its place, which knows nothing of before. */
+  restart(): void {
+    this.#life += 1;
+    this.#runs.clear();
+    this.#highestRuns.clear();
+    this.#ended.length = 0;
+    this.#sequence = 0;
+    this.#fencingToken = 0;
+    this.leaseEndsAtMs = 0;
+  }
+
   /** Names of the tasks in progress. */
   get tasks(): readonly string[] {
     return [...this.#runs.keys()];
   }
 
-  start({ task, run, payload, leaseEndClockMs }: StartOrder): StartAnswer {
+  start({ task, run, payload, leaseEndClockMs, fencingToken }: StartOrder): StartAnswer {
+    if (!this.#obeys(fencingToken)) return StartAnswer.fenced;
     if (this.#runs.get(task)?.run === run) return StartAnswer.accepted;
     this.#extend(leaseEndClockMs);
     if (run <= (this.#highestRuns.get(task) ?? 0)) return StartAnswer.stale;
     const leaseEndMs = this.judgesOwnLease ? leaseEndClockMs : this.leaseEndsAtMs;
     if (this.#nowMs >= leaseEndMs) return StartAnswer.late;
-    this.starts.push({ task, atMs: this.#nowMs });
+    this.starts.push({ task, run, atMs: this.#nowMs });
     this.#begin(task, run, Number(payload));
     return StartAnswer.accepted;
   }
 
-  async stop({ task, run }: StopOrder): Promise<void> {
+  async stop({ task, run, fencingToken }: StopOrder): Promise<void> {
+    if (!this.#obeys(fencingToken)) return;
+    const life = this.#life;
     this.#retire(task, run);
     await sleep(STOP_MS);
-    if (this.#runs.get(task)?.run === run) this.#finish(task, RunEnd.stopped);
+    const isHere = this.#life === life && this.#runs.get(task)?.run === run;
+    if (isHere) this.#finish(task, RunEnd.stopped);
   }
 
-  async renew({ leaseEndClockMs, acknowledged, waitMs }: RenewOrder): Promise<RenewAnswer> {
+  async renew(order: RenewOrder): Promise<RenewAnswer> {
+    const { leaseEndClockMs, acknowledged, waitMs, fencingToken } = order;
+    if (!this.#obeys(fencingToken)) return { type: 'fenced' };
+    const life = this.#life;
     if (leaseEndClockMs !== null) this.#extend(leaseEndClockMs);
     const untilMs = this.#nowMs + waitMs;
     const news = () => this.#ended.filter(({ sequence }) => sequence > acknowledged);
@@ -105,11 +132,13 @@
       // eslint-disable-next-line no-await-in-loop -- waits for an end
       await sleep(1);
     }
+    // The connection ends with the process.
+    if (life !== this.#life) return { type: 'silent', error: 'reset' };
     const running = [...this.#runs].map(([task, { run, startedAtMs, endsAtMs }]) => {
       const share = (this.#nowMs - startedAtMs) / (endsAtMs - startedAtMs);
       return { task, run, percent: Math.floor(100 * share) };
     });
-    return { type: 'listed', clockMs: this.#nowMs, bornMs: 1, running, ended: news() };
+    return { type: 'listed', clockMs: this.#nowMs, bornMs: this.#life, running, ended: news() };
   }
 
   #begin(task: string, run: number, runMs: number): void {
@@ -130,6 +159,12 @@
     this.#ended.push({ sequence: this.#sequence, task, run, end });
   }
 
+  #obeys(fencingToken: number): boolean {
+    if (fencingToken < this.#fencingToken) return false;
+    this.#fencingToken = fencingToken;
+    return true;
+  }
+
   /** Runs up to this one are refused from now on. */
   #retire(task: string, run: number): void {
     this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
--- a/test/dispatcher/ownerWorld.ts
+++ b/test/dispatcher/ownerWorld.ts
@@ -24,7 +24,7 @@
 
 /** An owner whose cell has the given workers; `advance` plays virtual time. */
 export class OwnerWorld implements WorkerControl {
-  readonly owner: CellOwner;
+  owner: CellOwner;
 
   readonly workers: readonly LeasedWorker[];
 
@@ -44,17 +44,17 @@
     this.#timers = context.mock.timers;
     this.#timers.enable({ apis: ['setInterval', 'setTimeout'] });
     this.workers = workers;
-    const journal: DispatchJournal = { decide: (decision) => this.decisions.push(decision) };
-    this.owner = new CellOwner({
-      cell: 'sofia-a',
-      fencingToken: 1000 + nowMs,
-      control: this,
-      options: { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 },
-      clock: { nowMs: () => this.#nowMs },
-      journal,
-      onFenced: () => undefined,
-    });
-    this.owner.setWorkers(workers.map(({ id }) => workerEntry(id)));
+    this.owner = this.#takeOver();
+  }
+
+  get nowMs(): number {
+    return this.#nowMs;
+  }
+
+  /** Another host takes the cell over. */
+  changeOwner(): void {
+    this.owner.close();
+    this.owner = this.#takeOver();
   }
 
   async advance(durationMs: number): Promise<void> {
@@ -77,7 +77,10 @@
     }
     const lateMs = worker.lateStartsMs.shift();
     if (lateMs === undefined) return worker.start(order);
-    setTimeout(() => worker.start(order), lateMs);
+    const { life } = worker;
+    setTimeout(() => {
+      if (worker.life === life) worker.start(order);
+    }, lateMs);
     await sleep(ORDER_TIMEOUT_MS);
     return StartAnswer.unclear;
   }
@@ -109,6 +112,21 @@
     this.#timers.reset();
   }
 
+  #takeOver(): CellOwner {
+    const journal: DispatchJournal = { decide: (decision) => this.decisions.push(decision) };
+    const owner = new CellOwner({
+      cell: 'sofia-a',
+      fencingToken: 1000 + this.#nowMs,
+      control: this,
+      options: { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 },
+      clock: { nowMs: () => this.#nowMs },
+      journal,
+      onFenced: () => undefined,
+    });
+    owner.setWorkers(this.workers.map(({ id }) => workerEntry(id)));
+    return owner;
+  }
+
   #noteOverlaps(): void {
     const seen = new Set<string>();
     const doubles = new Set<string>();
