--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -1,7 +1,7 @@
 /**
  * The runs of a cell: what was started where, and what the workers say became of it. A worker's lists
  * are the truth; a run is only held to be over when the worker says so, when it has started anew, or
- * when every lease that it was ever given has ended. Until then its task starts nowhere else.
+ * when every lease that its worker was ever given has ended. Until then its task starts nowhere else.
  */
 import {
   RunEnd,
@@ -13,6 +13,7 @@
 } from './actions';
 import type { TaskShape } from './job';
 import { createRun, runKey, RunState, type Run } from './run';
+import { TaskRuns } from './taskRuns';
 import { CellWorker, type WorkerEntry } from './worker';
 
 /** What a run's batch hears. */
@@ -67,10 +68,17 @@
   [StartAnswer.restarted]: 50,
 };
 
+/** True if the worker has said neither that it carried the start out nor that it never will. */
+function isUnclearStart({ confirmedAtMs, stopConfirmedAtMs }: Run): boolean {
+  return confirmedAtMs === null && stopConfirmedAtMs === null;
+}
+
 /** Runs of one cell, by worker. */
 export class RunLedger {
   readonly workers = new Map<string, CellWorker>();
 
+  readonly #taskRuns = new TaskRuns();
+
   readonly #leaseMs: number;
 
   readonly #events: RunEvents;
@@ -110,12 +118,15 @@
   }
 
   add(run: Run): void {
-    this.workers.get(run.workerId)?.runs.set(runKey(run.task, run.run), run);
+    const worker = this.workers.get(run.workerId);
+    if (!worker) return;
+    worker.runs.set(runKey(run.task, run.run), run);
+    this.#taskRuns.add(run);
   }
 
-  find(task: string): Run | null {
-    const runs = [...this.workers.values()].flatMap((worker) => [...worker.runs.values()]);
-    return runs.find((run) => run.task === task && run.state !== RunState.stopping) ?? null;
+  /** Runs of a task that may be in progress, also those that are being stopped. */
+  runsOf(task: string): readonly Run[] {
+    return this.#taskRuns.of(task);
   }
 
   /** The end of a task that a previous owner started; it can be claimed once. */
@@ -147,7 +158,7 @@
     } else if (answer === StartAnswer.fenced) {
       this.#push({ type: 'stepDown', workerId });
     } else {
-      worker.runs.delete(key);
+      this.#remove(worker, run);
       worker.restUntilMs = Math.max(worker.restUntilMs, nowMs + (REST_MS[answer] ?? 0));
       this.#events.notStarted(run, answer, nowMs);
     }
@@ -188,10 +199,12 @@
   restarted(workerId: string, nowMs: number): void {
     const worker = this.workers.get(workerId);
     if (!worker) return;
-    const over = [...worker.runs].filter(([, run]) => run.listed);
+    const over = [...worker.runs.values()].filter(({ listed }) => listed);
     worker.restart();
-    over.forEach(([key]) => worker.runs.delete(key));
-    over.forEach(([, run]) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
+    // Whether the process that answers now is the worker at all, its list will tell.
+    worker.reachable = false;
+    over.forEach((run) => this.#remove(worker, run));
+    over.forEach((run) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
   }
 
   renewed(workerId: string, leasesEndMs: number): void {
@@ -207,6 +220,7 @@
         this.#lapseAll(worker, nowMs);
       }
       if (worker.reachable) this.#stopAgain(worker, nowMs);
+      worker.forgetReleased(nowMs);
     });
     this.#unclaimedEnds.forEach(({ seenAtMs }, task) => {
       if (nowMs - seenAtMs > UNCLAIMED_KEPT_MS) this.#unclaimedEnds.delete(task);
@@ -249,7 +263,7 @@
 
   #progress(worker: CellWorker, entry: RunningEntry, nowMs: number): void {
     const run = worker.runs.get(runKey(entry.task, entry.run));
-    if (!run) {
+    if (!run || run.released) {
       this.#adopt(worker, entry, nowMs);
       return;
     }
@@ -294,9 +308,8 @@
   }
 
   #end(worker: CellWorker, { task, run: number, end }: EndedEntry, nowMs: number): void {
-    const key = runKey(task, number);
-    const run = worker.runs.get(key);
-    worker.runs.delete(key);
+    const run = worker.runs.get(runKey(task, number));
+    if (run) this.#remove(worker, run);
     if (run && run.batchId !== null) {
       this.#events.ended(run, end, worker, nowMs);
       return;
@@ -306,7 +319,11 @@
     this.#events.found(task);
   }
 
-  /** Deals with runs that a list lacks although it was asked for after their start. */
+  /**
+   * Deals with runs that a list lacks although it was asked for after their start. One that the worker
+   * had confirmed, or whose stop it has confirmed, is over: it refuses the start from then on. A start
+   * without an answer may be carried out late, as long as the worker has a lease by any order.
+   */
   #checkAbsent(
     worker: CellWorker,
     listed: ReadonlySet<string>,
@@ -318,12 +335,14 @@
       const overSinceMs = Math.min(
         run.stopConfirmedAtMs ?? Infinity,
         run.confirmedAtMs ?? Infinity,
-        run.startExpiresMs,
       );
+      const leasesEndMs = Math.max(run.startExpiresMs, worker.leasesEndMs);
       if (sentAtMs > overSinceMs) {
-        worker.runs.delete(key);
+        this.#remove(worker, run);
         const end = run.state === RunState.stopping ? RunEnd.stopped : RunEnd.lapsed;
-        this.#events.ended(run, end, worker, nowMs);
+        if (!run.released) this.#events.ended(run, end, worker, nowMs);
+      } else if (sentAtMs > leasesEndMs) {
+        this.#release(worker, run, nowMs);
       } else if (run.state === RunState.unclear) {
         // The start may still arrive; a stop makes the worker refuse it.
         this.stop(run, StopReason.notListed, nowMs);
@@ -331,6 +350,17 @@
     });
   }
 
+  /**
+   * Lets the task of an unclear start go on when all leases given to its worker are over. The worker
+   * gets no other lease before it has confirmed a stop, because it may carry the start out under it.
+   */
+  #release(worker: CellWorker, run: Run, nowMs: number): void {
+    if (run.released) return;
+    this.#remove(worker, run);
+    worker.keepReleased(run);
+    this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
+  }
+
   /** Says how old is what led to a stop, and how long the run may go on without it. */
   #logStop(run: Run, reason: string, nowMs: number): void {
     const leasesEndMs = this.workers.get(run.workerId)?.leasesEndMs ?? nowMs;
@@ -371,9 +401,17 @@
     });
   }
 
+  #remove(worker: CellWorker, run: Run): void {
+    worker.runs.delete(runKey(run.task, run.run));
+    this.#taskRuns.delete(run);
+  }
+
   #lapseAll(worker: CellWorker, nowMs: number): void {
     const runs = [...worker.runs.values()];
-    worker.runs.clear();
-    runs.forEach((run) => this.#events.ended(run, RunEnd.lapsed, worker, nowMs));
+    runs.forEach((run) => this.#remove(worker, run));
+    runs.filter(isUnclearStart).forEach((run) => worker.keepReleased(run));
+    runs.forEach((run) => {
+      if (!run.released) this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
+    });
   }
 }
--- a/test/dispatcher/ownerWorld.ts
+++ b/test/dispatcher/ownerWorld.ts
@@ -25,12 +25,17 @@
 
 /** An owner whose cell has the given workers; `advance` plays virtual time. */
 export class OwnerWorld implements WorkerControl {
-  readonly owner: CellOwner;
+  owner: CellOwner;
 
   readonly workers: readonly LeasedWorker[];
 
   readonly decisions: string[] = [];
 
+  /** Moments from which a task was in progress twice. */
+  readonly overlaps: string[] = [];
+
+  #doubles = new Set<string>();
+
   readonly #timers: TestContext['mock']['timers'];
 
   readonly #clock: MachineClock;
@@ -43,17 +48,17 @@
     this.#timers = context.mock.timers;
     this.#timers.enable({ apis: ['setInterval', 'setTimeout'] });
     this.workers = workers;
-    const journal: DispatchJournal = { decide: (decision) => this.decisions.push(decision) };
-    this.owner = new CellOwner({
-      cell: 'sofia-a',
-      fencingToken: 1000 + nowMs,
-      control: this,
-      options: { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 },
-      clock: this.#clock,
-      journal,
-      onFenced: () => undefined,
-    });
-    this.owner.setWorkers(workers.map(({ id }) => workerEntry(id)));
+    this.owner = this.#takeOver();
+  }
+
+  get nowMs(): number {
+    return this.#nowMs;
+  }
+
+  /** Another host takes the cell over. */
+  changeOwner(): void {
+    this.owner.close();
+    this.owner = this.#takeOver();
   }
 
   async advance(durationMs: number): Promise<void> {
@@ -64,6 +69,7 @@
       this.#timers.tick(1);
       // eslint-disable-next-line no-await-in-loop -- answers come before time goes on
       await settled();
+      this.#noteOverlaps();
     }
   }
 
@@ -87,8 +93,14 @@
       await sleep(ORDER_TIMEOUT_MS);
       return StartAnswer.unclear;
     }
-    worker.start(order);
-    return StartAnswer.accepted;
+    const lateMs = worker.lateStartsMs.shift();
+    if (lateMs === undefined) return worker.start(order);
+    const { life } = worker;
+    setTimeout(() => {
+      if (worker.life === life) worker.start(order);
+    }, lateMs);
+    await sleep(ORDER_TIMEOUT_MS);
+    return StartAnswer.unclear;
   }
 
   async stop(target: WorkerTarget, order: StopOrder): Promise<StopAnswer> {
@@ -118,6 +130,36 @@
     this.#timers.reset();
   }
 
+  #takeOver(): CellOwner {
+    const journal: DispatchJournal = { decide: (decision) => this.decisions.push(decision) };
+    const owner = new CellOwner({
+      cell: 'sofia-a',
+      fencingToken: 1000 + this.#nowMs,
+      control: this,
+      options: { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 },
+      clock: this.#clock,
+      journal,
+      onFenced: () => undefined,
+    });
+    owner.setWorkers(this.workers.map(({ id }) => workerEntry(id)));
+    return owner;
+  }
+
+  #noteOverlaps(): void {
+    const seen = new Set<string>();
+    const doubles = new Set<string>();
+    this.workers.forEach(({ tasks }) =>
+      tasks.forEach((task) => {
+        if (seen.has(task)) doubles.add(task);
+        seen.add(task);
+      }),
+    );
+    doubles.forEach((task) => {
+      if (!this.#doubles.has(task)) this.overlaps.push(`${task} at ${this.#nowMs} ms`);
+    });
+    this.#doubles = doubles;
+  }
+
   #worker({ id }: WorkerTarget): LeasedWorker {
     const worker = this.workers.find((candidate) => candidate.id === id);
     if (!worker) throw new Error(`no worker ${id}`);
