End batch calls to an owner whose cell another host has taken over

What callers saw: where an owner stood still and another host noticed it first, jobs with tasks in that cell got 504 at their deadline.

Cause: a host follows the owners that the records name. If the record of the new owner came before the old owner counted as gone here, the old one was not followed any more, so the calls open there were never abandoned, nobody claimed their runs, and the new owner stopped them after 250 ms.

Why this works: a call now knows its cell and the process that it was sent to. With each new record of a cell, the calls of that cell that are open at other processes get 100 ms, in which an owner that is alive hands them over with the names of the tasks that it has started. Those still open then count as lost, as for an owner that is gone, so that their part is claimed at the new owner. Calls for other cells at the same address go on.

--- a/src/dispatcher/batchCalls.ts
+++ b/src/dispatcher/batchCalls.ts
@@ -7,6 +7,7 @@
  * The other way round, the end of a call that is given up may not reach the owner. So each question
  * names the calls that this host still waits for, and the owner withdraws the others.
  */
+import type { CellRecord } from './cellRecord';
 import type { AwaitedCalls } from './peerMessages';
 
 /** Time for a batch to reach the owner, or for its end to come back. */
@@ -16,10 +17,19 @@
  * not heard for 700 ms, so that after this time it has been told or needs no telling.
  */
 const TELL_MS = 800;
+/**
+ * Time for the previous owner of a cell to hear of the new one and to hand its batches over, with the
+ * names of the tasks that it has started. The new owner stops runs 250 ms after it has found them unless
+ * a batch claims them, so that 150 ms are left for the claim.
+ */
+const HAND_OVER_MS = 100;
 
 /** One call; `resend` breaks the connection and sends the batch again. */
 export interface BatchCallInProgress {
   readonly batchId: string;
+  readonly cell: string;
+  /** Process that the batch was sent to; null if the call does not say. */
+  readonly ownerIncarnation: string | null;
   /** From `nextNumber`, the same each time the batch is sent. */
   readonly number: number;
   readonly sentAtMs: number;
@@ -78,6 +88,26 @@
     [...(this.#calls.get(address)?.values() ?? [])].forEach((call) => call.abandon());
   }
 
+  /**
+   * Gives the earlier owners of a cell a moment to hand over the batches that they have now, and ends the
+   * calls that are still open then. An owner that stands still is not followed any more when another one
+   * has taken its place, so that nothing else would end them.
+   */
+  abandonReplaced({ cell, owner }: CellRecord): void {
+    this.#calls.forEach((calls, address) => {
+      const replaced = [...calls.values()].filter(
+        (call) =>
+          call.cell === cell &&
+          (address !== owner.address || call.ownerIncarnation !== owner.incarnation),
+      );
+      if (replaced.length === 0) return;
+      setTimeout(() => {
+        // It may have been sent again in the meantime; ending it ends each attempt.
+        replaced.filter(({ batchId }) => calls.has(batchId)).forEach((call) => call.abandon());
+      }, HAND_OVER_MS);
+    });
+  }
+
   /**
    * Takes what the owner, asked at `askedAtMs`, said it has in progress. Returns the calls that it
    * should have and lacks; their ends may still be on the way.
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -276,7 +276,7 @@
       this.#owned.add(record, this.#workersOf(record.cell));
       this.#lists.refreshNow(nowMs);
     }
-    this.#talk.followOwners(nowMs);
+    this.#talk.followOwners(record, nowMs);
     this.#askPeers(nowMs);
     this.#refreshHealth(nowMs);
   }
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -1,6 +1,7 @@
 /** Calls to other hosts over HTTP. */
 import { BatchReason, type BatchOutcome } from '../cells/messages';
 import { BatchCalls, type BatchCallInProgress } from './batchCalls';
+import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from './journal';
 import { PoolSet } from './keepAlivePool';
 import { laterOf, PeerClocks, type HostClock, type SendTime } from './peerClocks';
@@ -111,6 +112,7 @@
    * on the way may run until the owner hears that it is not awaited any more.
    */
   async run(address: string, call: BatchCall, abort: AbortController): Promise<BatchReply> {
+    const { cell, ownerIncarnation = null } = call;
     const { batchId } = call.batch;
     const number = this.#calls.nextNumber();
     let sends = 0;
@@ -123,7 +125,7 @@
       do {
         attempt = new AbortController();
         sends += 1;
-        this.#track(address, { batchId, number }, attempt, abort);
+        this.#track(address, { batchId, cell, ownerIncarnation, number }, attempt, abort);
         sentAt = laterOf(sentAt, this.#peerClocks.sendTime(address));
         const sent: BatchCall = { ...call, number, isRetry: sends > 1, sentAt };
         // eslint-disable-next-line no-await-in-loop -- sent again only when the call before was broken
@@ -154,23 +156,27 @@
     this.#calls.abandon(address);
   }
 
+  /** Ends the batches of a cell that its earlier owners do not hand over soon; they count as lost. */
+  abandonReplaced(record: CellRecord): void {
+    this.#calls.abandonReplaced(record);
+  }
+
   async close(): Promise<void> {
     await this.#pools.close();
   }
 
   #track(
     address: string,
-    { batchId, number }: Pick<BatchCallInProgress, 'batchId' | 'number'>,
+    call: Omit<BatchCallInProgress, 'sentAtMs' | 'abandon' | 'resend'>,
     attempt: AbortController,
     abort: AbortController,
   ): void {
     this.#calls.set(address, {
-      batchId,
-      number,
+      ...call,
       sentAtMs: this.#clock.nowMs(),
       abandon: () => abort.abort(),
       resend: () => {
-        this.#journal.decide('batch-sent-again', { batchId, address });
+        this.#journal.decide('batch-sent-again', { batchId: call.batchId, address });
         attempt.abort();
       },
     });
--- a/src/dispatcher/peerTalk.ts
+++ b/src/dispatcher/peerTalk.ts
@@ -65,14 +65,15 @@
     this.#monitor.setCellCount(cells);
   }
 
-  /** Follows the owners that the records name now. */
-  followOwners(nowMs: number): void {
-    const { self, records } = this.#parts;
+  /** Follows the owners that the records name now, after a cell has got a new one. */
+  followOwners(changed: CellRecord, nowMs: number): void {
+    const { self, peers, records } = this.#parts;
     const owners = records.all().map(({ owner }) => owner);
     this.#monitor.setOwners(
       owners.filter(({ address }) => address !== self.address),
       nowMs,
     );
+    peers.abandonReplaced(changed);
   }
 
   /** Asks the owners of cells whose turn it is, and others that must be asked now. */
--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -36,7 +36,15 @@
 describe('the batches in progress at an owner', () => {
   it('are missing only if the owner was asked well after they were sent', () => {
     const calls = new BatchCalls();
-    const call = { batchId: 'x', number: 1, sentAtMs: 1000, abandon: () => {}, resend: () => {} };
+    const call = {
+      batchId: 'x',
+      cell: 'bole',
+      ownerIncarnation: '1',
+      number: 1,
+      sentAtMs: 1000,
+      abandon: () => {},
+      resend: () => {},
+    };
     calls.set('10.0.0.2:1', call);
     expect(calls.missing('10.0.0.2:1', [], 1050)).toEqual([]);
     expect(calls.missing('10.0.0.2:1', ['x'], 1200)).toEqual([]);
--- a/test/dispatcher/withdrawnBatches.test.ts
+++ b/test/dispatcher/withdrawnBatches.test.ts
@@ -214,7 +214,9 @@
 
   function begin(calls: BatchCalls, batchId: string): void {
     const number = calls.nextNumber();
-    calls.set(OWNER, { batchId, number, sentAtMs: 0, abandon: () => {}, resend: () => {} });
+    const place = { cell: 'bole', ownerIncarnation: '1' };
+    const deeds = { abandon: () => {}, resend: () => {} };
+    calls.set(OWNER, { batchId, ...place, number, sentAtMs: 0, ...deeds });
   }
 
   it('are named by their numbers, and only to the address that they were sent to', () => {
