Give hosts without the store claims that differ, and settle claims with equal tokens

What callers saw: while hosts of a domain could not reach the store, two of them could own one cell; each stopped the other's runs and acknowledged the other's ends, so that tasks ran again and jobs were late, until the next claim in the store.

Cause: a claim without the store took the known token plus the rank plus 1, so that hosts that knew different tokens could claim the same one (3002 with rank 0 and 3000 with rank 2: 3003). Each then kept itself, with equal digests, so that nothing told them of each other. A part that the loser hands over also waited for a token above the equal one.

Why this works: the tokens between two claims in the store go round the hosts of the domain, so that the place of a token in the round is the rank of the host that may claim with it. They rise, stay below the next claim in the store, and begin as those of the version before, so that the first claims of hosts of both versions differ too. A domain of 300 hosts has room for three such claims after one another, in whatever order; a host without a token left waits for the store. Where hosts rank their domain differently, or the store has lost a write, tokens may still be equal: then the process whose host name, then incarnation, sorts first keeps the cell. Digests contain the process, so that hosts tell each other until all agree; the other host releases the cell, its parts are claimed at the owner that is left, and that owner writes its record over the other's.

While hosts of the version before run, digests differ between the versions, so that status calls between them carry all records; and a claim of theirs that equals one of ours, from the second without the store on, is settled among hosts of this version only.

--- a/src/dispatcher/cellRecord.ts
+++ b/src/dispatcher/cellRecord.ts
@@ -44,6 +44,34 @@
   readonly token: number;
 }
 
+function precedes(one: HostIdentity, other: HostIdentity): boolean {
+  if (one.hostId !== other.hostId) return one.hostId < other.hostId;
+  return one.incarnation < other.incarnation;
+}
+
+/**
+ * True if `record` takes the place of `other`. Two claims may have equal tokens, from hosts that rank
+ * their domain differently and can't reach the store, or where the store has lost a write. Then the host
+ * whose name sorts first keeps the cell, whichever claim is heard first.
+ */
+export function isNewer(record: CellRecord, other: CellRecord): boolean {
+  if (record.token !== other.token) return record.token > other.token;
+  return precedes(record.owner, other.owner);
+}
+
+/**
+ * Token of a claim without the store, by the host with this rank among `places` hosts; null if none is
+ * left below the next claim in the store. The tokens after one of the store go round the hosts in the
+ * order of their ranks, so that hosts that agree on the ranks never claim the same token, whichever they
+ * know. The first round is that of the version before, which adds the rank and 1 to the known token.
+ */
+export function tokenWithoutStore(knownToken: number, rank: number, places: number): number | null {
+  const used = knownToken % TOKEN_STEP;
+  const turnsToWait = (rank - (used % places) + places) % places;
+  const next = used + turnsToWait + 1;
+  return next < TOKEN_STEP ? knownToken - used + next : null;
+}
+
 /** Key of a cell's record. */
 export function cellKey(cell: string): string {
   return CELL_PREFIX + cell;
@@ -72,7 +100,10 @@
 
 /** Short text that differs where any owner differs. */
 export function digestOf(records: readonly CellRecord[]): string {
-  const owners = records.map(({ cell, token }) => `${cell}=${token}`).sort();
+  const owners = records.map(
+    ({ cell, owner, token }) => `${cell}=${token}/${owner.hostId}/${owner.incarnation}`,
+  );
+  owners.sort();
   return createHash('sha256').update(owners.join()).digest('base64').slice(0, DIGEST_LENGTH);
 }
 
--- a/src/dispatcher/ownedCells.ts
+++ b/src/dispatcher/ownedCells.ts
@@ -51,10 +51,10 @@
     if (known.length > 0) owner.setWorkers(known);
   }
 
-  /** Lets a cell go if its record is newer than this host's claim. */
+  /** Lets a cell go if its record, another one than this host's claim, has taken the claim's place. */
   releaseOlder({ cell, token }: CellRecord): void {
     const owner = this.#owners.get(cell);
-    if (owner && owner.fencingToken < token) this.#release(owner, 'newer-owner');
+    if (owner && owner.fencingToken <= token) this.#release(owner, 'newer-owner');
   }
 
   close(): void {
--- a/src/dispatcher/partRunner.ts
+++ b/src/dispatcher/partRunner.ts
@@ -5,6 +5,7 @@
 import type { JobStep } from '../cells/job';
 import { BatchReason, type BatchOutcome, type BatchTask, type TaskBatch } from '../cells/messages';
 import type { Clock, RandomSource } from '../core/clock';
+import { isNewer, type CellRecord } from './cellRecord';
 import type { Cluster } from './cluster';
 import type { DispatchJournal } from './journal';
 import { spread, type Share } from './router';
@@ -54,10 +55,10 @@
   readonly otherStepsMs: number;
 }
 
-/** End of a batch, and which owner of the cell it was sent to. */
+/** End of a batch, and which owner of the cell it was sent to; null if none was known. */
 interface SentBatch {
   readonly cell: string;
-  readonly token: number;
+  readonly record: CellRecord | null;
   readonly outcome: BatchOutcome;
 }
 
@@ -229,15 +230,19 @@
    * the part starts elsewhere when the leases are over.
    */
   async #recover(job: RunningJob, part: Part, sent: SentBatch): Promise<JobOutcome> {
-    const { cell, token, outcome } = sent;
+    const { cell, record, outcome } = sent;
     const { cluster, clock, settleMs, journal } = this.#parts;
     let settledAtMs = clock.nowMs() + settleMs;
     const lastChanceMs = job.deadlineAtMs - part.step.estimateMs;
-    journal.decide('owner-lost', { jobId: job.request.job.id, cell, token });
+    journal.decide('owner-lost', {
+      jobId: job.request.job.id,
+      cell,
+      token: record?.token ?? 0,
+    });
     const left = remainingOf(part, outcome);
     if (left.tasks.length === 0) return { type: 'completed' };
     while (!job.hasEnded && clock.nowMs() < lastChanceMs) {
-      if ((cluster.ownerOf(cell)?.token ?? 0) > token && cluster.isServing(cell)) {
+      if (this.#hasNextOwner(cell, record) && cluster.isServing(cell)) {
         const batch = () => this.#batchOf(job, left, true, true);
         // eslint-disable-next-line no-await-in-loop -- waits for the next owner
         const again = await this.#send(job, cell, batch);
@@ -252,6 +257,11 @@
     return { type: 'lost', reason: 'owner-lost' };
   }
 
+  #hasNextOwner(cell: string, last: CellRecord | null): boolean {
+    const record = this.#parts.cluster.ownerOf(cell);
+    return record !== null && (last === null || isNewer(record, last));
+  }
+
   #batchOf(job: RunningJob, part: Part, begun: boolean, mayRun: boolean): TaskBatch {
     const { policy, job: spec } = job.request;
     const nowMs = this.#parts.clock.nowMs();
@@ -289,8 +299,8 @@
 
   /** The only way to a cell: closed once the job has ended, and what is in progress is withdrawn then. */
   async #sendOnce(job: RunningJob, cell: string, batch: TaskBatch): Promise<SentBatch> {
-    const token = this.#parts.cluster.ownerOf(cell)?.token ?? 0;
-    if (job.hasEnded) return { cell, token, outcome: NOT_SENT };
+    const record = this.#parts.cluster.ownerOf(cell);
+    if (job.hasEnded) return { cell, record, outcome: NOT_SENT };
     const abort = new AbortController();
     const forget = job.onEnd(() => abort.abort());
     const outcome = await this.#parts.cluster.run(cell, batch, abort);
@@ -305,6 +315,6 @@
       outcome: outcome.type,
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
-    return { cell, token, outcome };
+    return { cell, record, outcome };
   }
 }
--- a/src/dispatcher/recordKeeper.ts
+++ b/src/dispatcher/recordKeeper.ts
@@ -2,7 +2,8 @@
  * The owners of the cells as this host knows them, from the store and from other hosts. Claims are
  * compare-and-swaps in the store. When the store can't be reached, a host of the cell's own domain may
  * claim without it: each host has fencing tokens of its own for that, so that workers obey one of two
- * such claims, and the other host hears of it from them. The claim is written when the store is back.
+ * such claims, and the other host hears of it from them. Where hosts don't agree on whose they are, the
+ * records decide when the hosts tell each other. The claim is written when the store is back.
  */
 import type { Entry } from '../store/store';
 import {
@@ -13,9 +14,11 @@
   encodeLayout,
   encodeRecord,
   hostKey,
+  isNewer,
   LAYOUT_KEY,
   RECORD_PREFIX,
   TOKEN_STEP,
+  tokenWithoutStore,
   type CellRecord,
   type HostIdentity,
 } from './cellRecord';
@@ -42,7 +45,7 @@
   readonly #records = new Map<string, CellRecord>();
 
   /** Records as the store holds them, with the revision of their last change. */
-  readonly #stored = new Map<string, { readonly token: number; readonly revision: number }>();
+  readonly #stored = new Map<string, { readonly record: CellRecord; readonly revision: number }>();
 
   readonly #hosts = new Map<string, HostIdentity>();
 
@@ -121,14 +124,15 @@
   }
 
   /** True if the record is newer than what the store is known to hold. */
-  isUnwritten({ cell, token }: CellRecord): boolean {
-    return (this.#stored.get(cell)?.token ?? 0) < token;
+  isUnwritten(record: CellRecord): boolean {
+    const stored = this.#stored.get(record.cell);
+    return !stored || isNewer(record, stored.record);
   }
 
   /** Takes a record if it is newer than the known one. */
   learn(record: CellRecord, source: string): void {
     const known = this.#records.get(record.cell);
-    if (known && known.token >= record.token) return;
+    if (known && !isNewer(record, known)) return;
     this.#records.set(record.cell, record);
     this.#digest = null;
     this.#parts.journal.decide('cell-owner', {
@@ -152,9 +156,9 @@
   claimAlone(cell: string): void {
     const known = this.#records.get(cell);
     if (!known) return;
-    const token = known.token + this.#rank() + 1;
-    // Tokens of the next claim in the store must stay above.
-    if (Math.floor(token / TOKEN_STEP) !== Math.floor(known.token / TOKEN_STEP)) return;
+    const { rank, places } = this.#rank();
+    const token = tokenWithoutStore(known.token, rank, places);
+    if (token === null) return;
     this.#parts.journal.decide('claim-without-store', { cell, token });
     this.learn({ cell, owner: this.#parts.self, token }, 'own claim');
   }
@@ -183,10 +187,10 @@
   }
 
   /** Place of this host among those of its domain; it tells their tokens apart. */
-  #rank(): number {
+  #rank(): { readonly rank: number; readonly places: number } {
     const { self } = this.#parts;
     const ids = [self.hostId, ...this.neighbours().map(({ hostId }) => hostId)].sort();
-    return ids.indexOf(self.hostId);
+    return { rank: ids.indexOf(self.hostId), places: ids.length };
   }
 
   #watch(): void {
@@ -241,7 +245,7 @@
       const { record } = decoded;
       const revision = entry.modRevision;
       if ((this.#stored.get(record.cell)?.revision ?? 0) < revision) {
-        this.#stored.set(record.cell, { token: record.token, revision });
+        this.#stored.set(record.cell, { record, revision });
       }
       this.learn(record, 'store');
     }
--- a/test/dispatcher/cellRecord.test.ts
+++ b/test/dispatcher/cellRecord.test.ts
@@ -1,7 +1,7 @@
 /** What hosts tell each other of the owners of cells. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { digestOf } from '../../src/dispatcher/cellRecord';
+import { digestOf, isNewer, type HostIdentity } from '../../src/dispatcher/cellRecord';
 
 const OWNER = { hostId: 'a', incarnation: '1', domain: 'bole', address: '10.0.0.1:1', cores: 1 };
 
@@ -17,4 +17,45 @@
   it('differs where two hosts have each missed another change of owner', () => {
     expect(digest({ bole: 1000, piassa: 2000 })).not.toEqual(digest({ bole: 2000, piassa: 1000 }));
   });
+
+  // With equal digests, hosts that have claimed a cell with equal tokens would not tell each other.
+  it('differs where two hosts take different processes for the owner, with equal tokens', () => {
+    const digests = [OWNER, { ...OWNER, hostId: 'b' }, { ...OWNER, incarnation: '2' }].map(
+      (owner) => digestOf([{ cell: 'bole', owner, token: 3003 }]),
+    );
+    expect(new Set(digests).size).toEqual(3);
+  });
+});
+
+describe('the newer of two records', () => {
+  function record(owner: Partial<HostIdentity>, token: number) {
+    return { cell: 'bole', owner: { ...OWNER, ...owner }, token };
+  }
+
+  it('is the one with the higher token, whoever owns the cell', () => {
+    expect(isNewer(record({ hostId: 'b' }, 3004), record({ hostId: 'a' }, 3003))).toEqual(true);
+    expect(isNewer(record({ hostId: 'a' }, 3003), record({ hostId: 'b' }, 3004))).toEqual(false);
+  });
+
+  // Hosts that settle on different owners keep the cell owned twice.
+  it('is the same one for all hosts where the tokens are equal, in whatever order they hear', () => {
+    const records = [
+      record({ hostId: 'a', incarnation: '1' }, 3003),
+      record({ hostId: 'a', incarnation: '2' }, 3003),
+      record({ hostId: 'b', incarnation: '1' }, 3003),
+    ];
+    records.forEach((one) => {
+      records.forEach((other) => {
+        const expected =
+          one === other ? [false, false] : [isNewer(one, other), !isNewer(one, other)];
+        expect([isNewer(one, other), isNewer(other, one)]).toEqual(expected);
+      });
+      const isNewest = records.every((other) => other === one || isNewer(one, other));
+      expect(isNewest).toEqual(one === records[0]);
+    });
+  });
+
+  it('is neither of two that name the same process', () => {
+    expect(isNewer(record({}, 3003), record({}, 3003))).toEqual(false);
+  });
 });
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -24,6 +24,8 @@
   readonly isLocal: boolean;
   readonly room: number;
   token: number;
+  /** Host that owns it. */
+  ownerId: string;
   serves: boolean;
 }
 
@@ -49,7 +51,7 @@
 
 /** A cell with room for some tasks. */
 export function fakeCell(name: string, overrides: Partial<FakeCell> = {}): FakeCell {
-  return { name, isLocal: false, room: 1, token: 1000, serves: true, ...overrides };
+  return { name, isLocal: false, room: 1, token: 1000, ownerId: 'b', serves: true, ...overrides };
 }
 
 /** The cells as one host sees them. */
@@ -87,8 +89,9 @@
   }
 
   ownerOf(cell: string): CellRecord {
-    const owner = { hostId: 'b', incarnation: '1', domain: 'd', address: '10.0.0.2:1', cores: 1 };
-    return { cell, owner, token: this.#cell(cell).token };
+    const { ownerId, token } = this.#cell(cell);
+    const place = { domain: 'd', address: `${ownerId}:1`, cores: 1 };
+    return { cell, owner: { hostId: ownerId, incarnation: '1', ...place }, token };
   }
 
   isServing(cell: string): boolean {
--- a/test/dispatcher/partRunner.test.ts
+++ b/test/dispatcher/partRunner.test.ts
@@ -325,6 +325,19 @@
     expect(world.cells.sent[2]?.batch.mayRun).toEqual(true);
   });
 
+  // Guards against runs that nobody claims where two owners had equal tokens and one gave the cell up.
+  it('is sent to the owner that is left of two with equal tokens', async () => {
+    const world = new World(clock, [fakeCell('a')]);
+    await world.submit([step(1)]);
+    world.cell('a').ownerId = 'a';
+    world.cells.sent[0]?.answer(UNREACHABLE);
+    await world.pass(50);
+    expect(world.cells.sent[1]?.batch.mayRun).toEqual(true);
+    world.cells.sent[1]?.answer(DONE);
+    await world.pass(0);
+    expect(world.outcome).toEqual({ type: 'completed' });
+  });
+
   // Guards against a second run of a task whose first one the next owner has adopted.
   it('starts elsewhere only when the leases of the last owner that has refused it are over', async () => {
     const world = new World(clock, [fakeCell('a'), fakeCell('b')]);
