Ask an owner that has got a cell at once, so that batches are claimed there in time

What callers saw: after a change of owner, jobs of submitters for which nothing ran at the new owner waited up to a second before their tasks were claimed there, and the tasks' runs, stopped after 250 ms unclaimed, started again.

Cause: a cell counts as served when its owner's last status answer lists it. An owner that was followed before, for another cell, and at which nothing runs for this host is asked once in 50 ms times the number of cells.

Evidence: test/dispatcher/replacedOwner.test.ts 'serves it for other hosts well before the next question to idle owners' fails with the old sources: The value false is not equal to true. The tests in peerMonitor.test.ts call a new method.

Why this works: with the record of a new owner, it is asked at once, and then each 150 ms like one at which something runs, until it lists the cell, another owner has got it, or a second has passed. The last keeps the questions to owners that never list a cell, as of a domain that is cut off, at their usual pace.

--- a/src/dispatcher/peerMonitor.ts
+++ b/src/dispatcher/peerMonitor.ts
@@ -12,6 +12,8 @@
 const BUSY_PERIOD_MS = 150;
 /** An idle owner is asked once in this time for each cell, so 20 times a second at most in all. */
 const IDLE_PERIOD_PER_CELL_MS = 50;
+/** An owner that does not list a new cell after this time will not soon. */
+const EXPECT_CELL_MS = 1000;
 /** An owner that has not answered for this long is taken to be gone. */
 const SILENT_AFTER_MS = 600;
 /** The same for idle owners: unanswered questions and a part of the next period. */
@@ -25,6 +27,10 @@
   busySinceMs: number | null;
   answeredAtMs: number | null;
   status: PeerStatus | null;
+  /** Cells that it has got and does not list yet. */
+  readonly expectedCells: Set<string>;
+  /** When these no longer make the questions to it more frequent. */
+  expectedUntilMs: number;
   refused: boolean;
 }
 
@@ -54,18 +60,35 @@
         busySinceMs: null,
         answeredAtMs: null,
         status: null,
+        expectedCells: new Set(),
+        expectedUntilMs: -Infinity,
         refused: false,
       });
     });
   }
 
+  /**
+   * An owner has got a cell: it is asked at once, and then as a busy one until it lists the cell, for a
+   * second at most, so that batches for it need not wait for the next question to an idle owner.
+   */
+  expectCell(address: string, cell: string, nowMs: number): void {
+    this.#peers.forEach(({ expectedCells }) => expectedCells.delete(cell));
+    const peer = this.#peers.get(address);
+    if (!peer || peer.status?.cells.some((summary) => summary.cell === cell)) return;
+    peer.expectedCells.add(cell);
+    peer.expectedUntilMs = nowMs + EXPECT_CELL_MS;
+    peer.lastAskedAtMs = -Infinity;
+  }
+
   /** Addresses to ask now; they count as asked. */
   takeDue(isBusy: (address: string) => boolean, nowMs: number): readonly string[] {
     const due: string[] = [];
     this.#peers.forEach((peer, address) => {
       const asked = peer;
       asked.busySinceMs = isBusy(address) ? (peer.busySinceMs ?? nowMs) : null;
-      const periodMs = peer.busySinceMs === null ? this.#idlePeriodMs : BUSY_PERIOD_MS;
+      const lacksCell = peer.expectedCells.size > 0 && nowMs < peer.expectedUntilMs;
+      const isIdle = peer.busySinceMs === null && !lacksCell;
+      const periodMs = isIdle ? this.#idlePeriodMs : BUSY_PERIOD_MS;
       if (nowMs - peer.lastAskedAtMs < periodMs) return;
       asked.lastAskedAtMs = nowMs;
       due.push(address);
@@ -78,6 +101,7 @@
     if (!peer) return;
     peer.answeredAtMs = nowMs;
     peer.status = status;
+    status.cells.forEach(({ cell }) => peer.expectedCells.delete(cell));
     peer.refused = false;
   }
 
--- a/src/dispatcher/peerTalk.ts
+++ b/src/dispatcher/peerTalk.ts
@@ -73,6 +73,7 @@
       owners.filter(({ address }) => address !== self.address),
       nowMs,
     );
+    this.#monitor.expectCell(changed.owner.address, changed.cell, nowMs);
     peers.abandonReplaced(changed);
   }
 
--- a/test/dispatcher/peerMonitor.test.ts
+++ b/test/dispatcher/peerMonitor.test.ts
@@ -61,6 +61,42 @@
     });
   });
 
+  // Batches whose previous owner is gone wait for the answer, and their runs are stopped after 250 ms.
+  it('come at once, and then each 150 ms, until an owner lists a cell that it has got', () => {
+    const asked = monitor(STATUS);
+    asked.setCellCount(20);
+    asked.takeDue(NOWHERE, 1000);
+    asked.expectCell(OWNER.address, 'bole-2', 1010);
+    const times = [1025, 1050, 1150, 1175, 1325];
+    const due = times.filter((nowMs) => asked.takeDue(NOWHERE, nowMs).length > 0);
+    expect(due).toEqual([1025, 1175, 1325]);
+    asked.answered(OWNER.address, { ...STATUS, cells: [{ ...SUMMARY, cell: 'bole-2' }] }, 1330);
+    expect(asked.takeDue(NOWHERE, 2300)).toEqual([]);
+    expect(asked.takeDue(NOWHERE, 2325)).toEqual([OWNER.address]);
+  });
+
+  // Else the pace of the questions to all owners would rise with each cell that never was listed.
+  it('come at the usual pace again when another owner has got the cell', () => {
+    const asked = monitor(STATUS);
+    asked.setCellCount(20);
+    asked.expectCell(OWNER.address, 'bole-2', 1000);
+    expect(asked.takeDue(NOWHERE, 1000)).toEqual([OWNER.address]);
+    asked.expectCell('10.0.0.3:7000', 'bole-2', 1010);
+    expect(asked.takeDue(NOWHERE, 1975)).toEqual([]);
+  });
+
+  // Else owners of a domain that is cut off would be asked more often for as long as it lasts.
+  it('come at the usual pace again when an owner has not listed a cell for a second', () => {
+    const asked = monitor(STATUS);
+    asked.setCellCount(20);
+    asked.expectCell(OWNER.address, 'bole-2', 1000);
+    const due: number[] = [];
+    for (let nowMs = 1000; nowMs <= 4000; nowMs += TICK_MS) {
+      if (asked.takeDue(NOWHERE, nowMs).length > 0) due.push(nowMs);
+    }
+    expect(due).toEqual([1000, 1150, 1300, 1450, 1600, 1750, 1900, 2900, 3900]);
+  });
+
   it('do not show an idle owner as gone between two of them', () => {
     const idle = monitor(STATUS);
     idle.setCellCount(20);
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -4,8 +4,15 @@
 import { expect } from 'earl';
 import { Ok } from 'ts-results';
 import type { BatchOutcome } from '../../src/cells/messages';
-import { cellKey, encodeRecord, type HostIdentity } from '../../src/dispatcher/cellRecord';
+import {
+  cellKey,
+  encodeLayout,
+  encodeRecord,
+  LAYOUT_KEY,
+  type HostIdentity,
+} from '../../src/dispatcher/cellRecord';
 import { Cluster } from '../../src/dispatcher/cluster';
+import type { PeerClient } from '../../src/dispatcher/peerClient';
 import type { Platform, RecordStore } from '../../src/dispatcher/platform';
 import { QueueTable } from '../../src/dispatcher/queueTable';
 import type { Change } from '../../src/store/store';
@@ -68,13 +75,30 @@
   #revision = 0;
 
   tell(cell: string, owner: HostIdentity, token: number): void {
-    const key = cellKey(cell);
+    this.put(cellKey(cell), encodeRecord({ cell, owner, token }));
+  }
+
+  put(key: string, value: string): void {
     this.#revision += 1;
-    const value = encodeRecord({ cell, owner, token });
     this.#onChange?.({ key, entry: { key, value, modRevision: this.#revision } });
   }
 }
 
+function clusterOf({ store }: TellingStore, peers: PeerClient): Cluster {
+  return new Cluster({
+    self: SUBMITTER,
+    domains: ['bole'],
+    platform: { store, workers: { list: async () => Ok([]) } } as unknown as Platform,
+    peers,
+    seeds: [],
+    queues: new QueueTable(),
+    options: OPTIONS,
+    clock: CLOCK,
+    random: RANDOM,
+    journal: JOURNAL,
+  });
+}
+
 describe('a batch whose cell gets another owner before its own owner counts as gone', () => {
   const pair = new PeerPair();
   let telling = new TellingStore();
@@ -96,21 +120,7 @@
 
   beforeEach(() => {
     telling = new TellingStore();
-    cluster = new Cluster({
-      self: SUBMITTER,
-      domains: ['bole'],
-      platform: {
-        store: telling.store,
-        workers: { list: async () => Ok([]) },
-      } as unknown as Platform,
-      peers: pair.client,
-      seeds: [],
-      queues: new QueueTable(),
-      options: OPTIONS,
-      clock: CLOCK,
-      random: RANDOM,
-      journal: JOURNAL,
-    });
+    cluster = clusterOf(telling, pair.client);
     cluster.open();
     telling.tell('bole-1', oldOwner(), OLD_TOKEN);
     telling.tell('bole-2', oldOwner(), OLD_TOKEN);
@@ -181,3 +191,41 @@
     expect(await end).toEqual({ type: 'done' });
   });
 });
+
+describe('an idle owner that gets one more cell', () => {
+  /** Idle owners are asked once a second then. */
+  const CELLS = 20;
+  const SETTLED_MS = 100;
+
+  // A batch that is claimed there waits for the answer; its runs would be stopped as unclaimed.
+  it('serves it for other hosts well before the next question to idle owners', async () => {
+    const telling = new TellingStore();
+    const cells: string[] = ['bole-1'];
+    const peers = {
+      status: async () => ({
+        hostId: NEXT_OWNER.hostId,
+        incarnation: NEXT_OWNER.incarnation,
+        leaving: false,
+        cells: cells.map((cell) => ({ cell })),
+        records: [],
+        configurationVersion: 0,
+      }),
+      isRunningAt: () => false,
+      abandon: () => {},
+      abandonReplaced: () => {},
+    };
+    const cluster = clusterOf(telling, peers as unknown as PeerClient);
+    cluster.open();
+    telling.put(LAYOUT_KEY, encodeLayout(CELLS));
+    telling.tell('bole-1', NEXT_OWNER, OLD_TOKEN);
+    await until('the first cell is served', () => cluster.isServing('bole-1'));
+    await sleep(SETTLED_MS);
+    telling.tell('bole-2', NEXT_OWNER, OLD_TOKEN);
+    // It answers the first question before it has heard that its own claim was written.
+    setImmediate(() => cells.push('bole-2'));
+    await sleep(CLAIM_TIME_MS);
+    const isServing = cluster.isServing('bole-2');
+    cluster.close();
+    expect(isServing).toEqual(true);
+  });
+});
