--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -1,6 +1,7 @@
 /** Calls to other hosts over HTTP. */
 import { agedBatch, BatchReason, type BatchOutcome } from '../cells/messages';
 import { BatchCalls, type BatchCallInProgress } from './batchCalls';
+import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from './journal';
 import { PoolSet } from './keepAlivePool';
 import { laterOf, PeerClocks, type HostClock, type SendTime } from './peerClocks';
@@ -111,6 +112,7 @@
    * on the way may run until the owner hears that it is not awaited any more.
    */
   async run(address: string, call: BatchCall, abort: AbortController): Promise<BatchReply> {
+    const { cell, ownerIncarnation = null } = call;
     const { batchId } = call.batch;
     const number = this.#calls.nextNumber();
     const calledAtMs = this.#clock.nowMs();
@@ -124,7 +126,7 @@
       do {
         attempt = new AbortController();
         sends += 1;
-        this.#track(address, { batchId, number }, attempt, abort);
+        this.#track(address, { batchId, cell, ownerIncarnation, number }, attempt, abort);
         sentAt = laterOf(sentAt, this.#peerClocks.sendTime(address));
         const batch = agedBatch(call.batch, this.#clock.nowMs() - calledAtMs);
         const sent: BatchCall = { ...call, batch, number, isRetry: sends > 1, sentAt };
@@ -156,23 +158,27 @@
     this.#calls.abandon(address);
   }
 
+  /** Ends the batches of a cell that its earlier owners do not hand over soon; they count as lost. */
+  abandonReplaced(record: CellRecord): void {
+    this.#calls.abandonReplaced(record);
+  }
+
   async close(): Promise<void> {
     await this.#pools.close();
   }
 
   #track(
     address: string,
-    { batchId, number }: Pick<BatchCallInProgress, 'batchId' | 'number'>,
+    call: Omit<BatchCallInProgress, 'sentAtMs' | 'abandon' | 'resend'>,
     attempt: AbortController,
     abort: AbortController,
   ): void {
     this.#calls.set(address, {
-      batchId,
-      number,
+      ...call,
       sentAtMs: this.#clock.nowMs(),
       abandon: () => abort.abort(),
       resend: () => {
-        this.#journal.decide('batch-sent-again', { batchId, address });
+        this.#journal.decide('batch-sent-again', { batchId: call.batchId, address });
         attempt.abort();
       },
     });
