Soak a site with several cells a domain and faults that hit many hosts together

Users saw a task of a divided job run twice at a time on a large site; the soak's two domains of one cell, jobs of up to 4 tasks of 300 ms and one fault at a time and place could not show it.

Added, as the shape `wide` (`--shape wide`; the small one is the default and its seeds mean what they did): 3 domains, 4 hosts, 3 cells and 12 workers each, jobs of up to 32 tasks of up to 1200 ms, workers of unequal speed, stops that take 50 ms. New faults: several hosts killed, lost without a reset, paused or restarted in a roll, with and without silent connections between hosts; a domain cut off or silenced; orders that workers leave unanswered and carry out 1 to 5 s later; a slow store. Hosts of this shape connect from addresses of their own (a module loaded before the program), so that proxies can cut one domain from another, and a killed host refuses connections. `--kinds` plays some kinds only, `--program` names the bundle. The line `placed` names its batch.

No check is relaxed.

Seeds of the small shape in soak.test.ts pass.

Causes: nearly all are batches that a submitter sends after it has answered the job (partRunner #recover).

--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -95,6 +95,7 @@
     this.#state.push({ type: 'start', workerId, task: task.name, run: task.lastRun, payload });
     this.#state.decide('placed', {
       jobId,
+      batchId: batch.id,
       task: task.name,
       run: task.lastRun,
       worker: workerId,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,9 +1,23 @@
 /** A short seeded run of the soak, and every seed that ever broke a promise. */
-import { describe, it } from 'node:test';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
 import { expect } from 'earl';
+import { bundle, ROOT } from '../../scripts/bundle';
 import { soak, type SoakOptions } from './soak';
+import { WIDE_SHAPE, type SoakShape } from './soakShape';
 
 const PROGRAM = ['--import', 'tsx', 'platform/main.ts'];
+const WIDE_SEED = 201;
+/** A machine that also runs other tests bears it. */
+const FEWER_HOSTS: SoakShape = {
+  ...WIDE_SHAPE,
+  hostsPerDomain: 3,
+  workersPerDomain: 6,
+  cellsPerDomain: 2,
+  jobsPerSecond: 3,
+};
 
 interface Regression extends Pick<SoakOptions, 'seed' | 'faults' | 'faultSeconds'> {
   readonly cause: string;
@@ -25,6 +39,30 @@
     expect(report.broken).toEqual([]);
   });
 
+  describe('on a site with several cells a domain', () => {
+    let folder = '';
+
+    // Many hosts start at once, so that they must load fast.
+    before(async () => {
+      folder = await mkdtemp(join(tmpdir(), 'soak-program-'));
+      await bundle(join(ROOT, 'platform/main.ts'), join(folder, 'dispatcher.cjs'), true);
+    });
+
+    after(() => rm(folder, { recursive: true }));
+
+    // Guards against two runs of one task when hosts are lost together and jobs are divided over cells.
+    it('runs no task twice at a time while hosts fail together', async () => {
+      const report = await soak({
+        seed: WIDE_SEED,
+        shape: FEWER_HOSTS,
+        faults: 6,
+        faultSeconds: 5,
+        program: [join(folder, 'dispatcher.cjs')],
+      });
+      expect(report.broken).toEqual([]);
+    });
+  });
+
   REGRESSIONS.forEach(({ seed, faults, faultSeconds, cause }) => {
     it(`breaks no promise on seed ${seed}: ${cause}`, async () => {
       const report = await soak({ seed, faults, faultSeconds, program: PROGRAM });
--- /dev/null
+++ b/test/soak/soakShape.ts
@@ -0,0 +1,94 @@
+/** Sizes of a soak: what stands at its site, what callers ask for, and which faults come. */
+import { FaultKind, WideFaultKind, type Fault } from './faultPlan';
+
+/** One size. */
+export interface SoakShape {
+  readonly domains: readonly string[];
+  readonly hostsPerDomain: number;
+  readonly workersPerDomain: number;
+  /** Null if the hosts are to choose. */
+  readonly cellsPerDomain: number | null;
+  /** Time that a worker takes to stop a run. */
+  readonly stopMs: number;
+  /** Run times on the workers of a domain, in turn, over those that jobs name. */
+  readonly slowness: readonly number[];
+  /** True if the proxies are to tell hosts apart by the address that they connect from. */
+  readonly hasSourceAddresses: boolean;
+  /** True if a host that is down refuses connections. */
+  readonly refusesWhileDown: boolean;
+  readonly jobsPerSecond: number;
+  readonly mostTasks: number;
+  /** Above 1 wide jobs are rarer than narrow ones. */
+  readonly taskSkew: number;
+  readonly leastRunMs: number;
+  readonly mostRunMs: number;
+  /** Time that a caller waits for an answer. */
+  readonly deadlineMs: number;
+  /** Hosts between the one that had a job and the one that gets it again. */
+  readonly resubmitStride: number;
+  readonly kinds: readonly Fault['kind'][];
+  /** Faults may go on for so long after their begin. */
+  readonly longestFaultSeconds: number;
+}
+
+/** Two domains of one cell each, and one fault at a time and place. */
+export const SMALL_SHAPE: SoakShape = {
+  domains: ['sofia-a', 'varna-c'],
+  hostsPerDomain: 2,
+  workersPerDomain: 3,
+  cellsPerDomain: null,
+  stopMs: 10,
+  slowness: [1],
+  hasSourceAddresses: false,
+  refusesWhileDown: false,
+  jobsPerSecond: 12,
+  mostTasks: 4,
+  taskSkew: 1,
+  leastRunMs: 30,
+  mostRunMs: 300,
+  deadlineMs: 2500,
+  resubmitStride: 1,
+  kinds: Object.values(FaultKind),
+  longestFaultSeconds: 10,
+};
+
+/** More frequent than the others: a submitter and the owner of a cell that runs its tasks are hit. */
+const HOSTS_TOGETHER = [
+  WideFaultKind.hostsKilled,
+  WideFaultKind.hostsLost,
+  WideFaultKind.hostsStruck,
+  WideFaultKind.hostsRolled,
+  WideFaultKind.hostsStruckInSilence,
+];
+
+/** Several cells a domain, jobs that are divided over them, and faults that hit many hosts together. */
+export const WIDE_SHAPE: SoakShape = {
+  domains: ['sofia-a', 'plovdiv-b', 'varna-c'],
+  hostsPerDomain: 4,
+  workersPerDomain: 12,
+  cellsPerDomain: 3,
+  stopMs: 50,
+  slowness: [1, 0.8, 1.25, 1, 3],
+  hasSourceAddresses: true,
+  refusesWhileDown: true,
+  jobsPerSecond: 6,
+  mostTasks: 32,
+  taskSkew: 4,
+  leastRunMs: 100,
+  mostRunMs: 1200,
+  deadlineMs: 6000,
+  resubmitStride: 3,
+  kinds: [
+    ...Object.values(WideFaultKind),
+    ...HOSTS_TOGETHER,
+    ...HOSTS_TOGETHER,
+    FaultKind.hostKilled,
+  ],
+  longestFaultSeconds: 12,
+};
+
+/** Shapes by the names that the command line uses. */
+export const SHAPES: Readonly<Record<string, SoakShape>> = {
+  small: SMALL_SHAPE,
+  wide: WIDE_SHAPE,
+};
