--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -47,7 +47,7 @@
     this.owned = new OwnedCells({
       control: { close: async () => {}, forget: () => {} } as never,
       options: OPTIONS,
-      clock: { nowMs: () => 0 },
+      clock: { nowMs: () => 0, timeOfDayMs: () => 0 },
       journal: JOURNAL,
     });
     this.keeper = new RecordKeeper({
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -28,7 +28,7 @@
 const NEW_TOKEN = 2000;
 const JOURNAL = { decide: () => {} };
 const RANDOM = { next: () => 0.5 };
-const CLOCK = { nowMs: () => performance.now() };
+const CLOCK = { nowMs: () => performance.now(), timeOfDayMs: () => Date.now() };
 const OPTIONS = {
   leaseMs: 1000,
   abandonMs: 1000,
