--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -5,33 +5,15 @@
 import type { BatchOutcome } from '../../src/cells/messages';
 import { BatchCalls } from '../../src/dispatcher/batchCalls';
 import { PeerClient } from '../../src/dispatcher/peerClient';
-import type { BatchCall, HostStatus } from '../../src/dispatcher/peerMessages';
+import type { BatchCall } from '../../src/dispatcher/peerMessages';
 import { PeerServer } from '../../src/dispatcher/peerServer';
 import { PortBlock } from '../../src/standins/portBlock';
 import { batchOf } from '../cells/cellWorld';
 import { until } from '../platform/deployment';
 import { FaultProxy } from '../soak/faultProxy';
+import { QUESTION, STATUS, SUBMITTER } from './peerFixtures';
 
-const SELF = { hostId: 'a', incarnation: '1', domain: 'bole', address: '10.0.0.1:1', cores: 1 };
 const CLOCK = { nowMs: () => performance.now(), timeOfDayMs: () => Date.now() };
-const QUESTION = {
-  from: SELF,
-  configurationVersion: 1,
-  recordsDigest: '',
-  records: [],
-  listVersion: 0,
-};
-const STATUS: HostStatus = {
-  hostId: 'b',
-  incarnation: '1',
-  leaving: false,
-  configurationVersion: 1,
-  cellsPerDomain: 1,
-  cells: [],
-  recordsDigest: '',
-  records: [],
-  workers: null,
-};
 
 describe('the batches in progress at an owner', () => {
   it('are missing only if the owner was asked well after they were sent', () => {
@@ -100,7 +82,7 @@
   function send(): Promise<BatchOutcome> {
     const batch = batchOf();
     const owner = { ownerIncarnation: '1', isRetry: false };
-    const call: BatchCall = { from: SELF, cell: 'bole', batch, ...owner };
+    const call: BatchCall = { from: SUBMITTER, cell: 'bole', batch, ...owner };
     return client.run(address, call, new AbortController()).then(({ outcome }) => outcome);
   }
 
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -2,43 +2,13 @@
 import { request } from 'undici';
 import type { BatchOutcome, BatchReason } from '../../src/cells/messages';
 import { PeerClient } from '../../src/dispatcher/peerClient';
-import type { BatchCall, HostStatus, StatusQuestion } from '../../src/dispatcher/peerMessages';
+import type { BatchCall } from '../../src/dispatcher/peerMessages';
 import { PeerServer } from '../../src/dispatcher/peerServer';
-import type { HostIdentity } from '../../src/dispatcher/cellRecord';
 import type { LogFields } from '../../src/observe/observer';
 import { PortBlock } from '../../src/standins/portBlock';
 import { batchOf } from '../cells/cellWorld';
 import { FaultProxy } from '../soak/faultProxy';
-
-/** The submitter. */
-export const SUBMITTER: HostIdentity = {
-  hostId: 'a',
-  incarnation: '1',
-  domain: 'bole',
-  address: '10.0.0.1:1',
-  cores: 1,
-};
-
-/** Its question, without what it waits for. */
-export const QUESTION: StatusQuestion = {
-  from: SUBMITTER,
-  configurationVersion: 1,
-  recordsDigest: '',
-  records: [],
-  listVersion: 0,
-};
-
-const STATUS: HostStatus = {
-  hostId: 'b',
-  incarnation: '1',
-  leaving: false,
-  configurationVersion: 1,
-  cellsPerDomain: 1,
-  cells: [],
-  recordsDigest: '',
-  records: [],
-  workers: null,
-};
+import { QUESTION, STATUS, SUBMITTER } from './peerFixtures';
 
 /** Period at which a host asks an owner at which something runs for it. */
 const ASK_PERIOD_MS = 150;
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -18,7 +18,8 @@
 import type { Change } from '../../src/store/store';
 import { batchOf } from '../cells/cellWorld';
 import { until } from '../platform/deployment';
-import { PeerPair, SUBMITTER } from './peerPair';
+import { SUBMITTER } from './peerFixtures';
+import { callOf } from './peerPair';
 
 /** The new owner stops runs that no batch has claimed for so long. */
 const CLAIM_TIME_MS = 250;
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -5,12 +5,7 @@
 import { request } from 'undici';
 import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
 import { PeerClient } from '../../src/dispatcher/peerClient';
-import {
-  PeerPath,
-  type BatchCall,
-  type BatchReply,
-  type HostStatus,
-} from '../../src/dispatcher/peerMessages';
+import { PeerPath, type BatchCall, type BatchReply } from '../../src/dispatcher/peerMessages';
 import { PeerServer } from '../../src/dispatcher/peerServer';
 import type { LogFields } from '../../src/observe/observer';
 import { PortBlock } from '../../src/standins/portBlock';
@@ -18,26 +13,8 @@
 import { until } from '../platform/deployment';
 import { Direction, FaultProxy } from '../soak/faultProxy';
 import { MachineClock } from './machineClock';
+import { QUESTION, STATUS, SUBMITTER } from './peerFixtures';
 
-const SUBMITTER = { hostId: 'a', incarnation: '1', domain: 'bole', address: '', cores: 1 };
-const QUESTION = {
-  from: SUBMITTER,
-  configurationVersion: 1,
-  recordsDigest: '',
-  records: [],
-  listVersion: 0,
-};
-const STATUS: HostStatus = {
-  hostId: 'b',
-  incarnation: '1',
-  leaving: false,
-  configurationVersion: 1,
-  cellsPerDomain: 1,
-  cells: [],
-  recordsDigest: '',
-  records: [],
-  workers: null,
-};
 const BOTH = [Direction.forward, Direction.backward];
 const SUSPENDED_MS = 3000;
 
--- a/test/dispatcher/submitters.test.ts
+++ b/test/dispatcher/submitters.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import { Submitters } from '../../src/dispatcher/submitters';
 import { batchOf } from '../cells/cellWorld';
-import { SUBMITTER } from './peerPair';
+import { SUBMITTER } from './peerFixtures';
 
 /** Longest time that the batches of a submitter which is gone may go on, less the stop of their runs. */
 const SILENT_MS = 700;
--- a/test/dispatcher/withdrawnBatches.test.ts
+++ b/test/dispatcher/withdrawnBatches.test.ts
@@ -6,7 +6,8 @@
 import { BatchCalls } from '../../src/dispatcher/batchCalls';
 import { PeerPath, type AwaitedCalls, type PeerStatus } from '../../src/dispatcher/peerMessages';
 import { until } from '../platform/deployment';
-import { callOf, PeerPair, QUESTION, SUBMITTER } from './peerPair';
+import { QUESTION, SUBMITTER } from './peerFixtures';
+import { callOf, PeerPair } from './peerPair';
 
 /** A client sends its job again 1300 ms after the loss; the runs need time to be stopped. */
 const BOUND_MS = 700;
