--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -19,7 +19,7 @@
 import { batchOf } from '../cells/cellWorld';
 import { until } from '../platform/deployment';
 import { SUBMITTER } from './peerFixtures';
-import { callOf } from './peerPair';
+import { PeerPair } from './peerPair';
 
 /** The new owner stops runs that no batch has claimed for so long. */
 const CLAIM_TIME_MS = 250;
