Start no task at the end of an earlier run of the previous owner while a later one may be in progress

Cause: the next owner found the end of run 1 (stopped) in a worker's list and took it as leave to start the task at once. Only the end of a run that succeeded says that no other is needed; after any other end the previous owner may have started the task elsewhere, so it waits like a task of which nothing is known.

Evidence: test/cells/cell.test.ts 'does not start a task at the end of an earlier run' fails before: the value [{ 5 entries }] is not equal to []. What it costs: a task that failed or was moved at the moment of a change of owner waits for about two seconds, or until its run is listed.

--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -133,7 +133,7 @@
     entry.lastRun = Math.max(entry.lastRun, end.run);
     // A job that is submitted anew runs from the start.
     if (!batch.order.mayRun) return;
-    entry.notBeforeMs = 0;
+    // Any other end says nothing of a later run, which the previous owner may have started elsewhere.
     if (end.end === RunEnd.succeeded) entry.done = true;
     if (end.end === RunEnd.failed) entry.failures += 1;
   }
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -319,6 +319,30 @@
     expect(second.overlaps).toEqual([]);
   });
 
+  // Guards against a second run when the previous owner has moved the task to a worker that is yet to tell.
+  it('does not start a task at the end of an earlier run while a later one may be in progress', () => {
+    const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+    const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
+    cell.setWorkers(entries, 0);
+    const batch = again(batchOf({ taskCount: 1, deadlineInMs: 5000, goalMs: 4000 }));
+    const task = batch.tasks[0]?.name ?? '';
+    const ends = [RunEnd.stopped, RunEnd.failed, RunEnd.lapsed];
+    const ended = ends.map((end, index) => ({ sequence: index + 1, task, run: index + 1, end }));
+    cell.report('w0', { sentAtMs: 1, running: [], ended }, 2);
+    cell.offer(batch, 3);
+    expect(startsOf(cell)).toEqual([]);
+    cell.report('w1', { sentAtMs: 1, running: [{ task, run: 4, percent: 5 }], ended: [] }, 40);
+    cell.tick(60);
+    expect(startsOf(cell)).toEqual([]);
+    cell.report(
+      'w1',
+      { sentAtMs: 41, running: [], ended: [{ sequence: 1, task, run: 4, end: RunEnd.succeeded }] },
+      90,
+    );
+    expect(cell.pending).toEqual(0);
+    expect(startsOf(cell)).toEqual([]);
+  });
+
   // Without these lines, a stop for a submitter that is gone can not be told from any other.
   it('logs why it stops a run, and an end that nobody waits for', () => {
     const first = CellWorld.withWorkers(1);
