End all runs of a lost submitter within 1300 ms by the leases that are given for them

Its submitter was lost without a reset and the owner of the cell was killed 415 ms later, before it had noticed the silence. The last lease, given by an owner that had not heard the submitter for 400 ms, lasted 1050 ms from then on; the client's resubmission, 1300 ms after the loss, began in another cell before it ended.

Cause: a lease counted from its renewal, whatever the owner knew of those who wait for the runs under it.

Change: the owner keeps, for each batch, when its submitter last said that it waits for it: by the batch's own call, or by a status question that names what is awaited, at the time of sending and on both clocks, so that a suspension counts. A lease ends at the latest 1300 ms (the platform's resubmission time, now a setting) after that, for the batch that was heard least lately on the worker; a task is not started where a lease is in force that outlasts its own submitter.

Ruled out: shorter leases for all (they would cost slow hosts their runs), and a shorter time of silence (700 ms is what a host under load needs). Another batch of the submitter is no sign that it still waits for this one.

--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -2,6 +2,7 @@
  * A batch in its cell: which of its tasks wait, run or have succeeded, and until when its end is of use.
  */
 import type { BatchTask, TaskBatch } from './messages';
+import type { SubmitterContact } from './submitterContact';
 
 /** State of one task of a batch. */
 export interface TaskEntry {
@@ -43,6 +44,8 @@
 
   readonly tasks: readonly TaskEntry[];
 
+  readonly contact: SubmitterContact;
+
   readonly arrivedAtMs: number;
 
   readonly objectiveAtMs: number;
@@ -55,8 +58,15 @@
   #started: boolean;
 
   /** `settledAtMs` is when runs of the previous owner are surely over. */
-  constructor(order: TaskBatch, expectedMs: number, settledAtMs: number, nowMs: number) {
+  constructor(
+    order: TaskBatch,
+    contact: SubmitterContact,
+    expectedMs: number,
+    settledAtMs: number,
+    nowMs: number,
+  ) {
     this.order = order;
+    this.contact = contact;
     this.arrivedAtMs = nowMs;
     this.objectiveAtMs = nowMs + objectiveInMs(order, expectedMs);
     this.deadlineAtMs = nowMs + order.deadlineInMs;
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -11,6 +11,7 @@
 import { BatchReason, type BatchOutcome, type CellSummary, type TaskBatch } from './messages';
 import { ProgressWatch } from './progressWatch';
 import { runKey, type Run } from './run';
+import { LOCAL_SUBMITTER, type SubmitterContact } from './submitterContact';
 import { Takeover } from './takeover';
 import type { CellWorker, WorkerEntry } from './worker';
 
@@ -69,11 +70,11 @@
   }
 
   /** Takes a batch; its outcome follows as an `end` action, possibly at once. */
-  offer(order: TaskBatch, nowMs: number): void {
+  offer(order: TaskBatch, nowMs: number, contact: SubmitterContact = LOCAL_SUBMITTER): void {
     const { runTimes, batches } = this.#state;
     const expectedMs = runTimes.expectedMs(order.queue, order.estimateMs);
     const settledAtMs = this.#takeover.settledAtMs(nowMs);
-    const batch = new Batch(order, expectedMs, settledAtMs, nowMs);
+    const batch = new Batch(order, contact, expectedMs, settledAtMs, nowMs);
     const refusal = this.#admission.check(batch, nowMs);
     // Elsewhere, a task that may be in progress here would start at once.
     if (refusal && !this.#takeover.concerns(batch)) {
@@ -160,9 +161,12 @@
     this.#dispatch.run(nowMs);
   }
 
-  /** False while a lease would keep a run in progress that may have no submitter any more. */
-  mayExtendLeases(workerId: string): boolean {
-    return this.workers.get(workerId)?.holdsLeftOver !== true;
+  /**
+   * Longest time that a lease which is given to a worker now may last; 0 or less if none may be given. It
+   * covers all that runs there, and would keep a run in progress that may have no submitter any more.
+   */
+  leaseLimitMs(workerId: string): number {
+    return this.#state.leaseLimitMs(workerId);
   }
 
   /** A renewal or start was sent to a worker: its leases end by `leasesEndMs`. */
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -13,6 +13,8 @@
 export interface CellOptions {
   /** Longest time from the last renewal of a lease until all that it covers has ended. */
   readonly leaseMs: number;
+  /** All that runs for a submitter is over so long after it was last heard. */
+  readonly submitterLossMs: number;
   /** Time in which an owner notices that a submitter has turned away, and stops its runs. */
   readonly abandonMs: number;
   /** A worker that the list has lacked for so long is gone. */
@@ -79,6 +81,24 @@
     return [...this.ledger.workers.values()].filter(({ entry }) => entry.service === service);
   }
 
+  /** Time for which runs of a batch may go on unless its submitter is heard again. */
+  contactLeftMs({ contact }: Batch): number {
+    return this.options.submitterLossMs - contact.silentMs();
+  }
+
+  /** Longest time that a lease for all that runs on a worker may last from now on. */
+  leaseLimitMs(workerId: string): number {
+    const worker = this.ledger.workers.get(workerId);
+    if (!worker) return Infinity;
+    if (worker.holdsLeftOver) return 0;
+    let limitMs = Infinity;
+    worker.runs.forEach(({ batchId }) => {
+      const batch = batchId === null ? undefined : this.batches.get(batchId);
+      if (batch) limitMs = Math.min(limitMs, this.contactLeftMs(batch));
+    });
+    return limitMs;
+  }
+
   /** The batch that waits for a run, with the run's task. */
   taskOf(run: Run): { readonly batch: Batch; readonly task: TaskEntry } | null {
     const batch = run.batchId === null ? undefined : this.batches.get(run.batchId);
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -62,9 +62,10 @@
   #placeBatch(batch: Batch, order: QueueOrder, reserved: Set<string>, nowMs: number): boolean {
     const { shape, service, jobId } = batch.order;
     const workers = this.#state.workersFor(service);
+    const contactEndsMs = nowMs + this.#state.contactLeftMs(batch);
     return batch.waiting(nowMs).every((task) => {
       if (!this.#mayUse(order, batch, nowMs)) return false;
-      const query: PlacementQuery = { shape, task, jobId, reserved, nowMs };
+      const query: PlacementQuery = { shape, task, jobId, reserved, contactEndsMs, nowMs };
       const worker = choosePlace(workers, query);
       if (worker) {
         this.#start(batch, task, worker, nowMs);
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -18,6 +18,8 @@
   readonly jobId: string;
   /** Workers held free for a large task that waits. */
   readonly reserved: ReadonlySet<string>;
+  /** Nothing of the batch may run later unless its submitter is heard again. */
+  readonly contactEndsMs: number;
   readonly nowMs: number;
 }
 
@@ -37,10 +39,10 @@
 }
 
 function isAllowed(worker: CellWorker, query: PlacementQuery): boolean {
-  const { shape, task, jobId, reserved, nowMs } = query;
+  const { shape, task, jobId, reserved, contactEndsMs, nowMs } = query;
   if (reserved.has(worker.entry.id) || !worker.isOpen(nowMs)) return false;
-  // A start carries a lease for everything on the worker.
-  if (worker.holdsLeftOver) return false;
+  // A start carries a lease for everything on the worker, and is covered by those given before.
+  if (worker.holdsLeftOver || worker.leasesEndMs > contactEndsMs) return false;
   if (task.avoided.has(worker.entry.id) || !worker.couldRun(shape)) return false;
   if (!worker.hasRoom(shape)) return false;
   return shape.tasksPerWorker === null || tasksOfJob(worker, jobId) < shape.tasksPerWorker;
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -6,6 +6,7 @@
 import type { CellOptions } from '../cells/cellState';
 import type { CellAction, StartAnswer } from '../cells/actions';
 import type { BatchOutcome, BatchReason, CellSummary, TaskBatch } from '../cells/messages';
+import type { SubmitterContact } from '../cells/submitterContact';
 import type { WorkerEntry } from '../cells/worker';
 import type { DispatchJournal } from './journal';
 import { PauseWatch } from './pauseWatch';
@@ -83,10 +84,10 @@
   }
 
   /** Runs a batch; resolves with its outcome. */
-  run(batch: TaskBatch): Promise<BatchOutcome> {
+  run(batch: TaskBatch, contact?: SubmitterContact): Promise<BatchOutcome> {
     return new Promise((resolve) => {
       this.#answers.set(batch.batchId, resolve);
-      this.#cell.offer(batch, this.#now());
+      this.#cell.offer(batch, this.#now(), contact);
       this.#act();
     });
   }
@@ -187,7 +188,7 @@
       options,
       {
         workerCount: () => this.#sessions.size,
-        mayExtendLeases: () => this.#cell.mayExtendLeases(workerId),
+        leaseLimitMs: () => this.#cell.leaseLimitMs(workerId),
       },
       {
         reported: (id, report) => {
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -9,6 +9,7 @@
   type TaskBatch,
 } from '../cells/messages';
 import type { CellOptions } from '../cells/cellState';
+import type { SubmitterContact } from '../cells/submitterContact';
 import type { WorkerEntry } from '../cells/worker';
 import type { RandomSource } from '../core/clock';
 import { CellClaims } from './cellClaims';
@@ -217,8 +218,8 @@
   }
 
   /** A batch from another host. */
-  async runForPeer({ cell, batch }: BatchCall): Promise<BatchOutcome> {
-    return this.#owned.get(cell)?.run(batch) ?? NOT_OWNER;
+  async runForPeer({ cell, batch }: BatchCall, contact: SubmitterContact): Promise<BatchOutcome> {
+    return this.#owned.get(cell)?.run(batch, contact) ?? NOT_OWNER;
   }
 
   withdraw(cell: string, batchId: string, reason: BatchReason): void {
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -82,6 +82,7 @@
     };
     const options: ClusterOptions = {
       leaseMs: settings.leaseMs,
+      submitterLossMs: settings.resubmissionMs,
       abandonMs: ABANDON_MS,
       renewWaitMs: RENEW_WAIT_MS,
       missingGraceMs: MISSING_GRACE_MS,
@@ -115,7 +116,7 @@
         incarnation: self.incarnation,
         status: (question) =>
           this.#cluster.talk.answer(question, this.#cluster.summaries, this.#cluster.isLeaving),
-        run: (call) => this.#cluster.runForPeer(call),
+        run: (call, contact) => this.#cluster.runForPeer(call, contact),
         withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
         summary: (cell) => this.#cluster.summary(cell),
         configuration: () => queues.configuration,
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -6,7 +6,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
 import { agedBatch, BatchReason, type BatchOutcome, type CellSummary } from '../cells/messages';
+import type { SubmitterContact } from '../cells/submitterContact';
 import type { LogFields } from '../observe/observer';
+import { BatchContact, readingBefore } from './batchContact';
 import type { HostIdentity } from './cellRecord';
 import type { DispatchJournal } from './journal';
 import { ageMs, readClocks, type HostClock, type SendTime } from './peerClocks';
@@ -28,7 +30,7 @@
   readonly incarnation: string;
   status(question: StatusQuestion): HostStatus;
   /** Runs a batch if this host owns the cell. */
-  run(call: BatchCall): Promise<BatchOutcome>;
+  run(call: BatchCall, contact: SubmitterContact): Promise<BatchOutcome>;
   withdraw(cell: string, batchId: string, reason: BatchReason): void;
   summary(cell: string): CellSummary | null;
   configuration(): QueueConfiguration | null;
@@ -221,7 +223,11 @@
   async #begin(call: BatchCall, age: number): Promise<BatchReply> {
     const { cell } = call;
     const batch = agedBatch(call.batch, Math.max(0, age));
-    const outcome = await this.#handler.run({ ...call, batch });
+    const calledAt = readingBefore(readClocks(this.#clock), Math.max(0, age));
+    const contact = new BatchContact(this.#clock, calledAt, () =>
+      this.#submitters.lastAskedAt(call.from),
+    );
+    const outcome = await this.#handler.run({ ...call, batch }, contact);
     const reply = { outcome, summary: this.#handler.summary(cell) };
     this.#open.delete(batch.batchId);
     this.#ended.set(batch.batchId, reply);
@@ -233,7 +239,8 @@
   #heard(from: HostIdentity, awaited: AwaitedCalls | undefined, age: number): void {
     const nowMs = this.#clock.nowMs();
     if (age <= OLDEST_MS) this.#submitters.heard(from, nowMs);
-    if (awaited) this.#submitters.learnAwaited(from, awaited, nowMs);
+    const sentAt = readingBefore(readClocks(this.#clock), Math.max(0, age));
+    if (awaited) this.#submitters.learnAwaited(from, awaited, sentAt, nowMs);
   }
 
   /** The end of a call may have been lost on a connection that went silent. */
--- a/src/dispatcher/settings.ts
+++ b/src/dispatcher/settings.ts
@@ -24,6 +24,8 @@
   readonly seeds: readonly string[];
   readonly storeAddress: string;
   readonly leaseMs: number;
+  /** Clients send a job again so long after its answer was lost; all its runs are over by then. */
+  readonly resubmissionMs: number;
   readonly drainMs: number;
   readonly linesPerSecond: number;
 }
@@ -113,6 +115,9 @@
 
 const ADDRESS = 'an IP number and a port, such as 127.0.0.1:7000';
 const LONGEST_LEASE_MS = 60_000;
+/** A submitter says each 150 ms what it waits for; leases that are shorter than a few renewals lapse. */
+const SHORTEST_RESUBMISSION_MS = 600;
+const DEFAULT_RESUBMISSION_MS = 1300;
 const LONGEST_DRAIN_S = 600;
 const MOST_LINES = 100_000;
 const DEFAULT_LINES_PER_SECOND = 400;
@@ -156,6 +161,13 @@
       `a whole number from 100 to ${LONGEST_LEASE_MS}`,
       readWhole(100, LONGEST_LEASE_MS),
     ),
+    resubmissionMs: reader.optional(
+      'callers',
+      'resubmission-ms',
+      `a whole number from ${SHORTEST_RESUBMISSION_MS} to ${LONGEST_LEASE_MS}`,
+      readWhole(SHORTEST_RESUBMISSION_MS, LONGEST_LEASE_MS),
+      DEFAULT_RESUBMISSION_MS,
+    ),
     drainMs: reader.value(
       'host',
       'drain-seconds',
--- a/src/dispatcher/submitters.ts
+++ b/src/dispatcher/submitters.ts
@@ -5,6 +5,8 @@
  * way, and no clocks are compared.
  */
 import type { HostIdentity } from './cellRecord';
+import { laterReading } from './batchContact';
+import type { ClockReading } from './peerClocks';
 import type { AwaitedCalls, BatchCall } from './peerMessages';
 
 /** A submitter that has not been heard for this long is taken to be gone. */
@@ -24,8 +26,12 @@
   /** Calls up to this number are awaited only if they are among `numbers`. */
   upTo: number;
   numbers: ReadonlySet<number>;
+  /** When the last question was sent that said so. */
+  askedAt: ClockReading;
 }
 
+const NEVER: ClockReading = { steadyMs: -Infinity, dayMs: -Infinity };
+
 function keyOf({ hostId, incarnation }: HostIdentity): string {
   return `${hostId}/${incarnation}`;
 }
@@ -42,10 +48,16 @@
     submitter.silent = false;
   }
 
-  /** Takes what a submitter says it waits for; what it said later stays in force. */
-  learnAwaited(from: HostIdentity, { upTo, numbers }: AwaitedCalls, nowMs: number): void {
+  /** Takes what a submitter, at `sentAt`, says it waits for; what it said later stays in force. */
+  learnAwaited(
+    from: HostIdentity,
+    { upTo, numbers }: AwaitedCalls,
+    sentAt: ClockReading,
+    nowMs: number,
+  ): void {
     const submitter = this.#submitter(from, nowMs);
     if (upTo < submitter.upTo) return;
+    submitter.askedAt = laterReading(submitter.askedAt, sentAt);
     // Of two questions that overtook each other, with no call begun between, both say what was given up.
     const isSame = upTo === submitter.upTo;
     const awaited = isSame ? numbers.filter((number) => submitter.numbers.has(number)) : numbers;
@@ -53,6 +65,11 @@
     submitter.numbers = new Set(awaited);
   }
 
+  /** When the last question was sent that said what the submitter waits for. */
+  lastAskedAt(from: HostIdentity): ClockReading {
+    return this.#known.get(keyOf(from))?.askedAt ?? NEVER;
+  }
+
   /** False if the submitter has said that it does not wait for the call any more. */
   isAwaited({ from, number }: BatchCall): boolean {
     const known = this.#known.get(keyOf(from));
@@ -95,6 +112,7 @@
       silent: false,
       upTo: 0,
       numbers: new Set<number>(),
+      askedAt: NEVER,
     };
     this.#known.set(key, submitter);
     return submitter;
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -33,8 +33,8 @@
 export interface SessionQuestions {
   /** Workers of the cell. */
   workerCount(): number;
-  /** False while a run is on the worker that no lease of this owner may cover. */
-  mayExtendLeases(): boolean;
+  /** Longest time that a lease given now may last; 0 or less if none may be given. */
+  leaseLimitMs(): number;
 }
 
 /** What a session tells the owner of the cell. */
@@ -62,6 +62,11 @@
   return nowMs + leaseMs * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
 }
 
+/** Longest lease, on the worker's clock, that is over within `limitMs` on this host's. */
+function leaseWithinMs(limitMs: number): number {
+  return (limitMs - LEASE_MARGIN_MS) / (1 + CLOCK_DRIFT);
+}
+
 interface WorkerClock {
   readonly clockMs: number;
   readonly readAtMs: number;
@@ -121,8 +126,9 @@
   }
 
   async start(task: string, run: number, payload: string): Promise<StartAnswer> {
-    const leaseEndClockMs = this.#leaseEndClockMs() ?? 0;
-    this.#noteLease();
+    const leaseMs = this.#leaseMs();
+    const leaseEndClockMs = this.#leaseEndClockMs(leaseMs) ?? 0;
+    this.#noteLease(leaseMs);
     return this.#control.start(this.#target, {
       task,
       run,
@@ -147,10 +153,11 @@
     const sentAtMs = this.#clock.nowMs();
     // A renewal without an answer may have given a lease, whose end the next one would push on.
     const isSilent = this.#failures >= SILENT_AFTER_FAILURES;
-    const mayExtend = !isSilent && this.#questions.mayExtendLeases();
-    const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs() : null;
+    const leaseMs = isSilent ? 0 : this.#leaseMs();
+    const mayExtend = leaseMs > 0;
+    const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs(leaseMs) : null;
     const waitMs = Math.round(longestWaitMs * (mayExtend ? 1 : WITHHELD_SHARE));
-    if (leaseEndClockMs !== null) this.#noteLease();
+    if (leaseEndClockMs !== null) this.#noteLease(leaseMs);
     const acknowledged = this.#acknowledged;
     const order = { fencingToken: this.#fencingToken, acknowledged, leaseEndClockMs, waitMs };
     this.#control.renew(this.#target, order).then((answer) => {
@@ -214,14 +221,19 @@
     this.#events.restarted(this.#target.id);
   }
 
-  #leaseEndClockMs(): number | null {
+  /** Length of a lease that is given now; 0 or less if none may be given. */
+  #leaseMs(): number {
+    return Math.min(this.#options.leaseMs, leaseWithinMs(this.#questions.leaseLimitMs()));
+  }
+
+  #leaseEndClockMs(leaseMs: number): number | null {
     if (!this.#workerClock) return null;
     const { clockMs, readAtMs } = this.#workerClock;
-    return Math.floor(clockMs + this.#clock.nowMs() - readAtMs + this.#options.leaseMs);
+    return Math.floor(clockMs + this.#clock.nowMs() - readAtMs + leaseMs);
   }
 
-  #noteLease(): void {
-    const endMs = latestLeaseEndMs(this.#options.leaseMs, this.#clock.nowMs());
+  #noteLease(leaseMs: number): void {
+    const endMs = latestLeaseEndMs(leaseMs, this.#clock.nowMs());
     this.#events.renewed(this.#target.id, endMs);
   }
 }
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -10,6 +10,8 @@
 const SETTLE = { queue: 'settle', priority: 2, estimateMs: 900, deadlineInMs: 6000 } as const;
 const CHECK = { queue: 'check', priority: 1, estimateMs: 200, deadlineInMs: 2500 } as const;
 
+const OPTIONS = { leaseMs: 1050, submitterLossMs: 1300, abandonMs: 1000, missingGraceMs: 2500 };
+
 type Start = Extract<CellAction, { type: 'start' }>;
 
 function startsOf(cell: Cell): readonly Start[] {
@@ -20,7 +22,7 @@
 function cellWithStart(
   answer: StartAnswer = StartAnswer.accepted,
 ): Pick<Start, 'task' | 'run' | 'workerId'> & { readonly cell: Cell } {
-  const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+  const cell = new Cell('sofia-a', OPTIONS);
   const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
   cell.setWorkers(entries, 0);
   entries.forEach(({ id }) => cell.report(id, { sentAtMs: 0, running: [], ended: [] }, 1));
@@ -321,7 +323,7 @@
 
   // Guards against a second run when the previous owner has moved the task to a worker that is yet to tell.
   it('does not start a task at the end of an earlier run while a later one may be in progress', () => {
-    const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+    const cell = new Cell('sofia-a', OPTIONS);
     const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
     cell.setWorkers(entries, 0);
     const batch = again(batchOf({ taskCount: 1, deadlineInMs: 5000, goalMs: 4000 }));
@@ -483,7 +485,7 @@
 
   // Guards against a start when one of two runs that earlier owners left has ended.
   it('starts a task when all runs of it that were found have ended', () => {
-    const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+    const cell = new Cell('sofia-a', OPTIONS);
     cell.setWorkers([workerEntry('w0'), workerEntry('w1')], 0);
     const name = 'again.0.0.0';
     const listOf = (run: number) => [{ task: name, run, percent: 5 }];
@@ -499,7 +501,7 @@
 
   // Guards against a start beside a run of which its worker tells after the submission has come.
   it('claims a run that is found while its task waits', () => {
-    const cell = new Cell('sofia-a', { leaseMs: 1050, abandonMs: 1000, missingGraceMs: 2500 });
+    const cell = new Cell('sofia-a', OPTIONS);
     cell.setWorkers([workerEntry('w0')], 0);
     cell.offer(batchOf({ jobId, begun: true, deadlineInMs: 3000, goalMs: 1000 }), 1);
     const running = [{ task: 'again.0.0.0', run: 3, percent: 5 }];
--- a/test/cells/cellWorld.ts
+++ b/test/cells/cellWorld.ts
@@ -99,6 +99,7 @@
     this.#runMs = runMs;
     this.cell = new Cell('sofia-a', {
       leaseMs: 1050,
+      submitterLossMs: 1300,
       abandonMs: 1000,
       missingGraceMs: 2500,
     });
@@ -216,9 +217,11 @@
 
   #extendLeases(simulated: SimulatedWorker): void {
     const worker = simulated;
-    if (!this.cell.mayExtendLeases(worker.entry.id)) return;
-    worker.leaseEndsAtMs = this.nowMs + LEASE_MS;
-    this.cell.renewed(worker.entry.id, this.nowMs + LEASE_MS * 1.02 + 30);
+    const limitMs = (this.cell.leaseLimitMs(worker.entry.id) - 30) / 1.02;
+    const leaseMs = Math.min(LEASE_MS, limitMs);
+    if (leaseMs <= 0) return;
+    worker.leaseEndsAtMs = this.nowMs + leaseMs;
+    this.cell.renewed(worker.entry.id, this.nowMs + leaseMs * 1.02 + 30);
   }
 
   #percentOf({ faults }: SimulatedWorker, run: SimulatedRun): number {
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -18,7 +18,13 @@
 
 const CELL = 'bole-1';
 const JOURNAL = { decide: () => {} };
-const OPTIONS = { leaseMs: 1000, abandonMs: 1000, missingGraceMs: 2500, renewWaitMs: 120 };
+const OPTIONS = {
+  leaseMs: 1000,
+  submitterLossMs: 1300,
+  abandonMs: 1000,
+  missingGraceMs: 2500,
+  renewWaitMs: 120,
+};
 
 function host(place: number, incarnation = '1'): HostIdentity {
   const hostId = `bole-${1000 + place}`;
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -1,6 +1,7 @@
 /** A submitter and an owner of a cell on loopback, with a proxy that harms the connections between them. */
 import { request } from 'undici';
 import type { BatchOutcome, BatchReason } from '../../src/cells/messages';
+import type { SubmitterContact } from '../../src/cells/submitterContact';
 import { PeerClient } from '../../src/dispatcher/peerClient';
 import type { BatchCall } from '../../src/dispatcher/peerMessages';
 import { PeerServer } from '../../src/dispatcher/peerServer';
@@ -46,6 +47,9 @@
   /** Batches that the owner has begun, in order. */
   readonly begun: string[] = [];
 
+  /** The owner's contact with the submitter of each batch. */
+  readonly contacts = new Map<string, SubmitterContact>();
+
   /** When a question of `ask` was first answered. */
   answeredAtMs: number | null = null;
 
@@ -62,7 +66,10 @@
     {
       incarnation: '1',
       status: () => STATUS,
-      run: ({ batch }) => this.#run(batch.batchId),
+      run: ({ batch }, contact) => {
+        this.contacts.set(batch.batchId, contact);
+        return this.#run(batch.batchId);
+      },
       withdraw: (_, batchId, reason) => {
         this.withdrawals.set(batchId, { reason, atMs: performance.now() });
         this.end(batchId, { type: 'lost', reason, started: null, succeeded: [] });
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -34,6 +34,7 @@
   leaseMs: 1000,
   abandonMs: 1000,
   missingGraceMs: 2500,
+  submitterLossMs: 1300,
   renewWaitMs: 120,
   workerListPeriodMs: 500,
 };
--- a/test/dispatcher/settings.test.ts
+++ b/test/dispatcher/settings.test.ts
@@ -26,6 +26,15 @@
     expect(settings.drainMs).toEqual(6500);
     expect(settings.seeds).toEqual([]);
     expect(settings.linesPerSecond).toEqual(400);
+    expect(settings.resubmissionMs).toEqual(1300);
+  });
+
+  // Guards against leases that lapse between renewals because a deployment states no or a tiny time.
+  it('takes the time after which clients send again, if it leaves room for renewals', () => {
+    const read = (line: string) => readDispatcherSettings('a.ini', `${GOOD}[callers]\n${line}\n`);
+    expect(read('').unwrap().resubmissionMs).toEqual(1300);
+    expect(read('resubmission-ms = 2000').unwrap().resubmissionMs).toEqual(2000);
+    expect(read('resubmission-ms = 599').err).toEqual(true);
   });
 
   it('takes the processor as cores, or as cores times the share of them', () => {
--- a/test/dispatcher/submitters.test.ts
+++ b/test/dispatcher/submitters.test.ts
@@ -9,6 +9,7 @@
 const SILENT_MS = 700;
 /** A submitter asks each 150 ms. */
 const ASK_PERIOD_MS = 150;
+const AT = { steadyMs: 0, dayMs: 0 };
 
 describe('a submitter that is not heard', () => {
   it('is silent after 700 ms', () => {
@@ -48,8 +49,8 @@
   it('does not await a call again that an earlier question has left out', () => {
     const submitters = new Submitters();
     submitters.heard(SUBMITTER, 0);
-    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [2] }, 600);
-    submitters.learnAwaited(SUBMITTER, { upTo: 1, numbers: [1] }, 601);
+    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [2] }, AT, 600);
+    submitters.learnAwaited(SUBMITTER, { upTo: 1, numbers: [1] }, AT, 601);
     const call = { from: SUBMITTER, cell: 'bole', batch: batchOf(), isRetry: false };
     const isAwaited = (number: number) => submitters.isAwaited({ ...call, number });
     expect([isAwaited(1), isAwaited(2)]).toEqual([false, true]);
@@ -60,8 +61,8 @@
   // Guards against an older question, overtaken by a newer one, that brings back a call given up between.
   it('does not await a call again if no call was begun between two questions', () => {
     const submitters = new Submitters();
-    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [2] }, 0);
-    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [1, 2] }, 1);
+    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [2] }, AT, 0);
+    submitters.learnAwaited(SUBMITTER, { upTo: 2, numbers: [1, 2] }, AT, 1);
     const call = { from: SUBMITTER, cell: 'bole', batch: batchOf(), isRetry: false };
     expect(submitters.isAwaited({ ...call, number: 1 })).toEqual(false);
     expect(submitters.isAwaited({ ...call, number: 2 })).toEqual(true);
--- a/test/platform/testHost.ts
+++ b/test/platform/testHost.ts
@@ -64,6 +64,7 @@
         storeAddress,
         leaseMs: 1000,
         drainMs: 6000,
+        resubmissionMs: 1300,
         linesPerSecond: 400,
       },
       platform: {
