Take no run as lapsed while its worker has ends left to list

A run that is in neither list counted as lapsed at once, and its task started again, though its end, perhaps a success, stood in the next portion.

Change: a report says whether more ends are left; absent runs are judged by the last portion only, and the next one is asked for at once.

--- a/src/cells/actions.ts
+++ b/src/cells/actions.ts
@@ -53,6 +53,8 @@
   readonly sentAtMs: number;
   readonly running: readonly RunningEntry[];
   readonly ended: readonly EndedEntry[];
+  /** More runs have ended than the report lists. */
+  readonly moreEnds?: boolean;
 }
 
 /** Fields of a line in the decision log. */
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -183,7 +183,8 @@
     report.ended.forEach((entry) => this.#end(worker, entry, nowMs));
     const listed = new Set(report.running.map(({ task, run }) => runKey(task, run)));
     report.running.forEach((entry) => this.#progress(worker, entry, nowMs));
-    this.#checkAbsent(worker, listed, report.sentAtMs, nowMs);
+    // The end of a run that is missing may be among those that the worker has yet to list.
+    if (!report.moreEnds) this.#checkAbsent(worker, listed, report.sentAtMs, nowMs);
   }
 
   /** The worker does not answer. Its runs may go on until its leases end. */
--- a/src/dispatcher/workerControl.ts
+++ b/src/dispatcher/workerControl.ts
@@ -54,6 +54,8 @@
       readonly bornMs: number;
       readonly running: readonly RunningEntry[];
       readonly ended: readonly EndedEntry[];
+      /** The worker keeps more ends, which it lists once these are acknowledged. */
+      readonly moreEnds?: boolean;
     }
   | { readonly type: 'fenced' }
   | { readonly type: 'restarted' }
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -208,11 +208,13 @@
       this.#acknowledged,
     );
     // Whether leases may be extended depends on what the worker has just listed.
-    this.#events.reported(this.#target.id, { sentAtMs, running: answer.running, ended });
+    const { running, moreEnds = false } = answer;
+    this.#events.reported(this.#target.id, { sentAtMs, running, ended, moreEnds });
     if (this.#closed) return;
     // The first answer of a process only tells its clock; it is asked again at once, so that leases are
     // renewed, and starts that were on the way when it began are found.
-    this.#renew(first ? 0 : renewWaitMs(this.#options, this.#questions.workerCount()));
+    const asksAtOnce = first || moreEnds;
+    this.#renew(asksAtOnce ? 0 : renewWaitMs(this.#options, this.#questions.workerCount()));
   }
 
   #forgetProcess(): void {
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -186,6 +186,17 @@
     expect(startsOf(cell).map((start) => start.task)).toEqual([task]);
   });
 
+  // Guards against a second run of a task whose first has succeeded, in a later portion of the ends.
+  it('waits for the rest of the ends when a worker has more than it lists', () => {
+    const { cell, task, run, workerId } = cellWithStart();
+    const other = { sequence: 1, task: 'other.0.0.0', run: 1, end: RunEnd.succeeded };
+    cell.report(workerId, { sentAtMs: 5, running: [], ended: [other], moreEnds: true }, 6);
+    expect(startsOf(cell)).toEqual([]);
+    const ended = [{ sequence: 501, task, run, end: RunEnd.succeeded }];
+    cell.report(workerId, { sentAtMs: 7, running: [], ended }, 8);
+    expect(cell.pending).toEqual(0);
+  });
+
   it('moves a run that stands still, and rests the worker', () => {
     const world = CellWorld.withWorkers(2);
     Object.assign(world.workers[0]?.faults ?? {}, { hangs: true });
--- a/test/dispatcher/workerSession.test.ts
+++ b/test/dispatcher/workerSession.test.ts
@@ -1,7 +1,15 @@
 /** The cost of following the workers of a cell. */
 import { describe, it } from 'node:test';
+import { setImmediate as settled } from 'node:timers/promises';
 import { expect } from 'earl';
-import { renewWaitMs } from '../../src/dispatcher/workerSession';
+import { renewWaitMs, WorkerSession } from '../../src/dispatcher/workerSession';
+import { RunEnd, StartAnswer, type WorkerReport } from '../../src/cells/actions';
+import {
+  StopAnswer,
+  type RenewAnswer,
+  type RenewOrder,
+  type WorkerControl,
+} from '../../src/dispatcher/workerControl';
 
 const OPTIONS = { leaseMs: 1000, renewWaitMs: 120 };
 
@@ -24,3 +32,55 @@
     });
   });
 });
+
+describe('a worker that has ended more runs than it lists at a time', () => {
+  // Guards against a wait of a whole renewal between two portions of the ends.
+  it('is asked for the next portion at once', async () => {
+    const orders: RenewOrder[] = [];
+    const listed = { type: 'listed', clockMs: 0, bornMs: 1, running: [] } as const;
+    const end = { task: 'a.0.0.0', run: 1, end: RunEnd.succeeded };
+    const answers: RenewAnswer[] = [
+      { ...listed, ended: [] },
+      { ...listed, ended: [{ ...end, sequence: 500 }], moreEnds: true },
+      { ...listed, ended: [{ ...end, sequence: 501 }] },
+    ];
+    const reports: WorkerReport[] = [];
+    const never = new Promise<RenewAnswer>(() => {});
+    const control: WorkerControl = {
+      start: async () => StartAnswer.unclear,
+      stop: async () => StopAnswer.unclear,
+      renew: (_, order) => {
+        orders.push(order);
+        const answer = answers.shift();
+        return answer ? Promise.resolve(answer) : never;
+      },
+      forget: () => {},
+      close: async () => {},
+    };
+    const session = new WorkerSession(
+      { id: 'w0', address: '10.0.0.1:1' },
+      control,
+      1000,
+      OPTIONS,
+      { workerCount: () => 1, leaseLimitMs: () => Infinity },
+      {
+        reported: (_, report) => reports.push(report),
+        silent: () => {},
+        restarted: () => {},
+        fenced: () => {},
+        renewed: () => {},
+      },
+      { nowMs: () => 0 },
+    );
+    session.open();
+    await settled();
+    session.close();
+    expect(orders.map(({ acknowledged, waitMs }) => [acknowledged, waitMs])).toEqual([
+      [0, 0],
+      [0, 0],
+      [500, 0],
+      [501, 120],
+    ]);
+    expect(reports.map(({ moreEnds }) => moreEnds ?? false)).toEqual([false, true, false]);
+  });
+});
