Call workers, the store and other hosts over plain sockets, with less code for each call

Change: httpConnection.ts, keepAlivePool.ts, pooledCall.ts; one write a request, one buffer for all reads.

Tests: keepAlivePool.test.ts (answers in pieces, chunked, interim, unsized; resets, garbage, limits, waiting, expiry).

--- a/src/dispatcher/keepAlivePool.ts
+++ b/src/dispatcher/keepAlivePool.ts
@@ -1,7 +1,8 @@
-/** Connections that are kept between calls; callers bound each call's time themselves. */
-import { Pool } from 'undici';
-import type { DispatchJournal } from './journal';
+/** Connections that are kept between calls, each with one call at a time. */
+import { HttpConnection, type HttpReply, type HttpRequest } from './httpConnection';
+import { PooledCall, type CallLimits } from './pooledCall';
 
+/** An idle connection is kept for so long. */
 const KEEP_ALIVE_MS = 60_000;
 
 /** How connections to one address are made. */
@@ -11,68 +12,105 @@
   readonly connectTimeoutMs: number;
 }
 
-/** A pool of connections to `ip:port`, each with one call at a time. */
-export function keepAlivePool(address: string, options: PoolOptions): Pool {
-  return new Pool(`http://${address}`, {
-    connections: options.connections,
-    pipelining: 1,
-    connect: { timeout: options.connectTimeoutMs },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: KEEP_ALIVE_MS,
-  });
-}
-
-/** Pools by address; each is made when it is first used. */
-export class PoolSet {
-  readonly #pools = new Map<string, Pool>();
+/** Connections to `ip:port`. */
+export class KeepAlivePool {
+  readonly #address: string;
 
   readonly #options: PoolOptions;
 
-  readonly #journal: DispatchJournal;
+  readonly #connections = new Set<HttpConnection>();
+
+  /** The one that was used last is used first, so that others can expire. */
+  readonly #idle: HttpConnection[] = [];
 
-  constructor(options: PoolOptions, journal: DispatchJournal) {
+  readonly #waiting = new Set<PooledCall>();
+
+  #closed = false;
+
+  constructor(address: string, options: PoolOptions) {
+    this.#address = address;
     this.#options = options;
-    this.#journal = journal;
   }
 
-  to(address: string): Pool {
-    const pool = this.#pools.get(address) ?? keepAlivePool(address, this.#options);
-    this.#pools.set(address, pool);
-    return pool;
+  /** Makes a call. Rejects if it can't be sent, breaks, or meets a limit, which breaks its connection. */
+  call(request: HttpRequest, limits: CallLimits): Promise<HttpReply> {
+    return new Promise((resolve, reject) => {
+      const call: PooledCall = new PooledCall(request, limits, {
+        resolve,
+        reject: (error) => {
+          this.#waiting.delete(call);
+          reject(error);
+        },
+      });
+      if (limits.signal?.aborted) call.fail(new Error('the call was given up'));
+      else this.#begin(call);
+    });
   }
 
-  /** Makes new connections to one address from now on; calls in progress go on. */
-  renew(address: string): void {
-    this.#take(address, (pool) => pool.close());
+  /** Makes no more connections; calls in progress go on. */
+  close(): void {
+    this.#closed = true;
+    this.#idle
+      .splice(0)
+      .forEach((connection) => connection.destroy(new Error('the pool is closed')));
   }
 
-  /** Renews the connections to one address, unless that was done between now and the call. */
-  renewer(address: string): () => void {
-    const pool = this.to(address);
-    return () => {
-      if (this.#pools.get(address) === pool) this.renew(address);
-    };
+  /** Closes all connections; calls in progress fail. */
+  destroy(): void {
+    this.#closed = true;
+    const error = new Error('the connections are closed');
+    [...this.#waiting].forEach((call) => call.fail(error));
+    [...this.#connections].forEach((connection) => connection.destroy(error));
   }
 
-  /** Closes the connections to one address; calls in progress fail. */
-  drop(address: string): void {
-    this.#take(address, (pool) => pool.destroy());
+  #begin(call: PooledCall): void {
+    const idle = this.#takeIdle();
+    if (idle) {
+      call.begin(idle);
+    } else if (this.#connections.size < (this.#options.connections ?? Infinity)) {
+      call.begin(this.#connect());
+    } else {
+      this.#waiting.add(call);
+    }
   }
 
-  async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
-    this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+  #takeIdle(): HttpConnection | null {
+    const nowMs = performance.now();
+    let connection = this.#idle.pop();
+    while (connection && !connection.isUsable(nowMs, KEEP_ALIVE_MS)) {
+      connection.destroy(new Error('it was idle for too long'));
+      connection = this.#idle.pop();
+    }
+    return connection ?? null;
   }
 
-  #take(address: string, end: (pool: Pool) => Promise<void>): void {
-    const pool = this.#pools.get(address);
-    this.#pools.delete(address);
-    if (!pool) return;
-    end(pool).catch((error: unknown) => {
-      this.#journal.decide('connections-not-closed', { address, error: String(error) });
+  #connect(): HttpConnection {
+    const connection = new HttpConnection(this.#address, this.#options.connectTimeoutMs, {
+      idle: (freed) => this.#freed(freed),
+      closed: (gone) => this.#gone(gone),
     });
+    this.#connections.add(connection);
+    return connection;
+  }
+
+  #freed(connection: HttpConnection): void {
+    const next = this.#takeWaiting();
+    if (next) next.begin(connection);
+    else if (this.#closed) connection.destroy(new Error('the pool is closed'));
+    else this.#idle.push(connection);
+  }
+
+  #gone(connection: HttpConnection): void {
+    this.#connections.delete(connection);
+    const at = this.#idle.indexOf(connection);
+    if (at >= 0) this.#idle.splice(at, 1);
+    const next = this.#takeWaiting();
+    if (next) this.#begin(next);
+  }
+
+  #takeWaiting(): PooledCall | null {
+    const [next] = this.#waiting;
+    if (next) this.#waiting.delete(next);
+    return next ?? null;
   }
 }
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -3,7 +3,8 @@
 import { BatchCalls, type BatchCallInProgress } from './batchCalls';
 import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from './journal';
-import { PoolSet } from './keepAlivePool';
+import { PoolSet } from './poolSet';
+import type { CallLimits } from './pooledCall';
 import { laterOf, PeerClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
@@ -14,7 +15,6 @@
   type StatusQuestion,
 } from './peerMessages';
 import type { QueueConfiguration } from './queueTable';
-import { withTimeLimit } from './timeLimit';
 
 /** Why a peer's status is not known. */
 export const StatusFailure = {
@@ -24,7 +24,7 @@
 } as const;
 export type StatusFailure = (typeof StatusFailure)[keyof typeof StatusFailure];
 
-const STATUS_TIMEOUT_MS = 450;
+const QUESTION_LIMITS: CallLimits = { timeoutMs: 450 };
 /**
  * A question without an answer for so long may have taken a connection that went silent, and others that
  * are kept may be silent too: the next one gets a new connection, well before the owner counts as gone.
@@ -76,7 +76,7 @@
     this.#peerClocks = new PeerClocks(clock);
     this.#journal = journal;
     const options = { connections: null, connectTimeoutMs: CONNECT_TIMEOUT_MS };
-    this.#pools = new PoolSet(options, journal);
+    this.#pools = new PoolSet(options);
   }
 
   async status(address: string, question: StatusQuestion): Promise<PeerStatus | StatusFailure> {
@@ -85,9 +85,8 @@
     const sentAt = this.#peerClocks.sendTime(address);
     const renewal = setTimeout(this.#pools.renewer(address), RENEW_AFTER_MS);
     try {
-      const text = await withTimeLimit(STATUS_TIMEOUT_MS, (signal) =>
-        this.#post(address, PeerPath.status, { ...question, awaited, sentAt }, signal),
-      );
+      const asked = { ...question, awaited, sentAt };
+      const text = await this.#post(address, PeerPath.status, asked, QUESTION_LIMITS);
       const status = parseBody<PeerStatus>(text, ['hostId', 'incarnation', 'cells', 'records']);
       if (!status) throw new Error('the status could not be read');
       this.#peerClocks.note(address, status.incarnation, status.clocks);
@@ -143,9 +142,7 @@
 
   async configuration(address: string): Promise<QueueConfiguration | null> {
     try {
-      const text = await withTimeLimit(STATUS_TIMEOUT_MS, (signal) =>
-        this.#post(address, PeerPath.configuration, {}, signal),
-      );
+      const text = await this.#post(address, PeerPath.configuration, {}, QUESTION_LIMITS);
       return parseBody<QueueConfiguration>(text, ['version', 'bindings', 'services']);
     } catch (error) {
       this.#journal.decide('configuration-unread', { address, error: messageOf(error) });
@@ -164,7 +161,7 @@
   }
 
   async close(): Promise<void> {
-    await this.#pools.close();
+    this.#pools.close();
   }
 
   #track(
@@ -187,7 +184,7 @@
   /** One attempt; null if it broke. */
   async #send(address: string, call: BatchCall, signal: AbortSignal): Promise<BatchReply | null> {
     try {
-      const text = await this.#post(address, PeerPath.batches, call, signal);
+      const text = await this.#post(address, PeerPath.batches, call, { signal });
       const reply = parseBody<BatchReply>(text, ['outcome']);
       const { ownerIncarnation } = call;
       if (reply?.clocks && ownerIncarnation) {
@@ -220,16 +217,10 @@
     this.#calls.resendLater(address, missing, () => this.#pools.renew(address));
   }
 
-  async #post(address: string, path: string, body: unknown, signal: AbortSignal): Promise<string> {
-    const response = await this.#pools.to(address).request({
-      method: 'POST',
-      path,
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(body),
-      signal,
-    });
-    const text = await response.body.text();
-    if (response.statusCode !== HTTP_OK) throw new Error(`status ${response.statusCode}`);
+  async #post(address: string, path: string, body: unknown, limits: CallLimits): Promise<string> {
+    const request = { method: 'POST', path, body: JSON.stringify(body) } as const;
+    const { status, text } = await this.#pools.to(address).call(request, limits);
+    if (status !== HTTP_OK) throw new Error(`status ${status}`);
     return text;
   }
 }
