Ask idle owners of other domains a third as often

Cause: each host asked all idle owners, 20 questions a second whatever the size. Only hosts of a cell's own domain claim it at first, and the store tells the others of a new owner.

--- a/src/dispatcher/peerMonitor.ts
+++ b/src/dispatcher/peerMonitor.ts
@@ -12,6 +12,8 @@
 const BUSY_PERIOD_MS = 150;
 /** An idle owner is asked once in this time for each cell, so 20 times a second at most in all. */
 const IDLE_PERIOD_PER_CELL_MS = 50;
+/** Idle owners of other domains: the hosts there claim their cells first, and the store tells of it. */
+const FAR_PERIOD_PER_CELL_MS = 3 * IDLE_PERIOD_PER_CELL_MS;
 /** An owner that does not list a new cell after this time will not soon. */
 const EXPECT_CELL_MS = 1000;
 /** An owner that has not answered for this long is taken to be gone. */
@@ -36,13 +38,23 @@
 
 /** Health of the owners, as seen from this host. */
 export class PeerMonitor {
+  readonly #domain: string;
+
   readonly #peers = new Map<string, Peer>();
 
-  #idlePeriodMs = BUSY_PERIOD_MS;
+  #nearPeriodMs = BUSY_PERIOD_MS;
+
+  #farPeriodMs = BUSY_PERIOD_MS;
+
+  /** `domain` is the failure domain of this host. */
+  constructor(domain: string) {
+    this.#domain = domain;
+  }
 
   /** Sets how many cells there are. */
   setCellCount(cells: number): void {
-    this.#idlePeriodMs = Math.max(BUSY_PERIOD_MS, cells * IDLE_PERIOD_PER_CELL_MS);
+    this.#nearPeriodMs = Math.max(BUSY_PERIOD_MS, cells * IDLE_PERIOD_PER_CELL_MS);
+    this.#farPeriodMs = Math.max(BUSY_PERIOD_MS, cells * FAR_PERIOD_PER_CELL_MS);
   }
 
   /** Keeps only these owners. */
@@ -88,7 +100,7 @@
       asked.busySinceMs = isBusy(address) ? (peer.busySinceMs ?? nowMs) : null;
       const lacksCell = peer.expectedCells.size > 0 && nowMs < peer.expectedUntilMs;
       const isIdle = peer.busySinceMs === null && !lacksCell;
-      const periodMs = isIdle ? this.#idlePeriodMs : BUSY_PERIOD_MS;
+      const periodMs = isIdle ? this.#idlePeriodMs(peer) : BUSY_PERIOD_MS;
       if (nowMs - peer.lastAskedAtMs < periodMs) return;
       asked.lastAskedAtMs = nowMs;
       due.push(address);
@@ -139,9 +151,14 @@
       : OwnerHealth.unknown;
   }
 
-  #isSilent({ answeredAtMs, firstAskedAtMs, busySinceMs }: Peer, nowMs: number): boolean {
+  #idlePeriodMs({ owner }: Peer): number {
+    return owner.domain === this.#domain ? this.#nearPeriodMs : this.#farPeriodMs;
+  }
+
+  #isSilent(peer: Peer, nowMs: number): boolean {
+    const { answeredAtMs, firstAskedAtMs, busySinceMs } = peer;
     const heardAtMs = answeredAtMs ?? firstAskedAtMs;
-    const idleLimitMs = Math.max(SILENT_AFTER_MS, SILENT_PERIODS * this.#idlePeriodMs);
+    const idleLimitMs = Math.max(SILENT_AFTER_MS, SILENT_PERIODS * this.#idlePeriodMs(peer));
     if (nowMs - heardAtMs > idleLimitMs) return true;
     // An idle owner's last answer may be old when a batch is sent there.
     return busySinceMs !== null && nowMs - Math.max(heardAtMs, busySinceMs) > SILENT_AFTER_MS;
--- a/src/dispatcher/peerTalk.ts
+++ b/src/dispatcher/peerTalk.ts
@@ -37,7 +37,7 @@
 export class PeerTalk {
   readonly #parts: PeerTalkParts;
 
-  readonly #monitor = new PeerMonitor();
+  readonly #monitor: PeerMonitor;
 
   #othersAskedAtMs = -Infinity;
 
@@ -45,6 +45,7 @@
 
   constructor(parts: PeerTalkParts) {
     this.#parts = parts;
+    this.#monitor = new PeerMonitor(parts.self.domain);
   }
 
   close(): void {
