Let renewals wait longer at workers on which nothing runs

Change: a renewal waits 600 ms at an idle worker. A start sends another one in time for the lease, or at once if it had no answer. Two renewals may be under way then, so a list is read only if the worker gave it later than the last one read.

Ruled out: 1000 ms (a worker lost without a reset would go unnoticed for 1.2 s; 0.8 s now, 0.4 before; the first start there tells).

--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -188,6 +188,7 @@
       options,
       {
         workerCount: () => this.#sessions.size,
+        isIdle: () => this.#cell.workers.get(workerId)?.runs.size === 0,
         leaseLimitMs: () => this.#cell.leaseLimitMs(workerId),
       },
       {
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -2,7 +2,7 @@
  * Keeps up with one worker: renews its leases without a break, hears of ends, and knows its clock. A
  * worker that does not answer is asked again at short intervals.
  */
-import type { StartAnswer, WorkerReport } from '../cells/actions';
+import { StartAnswer, type WorkerReport } from '../cells/actions';
 import type { Clock } from '../core/clock';
 import {
   StopAnswer,
@@ -33,6 +33,8 @@
 export interface SessionQuestions {
   /** Workers of the cell. */
   workerCount(): number;
+  /** True while nothing runs on the worker. */
+  isIdle(): boolean;
   /** Longest time that a lease given now may last; 0 or less if none may be given. */
   leaseLimitMs(): number;
 }
@@ -54,6 +56,11 @@
 const ASK_AGAIN_MS = 120;
 /** One broken connection says little; the second call without an answer does. */
 const SILENT_AFTER_FAILURES = 2;
+/**
+ * Longest wait of a renewal while nothing runs on the worker, in milliseconds. No lease depends on it; a
+ * loss of the worker without a reset goes unnoticed for as long, or until a start there has no answer.
+ */
+const IDLE_WAIT_MS = 600;
 /** Share of the usual wait of a renewal while leases are not extended, so that they are soon after. */
 const WITHHELD_SHARE = 0.2;
 
@@ -97,6 +104,12 @@
 
   #closed = false;
 
+  /** Number of the renewal that was sent last; its answer is followed by the next one. */
+  #latest = 0;
+
+  /** Until then the last renewal may wait at the worker. */
+  #waitsUntilMs = 0;
+
   #timer: NodeJS.Timeout | null = null;
 
   constructor(
@@ -126,16 +139,20 @@
   }
 
   async start(task: string, run: number, payload: string): Promise<StartAnswer> {
+    this.#renewWithin(this.#busyWaitMs());
     const leaseMs = this.#leaseMs();
     const leaseEndClockMs = this.#leaseEndClockMs(leaseMs) ?? 0;
     this.#noteLease(leaseMs);
-    return this.#control.start(this.#target, {
+    const answer = await this.#control.start(this.#target, {
       task,
       run,
       payload,
       leaseEndClockMs,
       fencingToken: this.#fencingToken,
     });
+    // Whether the worker is there at all should not wait for the end of a long renewal.
+    if (answer === StartAnswer.unclear) this.#renewWithin(0);
+    return answer;
   }
 
   async stop(task: string, run: number): Promise<StopAnswer> {
@@ -146,10 +163,29 @@
   /** Ends the session; leases that it gave run out. */
   close(): void {
     this.#closed = true;
+    this.#cancelNext();
+  }
+
+  #busyWaitMs(): number {
+    return renewWaitMs(this.#options, this.#questions.workerCount());
+  }
+
+  #cancelNext(): void {
     if (this.#timer) clearTimeout(this.#timer);
+    this.#timer = null;
+  }
+
+  /** Sends another renewal if the last one may wait for longer than `waitMs` from now on. */
+  #renewWithin(waitMs: number): void {
+    if (this.#closed || this.#waitsUntilMs <= this.#clock.nowMs() + waitMs) return;
+    if (waitMs === 0) this.#renew(0);
+    else this.#timer ??= setTimeout(() => this.#renew(this.#busyWaitMs()), waitMs);
   }
 
   #renew(longestWaitMs: number): void {
+    this.#cancelNext();
+    this.#latest += 1;
+    const number = this.#latest;
     const sentAtMs = this.#clock.nowMs();
     // A renewal without an answer may have given a lease, whose end the next one would push on.
     const isSilent = this.#failures >= SILENT_AFTER_FAILURES;
@@ -158,26 +194,43 @@
     const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs(leaseMs) : null;
     const waitMs = Math.round(longestWaitMs * (mayExtend ? 1 : WITHHELD_SHARE));
     if (leaseEndClockMs !== null) this.#noteLease(leaseMs);
+    this.#waitsUntilMs = sentAtMs + waitMs;
     const acknowledged = this.#acknowledged;
     const order = { fencingToken: this.#fencingToken, acknowledged, leaseEndClockMs, waitMs };
     this.#control.renew(this.#target, order).then((answer) => {
-      if (!this.#closed) this.#answered(answer, sentAtMs);
+      if (!this.#closed) this.#answered(answer, sentAtMs, number === this.#latest);
     });
   }
 
-  #answered(answer: RenewAnswer, sentAtMs: number): void {
+  /** Only the answer to the last renewal is followed by another, and tells that the worker is silent. */
+  #answered(answer: RenewAnswer, sentAtMs: number, isLast: boolean): void {
     if (answer.type === 'fenced') {
       this.#events.fenced(this.#target.id);
+      return;
+    }
+    const isNewProcess = answer.type === 'listed' && this.#workerClock?.bornMs !== answer.bornMs;
+    // A worker that has left a later renewal unanswered is no less silent for an earlier one.
+    const isNews = isLast || this.#failures === 0;
+    if (answer.type === 'listed' && isNews) this.#read(answer, sentAtMs);
+    if (!isLast || this.#closed) return;
+    this.#cancelNext();
+    if (answer.type === 'silent') {
+      this.#unanswered(answer.error);
     } else if (answer.type === 'restarted') {
       this.#forgetProcess();
       this.#askAgain();
-    } else if (answer.type === 'silent') {
-      this.#unanswered(answer.error);
     } else {
-      this.#listed(answer, sentAtMs);
+      // The first answer of a process only tells its clock; it is asked again at once, so that leases
+      // are renewed, and starts that were on the way when it began are found.
+      this.#renew(isNewProcess || answer.moreEnds ? 0 : this.#usualWaitMs());
     }
   }
 
+  #usualWaitMs(): number {
+    const busyMs = this.#busyWaitMs();
+    return this.#questions.isIdle() ? Math.max(IDLE_WAIT_MS, busyMs) : busyMs;
+  }
+
   #unanswered(error: string): void {
     this.#failures += 1;
     if (this.#failures < SILENT_AFTER_FAILURES) {
@@ -192,29 +245,23 @@
     this.#timer = setTimeout(() => this.#renew(0), ASK_AGAIN_MS);
   }
 
-  #listed(answer: Extract<RenewAnswer, { type: 'listed' }>, sentAtMs: number): void {
+  /** Takes a list, unless one that the worker gave later has come before it. */
+  #read(answer: Extract<RenewAnswer, { type: 'listed' }>, sentAtMs: number): void {
+    const { clockMs, bornMs, running, moreEnds = false } = answer;
     this.#failures = 0;
     const known = this.#workerClock;
-    const first = known?.bornMs !== answer.bornMs;
-    if (known && first) this.#forgetProcess();
-    this.#workerClock = {
-      clockMs: answer.clockMs,
-      readAtMs: this.#clock.nowMs(),
-      bornMs: answer.bornMs,
-    };
+    const isOlder =
+      known?.bornMs === bornMs ? clockMs < known.clockMs : bornMs < (known?.bornMs ?? 0);
+    if (isOlder) return;
+    if (known && known.bornMs !== bornMs) this.#forgetProcess();
+    this.#workerClock = { clockMs, readAtMs: this.#clock.nowMs(), bornMs };
     const ended = answer.ended.filter(({ sequence }) => sequence > this.#acknowledged);
     this.#acknowledged = ended.reduce(
       (highest, { sequence }) => Math.max(highest, sequence),
       this.#acknowledged,
     );
     // Whether leases may be extended depends on what the worker has just listed.
-    const { running, moreEnds = false } = answer;
     this.#events.reported(this.#target.id, { sentAtMs, running, ended, moreEnds });
-    if (this.#closed) return;
-    // The first answer of a process only tells its clock; it is asked again at once, so that leases are
-    // renewed, and starts that were on the way when it began are found.
-    const asksAtOnce = first || moreEnds;
-    this.#renew(asksAtOnce ? 0 : renewWaitMs(this.#options, this.#questions.workerCount()));
   }
 
   #forgetProcess(): void {
