--- a/src/cells/progressWatch.ts
+++ b/src/cells/progressWatch.ts
@@ -4,7 +4,7 @@
 import { BatchReason } from './messages';
 import { isSlowedByWorker, isTooSlowFor, isWorthMoving, type Comparison } from './progress';
 import { RunState, type Run } from './run';
-import { StopReason } from './runLedger';
+import { StopReason } from './runDecisions';
 import type { CellWorker } from './worker';
 
 /** A worker that slows a run down gets nothing new for this long. */
--- a/src/cells/runLedger.ts
+++ b/src/cells/runLedger.ts
@@ -13,7 +13,9 @@
 } from './actions';
 import type { TaskShape } from './job';
 import { createRun, runKey, RunState, type Run } from './run';
+import { adoptionDecision, stopDecision, StopReason, unclaimedEndDecision } from './runDecisions';
 import { TaskRuns } from './taskRuns';
+import { UnclaimedEnds, type UnclaimedEnd } from './unclaimedEnds';
 import { CellWorker, type WorkerEntry } from './worker';
 
 /** What a run's batch hears. */
@@ -26,27 +28,6 @@
   notStarted(run: Run, answer: StartAnswer, nowMs: number): void;
 }
 
-/** An end of a run that nobody waited for when it was listed. */
-interface UnclaimedEnd {
-  readonly end: RunEnd;
-  readonly run: number;
-  readonly seenAtMs: number;
-}
-
-/** Time for which a submitter may still claim the end of a run that the previous owner started. */
-const UNCLAIMED_KEPT_MS = 3000;
-/** Why a stop is sent, in the log; a batch that ends gives the reason of its outcome. */
-export const StopReason = {
-  /** No submitter has claimed a run that a previous owner started. */
-  unclaimed: 'unclaimed',
-  /** It goes on elsewhere, because its worker slows it down. */
-  moved: 'moved',
-  /** Its start had no answer, and the worker does not list it. */
-  notListed: 'not-listed',
-  /** The stop before had no answer, or the worker lists the run without having confirmed one. */
-  stopUnanswered: 'stop-unanswered',
-} as const;
-
 /** A stop that is not confirmed is sent again after this time if the worker still lists the run. */
 const STOP_AGAIN_MS = 200;
 /** Least time between two stops of a run: a worker may refuse them at once. */
@@ -85,7 +66,7 @@
 
   readonly #push: (action: CellAction) => void;
 
-  readonly #unclaimedEnds = new Map<string, UnclaimedEnd>();
+  readonly #unclaimedEnds = new UnclaimedEnds();
 
   /** `leaseMs` is the longest time from the giving of a lease to its end. */
   constructor(leaseMs: number, events: RunEvents, push: (action: CellAction) => void) {
@@ -131,15 +112,14 @@
 
   /** The end of a task that a previous owner started; it can be claimed once. */
   takeUnclaimedEnd(task: string): UnclaimedEnd | null {
-    const end = this.#unclaimedEnds.get(task) ?? null;
-    this.#unclaimedEnds.delete(task);
-    return end;
+    return this.#unclaimedEnds.take(task);
   }
 
   /** Stops a run; `reason` is for the log. */
   stop(run: Run, reason: string, nowMs: number): void {
     const stopped = run;
-    this.#logStop(run, reason, nowMs);
+    const leasesEndMs = this.workers.get(run.workerId)?.leasesEndMs ?? nowMs;
+    this.#push(stopDecision(run, reason, leasesEndMs, nowMs));
     stopped.state = RunState.stopping;
     stopped.stopSentAtMs = nowMs;
     stopped.stopUnanswered = false;
@@ -223,9 +203,7 @@
       if (worker.reachable) this.#stopAgain(worker, nowMs);
       worker.forgetReleased(nowMs);
     });
-    this.#unclaimedEnds.forEach(({ seenAtMs }, task) => {
-      if (nowMs - seenAtMs > UNCLAIMED_KEPT_MS) this.#unclaimedEnds.delete(task);
-    });
+    this.#unclaimedEnds.forgetOld(nowMs);
   }
 
   #stopAgain(worker: CellWorker, nowMs: number): void {
@@ -281,11 +259,7 @@
 
   /** Takes over a run that a previous owner started; a submitter may claim it. */
   #adopt(worker: CellWorker, entry: RunningEntry, nowMs: number): void {
-    this.#push({
-      type: 'decision',
-      decision: 'run-adopted',
-      fields: { task: entry.task, run: entry.run, worker: worker.entry.id },
-    });
+    this.#push(adoptionDecision(worker, entry));
     const run = createRun(
       {
         task: entry.task,
@@ -315,8 +289,8 @@
       this.#events.ended(run, end, worker, nowMs);
       return;
     }
-    this.#logUnclaimedEnd(worker, { task, run: number, end }, run, nowMs);
-    this.#unclaimedEnds.set(task, { end, run: number, seenAtMs: nowMs });
+    this.#push(unclaimedEndDecision(worker, { task, run: number, end }, run, nowMs));
+    this.#unclaimedEnds.note(task, { end, run: number, seenAtMs: nowMs });
     this.#events.found(task);
   }
 
@@ -362,46 +336,6 @@
     this.#events.ended(run, RunEnd.lapsed, worker, nowMs);
   }
 
-  /** Says how old is what led to a stop, and how long the run may go on without it. */
-  #logStop(run: Run, reason: string, nowMs: number): void {
-    const leasesEndMs = this.workers.get(run.workerId)?.leasesEndMs ?? nowMs;
-    this.#push({
-      type: 'decision',
-      decision: 'run-stop',
-      fields: {
-        jobId: run.jobId,
-        task: run.task,
-        run: run.run,
-        worker: run.workerId,
-        reason,
-        knownForMs: Math.round(nowMs - run.startedAtMs),
-        reportedAgoMs: Math.round(nowMs - run.reportedAtMs),
-        stopSentAgoMs: run.stopSentAtMs === null ? null : Math.round(nowMs - run.stopSentAtMs),
-        leaseLeftMs: Math.round(leasesEndMs - nowMs),
-      },
-    });
-  }
-
-  /** An end that no batch of this owner waits for; `run` is missing if it was never seen in progress. */
-  #logUnclaimedEnd(
-    worker: CellWorker,
-    { task, run: number, end }: Omit<EndedEntry, 'sequence'>,
-    run: Run | undefined,
-    nowMs: number,
-  ): void {
-    this.#push({
-      type: 'decision',
-      decision: 'run-end-unclaimed',
-      fields: {
-        task,
-        run: number,
-        worker: worker.entry.id,
-        end,
-        knownForMs: run ? Math.round(nowMs - run.startedAtMs) : null,
-      },
-    });
-  }
-
   #remove(worker: CellWorker, run: Run): void {
     worker.runs.delete(runKey(run.task, run.run));
     this.#taskRuns.delete(run);
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -8,7 +8,7 @@
 import type { CellState } from './cellState';
 import { BatchReason } from './messages';
 import { RunState, type Run } from './run';
-import { StopReason } from './runLedger';
+import { StopReason } from './runDecisions';
 
 /**
  * Time that a run found on a worker may go unclaimed by a submitter, in milliseconds. Leases there are
