Claim no cell of another domain when a cut has just ended

Cause: hosts on each side take the owners of the other for gone and try to claim their cells every 250 ms; what withholds the claims is that no worker there answers. When the cut ends, workers answer before the owners are asked again, so the cells change hands to hosts of the wrong domain, and go back three seconds later.

Change: the workers of another domain must have answered for 700 ms without a break, and their owner is asked at each try in that time. Claims for a domain that has really lost its hosts come 0.7 s later than before.

Ruled out: asking silent owners each 300 ms (more than 20 questions a second of a host where many are silent).

--- a/src/dispatcher/cellClaims.ts
+++ b/src/dispatcher/cellClaims.ts
@@ -17,10 +17,17 @@
   readonly clock: Clock;
   readonly journal: DispatchJournal;
   readonly healthOf: (cell: string) => OwnerHealth;
+  /** Asks the host at an address at once whether it serves. */
+  readonly ask: (address: string) => void;
 }
 
 /** Time between two attempts to write a claim that was made without the store. */
 const WRITE_AGAIN_MS = 500;
+/**
+ * The workers of another domain must have answered for so long before its cells are claimed: where a cut
+ * has just ended, its owners are asked as well and answer.
+ */
+const REACHED_MS = 700;
 const PROBED_WORKERS = 3;
 /** An order of a host that owns nothing: a worker that has an owner answers without obeying. */
 const PROBE: RenewOrder = { fencingToken: 0, acknowledged: 0, leaseEndClockMs: null, waitMs: 0 };
@@ -33,6 +40,9 @@
 
   readonly #claiming = new Set<string>();
 
+  /** Since when, and until when, workers of each other domain have answered without a break. */
+  readonly #reached = new Map<string, { readonly sinceMs: number; readonly lastMs: number }>();
+
   #lastWriteMs = -Infinity;
 
   #closed = false;
@@ -98,17 +108,36 @@
     const { self, records, journal } = this.#parts;
     this.#claiming.add(cell);
     const isOwnDomain = domain === self.domain;
-    if (isOwnDomain || (await this.#reachesWorkers(domain))) {
+    const reason = isOwnDomain ? null : await this.#reasonToWait(cell, domain);
+    if (reason === null) {
       const before = records.get(cell);
       const isAnswered = await records.claim(cell);
       const isStillVacant = before === records.get(cell) && !this.#closed;
       if (!isAnswered && isOwnDomain && isStillVacant) records.claimAlone(cell);
     } else {
-      journal.decide('claim-withheld', { cell, reason: 'no worker can be reached' });
+      journal.decide('claim-withheld', { cell, reason });
+      const record = records.get(cell);
+      if (record) this.#parts.ask(record.owner.address);
     }
     this.#claiming.delete(cell);
   }
 
+  /** Why a cell of another domain should not be claimed yet; null if it may be. */
+  async #reasonToWait(cell: string, domain: string): Promise<string | null> {
+    const isReached = await this.#reachesWorkers(domain);
+    if (this.#parts.healthOf(cell) === OwnerHealth.serving) return 'its owner answers again';
+    const nowMs = this.#parts.clock.nowMs();
+    const before = this.#reached.get(domain);
+    if (!isReached) {
+      this.#reached.delete(domain);
+      return 'no worker can be reached';
+    }
+    const isUnbroken = before !== undefined && nowMs - before.lastMs <= REACHED_MS;
+    const sinceMs = isUnbroken ? before.sinceMs : nowMs;
+    this.#reached.set(domain, { sinceMs, lastMs: nowMs });
+    return nowMs - sinceMs >= REACHED_MS ? null : 'its workers answer, its owner may as well';
+  }
+
   /**
    * True if a worker of another domain answers. Where none does, the domain may be cut off and serve
    * itself; a claim would only take its workers away when it is back.
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -121,6 +121,7 @@
       ...parts,
       records: this.#records,
       healthOf: (cell) => this.#health.get(cell) ?? OwnerHealth.unknown,
+      ask: (address) => this.#talk.ask(address),
     });
     this.#talk = new PeerTalk({
       ...parts,
--- a/src/dispatcher/peerTalk.ts
+++ b/src/dispatcher/peerTalk.ts
@@ -83,7 +83,7 @@
     const { peers } = this.#parts;
     const due = this.#monitor.takeDue((address) => peers.isRunningAt(address), nowMs);
     const addresses = new Set([...due, ...this.#takeOthers(hasUnwrittenClaims, nowMs)]);
-    addresses.forEach((address) => this.#ask(address));
+    addresses.forEach((address) => this.ask(address));
   }
 
   /**
@@ -136,7 +136,8 @@
     return this.#parts.queues.configuration?.version ?? 0;
   }
 
-  async #ask(address: string): Promise<void> {
+  /** Asks one host, and takes what it says. */
+  async ask(address: string): Promise<void> {
     const { self, peers, clock, lists, onAsked } = this.#parts;
     const status = await peers.status(address, {
       from: self,
