Keep a closed configuration service from becoming a relay again

Cause: the event bus delivers membership changes asynchronously. When all hosts of a deployment close, the relay role moves, and a change that is delivered after ConfigurationService.close starts the relay again: it reads the store every 2 s on a timer that keeps the process alive for ever.

Ruled out: one late call to a closed store alone does not keep a process alive (tried).

--- a/src/host/configurationService.ts
+++ b/src/host/configurationService.ts
@@ -28,7 +28,7 @@
   readonly domain: string;
   readonly service: string;
   readonly store: Store;
-  readonly peers: PeerTransport;
+  readonly peers: Pick<PeerTransport, 'send'>;
   readonly random: RandomSource;
   readonly clock: Clock;
   readonly log: Log;
@@ -58,6 +58,8 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  #closed = false;
+
   constructor(parts: ConfigurationServiceParts) {
     this.#parts = parts;
     this.#key = configurationKey(parts.service);
@@ -84,12 +86,17 @@
   }
 
   async close(): Promise<void> {
+    this.#closed = true;
     if (this.#timer) clearInterval(this.#timer);
     this.#relay.stop();
   }
 
-  /** Updates the peers of the replica, and starts or stops the relay if the role has changed. */
+  /**
+   * Updates the peers of the replica, and starts or stops the relay if the role has changed. A
+   * closed service ignores members, because the event bus may deliver them after the close.
+   */
   setMembers(members: readonly Member[]): void {
+    if (this.#closed) return;
     const { hostId, domain, relaysOf, log } = this.#parts;
     this.#members = members;
     const reachable = members.filter(
