Open no connection to the store after its client has been closed

Cause: a closed gRPC channel that is asked for its state with a wish to connect resolves its address and connects anew; nothing closes that connection. A call that was connecting at the close does so too, since the change to SHUTDOWN runs the check of the state once more.

Conclusion: found while looking for the handle that keeps system tests from exiting; together with a relay that starts again it calls the store for ever.

--- a/src/store/endpoints.ts
+++ b/src/store/endpoints.ts
@@ -19,10 +19,22 @@
   'grpc.use_local_subchannel_pool': 1,
 } as const;
 
-function waitUntilConnected(client: Client, deadlineMs: number): Promise<boolean> {
+/**
+ * `isClosed` is checked before each attempt, because a closed channel that is asked to connect
+ * opens a connection that nothing closes.
+ */
+function waitUntilConnected(
+  client: Client,
+  deadlineMs: number,
+  isClosed: () => boolean,
+): Promise<boolean> {
   const channel = client.getChannel();
   return new Promise((resolve) => {
     function checkState(): void {
+      if (isClosed()) {
+        resolve(false);
+        return;
+      }
       const state = channel.getConnectivityState(true);
       if (state === connectivityState.READY) resolve(true);
       else if (state === connectivityState.TRANSIENT_FAILURE) resolve(false);
@@ -42,6 +54,8 @@
 
   #current = 0;
 
+  #closed = false;
+
   /** `addresses` have the form `host:port`. */
   constructor(addresses: readonly string[]) {
     if (addresses.length === 0) throw new Error('a store needs at least one endpoint');
@@ -62,6 +76,7 @@
   }
 
   close(): void {
+    this.#closed = true;
     this.#clients.forEach((client) => client.close());
   }
 
@@ -72,7 +87,8 @@
   ): Promise<Client | null> {
     const client = this.#clients[index];
     if (remaining === 0 || !client) return null;
-    if (await waitUntilConnected(client, Date.now() + perEndpointMs)) {
+    const deadlineMs = Date.now() + perEndpointMs;
+    if (await waitUntilConnected(client, deadlineMs, () => this.#closed)) {
       this.#current = index;
       return client;
     }
