Name what keeps a system test's process alive a minute after its last test

KNOWN-RED lists a process that does not exit and was not traced, because nothing was printed then. The timer does not keep the process alive itself.

--- a/test/system/fixtures.ts
+++ b/test/system/fixtures.ts
@@ -234,6 +234,16 @@
   }
 }
 
+/** Far longer than a process needs to exit after its last test. */
+const EXIT_MS = 60_000;
+
+/** Names what keeps the process alive if it has not exited long after its last test. */
+function reportIfNotExited(): void {
+  setTimeout(() => {
+    process.stderr.write(`process still running: ${process.getActiveResourcesInfo().join(' ')}\n`);
+  }, EXIT_MS).unref();
+}
+
 /** Runs a test on a deployment of its own. */
 export async function withSystem(
   {
@@ -255,6 +265,7 @@
     await use(system);
   } finally {
     await system.close();
+    reportIfNotExited();
   }
 }
 
