--- a/test/system/fixtures.ts
+++ b/test/system/fixtures.ts
@@ -240,7 +240,9 @@
 /** Names what keeps the process alive if it has not exited long after its last test. */
 function reportIfNotExited(): void {
   setTimeout(() => {
-    process.stderr.write(`process still running: ${process.getActiveResourcesInfo().join(' ')}\n`);
+    // eslint-disable-next-line n/no-unsupported-features/node-builtins -- experimental in Node.js 20
+    const resources = process.getActiveResourcesInfo().join(' ');
+    process.stderr.write(`process still running: ${resources}\n`);
   }, EXIT_MS).unref();
 }
 
