Start no job sent again while a new owner of another cell finds runs of it

Cause: submitter and owners of a job's cells are lost together. Its client sends it again 0.63 s later, and a host gives it to a cell that had no part of it. A cell looks for earlier runs among its own workers only, while the new owner of another cell adopts the run and stops it 250 ms later.

Change: for 1300 ms after a change of owner, a submitter asks the new owners, before the first start, whether runs of the job may be in progress, and waits until none is. An owner that has not heard all of its workers says yes for 150 ms at most. A host that has just started also waits, 300 ms at most, for cells without an owner. Outside of these times nothing is asked.

Ruled out: clients that send again only after 1300 ms (docs/platform.md 8.5 asks); holding all starts back after a takeover, which would refuse the jobs of the first second. Not covered: a cell that stays without an owner for longer than 300 ms.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -72,6 +72,18 @@
     return this.#state.runTracker.workers;
   }
 
+  /** True if runs of the job may be in progress on the workers, for whichever submission. */
+  hasRunsOf(jobId: string): boolean {
+    return [...this.workers.values()].some((worker) =>
+      [...worker.runs.values()].some((run) => run.jobId === jobId),
+    );
+  }
+
+  /** True if some worker has not listed its runs to this owner. */
+  get hasUnlistedWorkers(): boolean {
+    return [...this.workers.values()].some(({ reachable }) => !reachable);
+  }
+
   /**
    * Accepts or refuses a batch. Its outcome is reported by an `end` action, possibly right away.
    */
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -31,6 +31,8 @@
 
 /** Period of the cell's timer. */
 const TICK_MS = 20;
+/** A worker that is alive lists its runs to a new owner within this time. */
+const FIRST_LISTS_MS = 150;
 
 type OutcomeCallback = (outcome: BatchOutcome) => void;
 
@@ -48,10 +50,13 @@
 
   readonly #timer: NodeJS.Timeout;
 
+  readonly #openedAtMs: number;
+
   #closed = false;
 
   constructor(parts: CellOwnerParts) {
     this.#parts = parts;
+    this.#openedAtMs = parts.clock.nowMs();
     this.#pauseDetector = new PauseDetector(parts.clock);
     this.#cell = new Cell(parts.cell, {
       ...parts.options,
@@ -85,6 +90,12 @@
     this.#performActions();
   }
 
+  /** True if the cell tracks runs of the job, or not all workers have listed their runs yet. */
+  mayRunJob(jobId: string): boolean {
+    const isNew = this.#now() - this.#openedAtMs < FIRST_LISTS_MS;
+    return this.#cell.hasRunsOf(jobId) || (isNew && this.#cell.hasUnlistedWorkers);
+  }
+
   /** Runs a batch and resolves with its outcome. */
   run(batch: TaskBatch, contact?: SubmitterContact): Promise<BatchOutcome> {
     return new Promise((resolve) => {
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -87,6 +87,11 @@
 
   readonly #ownerHealth = new Map<string, OwnerHealth>();
 
+  /** When this process learned of the present owner of each cell. */
+  readonly #ownerSinceMs = new Map<string, number>();
+
+  readonly #startedAtMs: number;
+
   #timer: NodeJS.Timeout | null = null;
 
   readonly #pauseDetector: PauseDetector;
@@ -102,7 +107,8 @@
     this.#parts = parts;
     const { self, platform, journal, clock, options } = parts;
     this.#pauseDetector = new PauseDetector(clock);
-    this.#lastServingAtMs = clock.nowMs();
+    this.#startedAtMs = clock.nowMs();
+    this.#lastServingAtMs = this.#startedAtMs;
     this.#registry = new CellRegistry({
       self,
       store: platform.store,
@@ -202,6 +208,32 @@
     return this.#ownerHealth.get(cell) === OwnerHealth.serving;
   }
 
+  /** See `EarlierRunsCluster`. */
+  recentlyTakenOver(): readonly string[] {
+    const sinceMs = this.#parts.clock.nowMs() - this.#parts.options.submitterTimeoutMs;
+    return [...this.#ownerSinceMs].flatMap(([cell, atMs]) => (atMs > sinceMs ? [cell] : []));
+  }
+
+  /** See `EarlierRunsCluster`. */
+  get lacksOwner(): boolean {
+    const { clock, options } = this.#parts;
+    if (clock.nowMs() - this.#startedAtMs > options.submitterTimeoutMs) return false;
+    return (this.#layout?.cells ?? []).some((cell) => !this.isServing(cell));
+  }
+
+  /** See `EarlierRunsCluster`. */
+  async mayRunJob(cell: string, jobId: string): Promise<boolean> {
+    if (this.#ownedCells.get(cell)) return this.mayRunOwnJob(cell, jobId);
+    const record = this.#registry.get(cell);
+    if (!record || isSameProcess(record.owner, this.#parts.self)) return false;
+    return this.#parts.peers.mayRunJob(record.owner.address, { cell, jobId });
+  }
+
+  /** True if runs of the job may be in progress in a cell of this host. */
+  mayRunOwnJob(cell: string, jobId: string): boolean {
+    return this.#ownedCells.get(cell)?.mayRunJob(jobId) ?? false;
+  }
+
   /** Runs a batch in a cell, locally or at the cell's owner. `abort` withdraws the batch. */
   async run(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
     const owner = this.#ownedCells.get(cell);
@@ -275,6 +307,7 @@
 
   #ownerChanged(record: CellRecord): void {
     const nowMs = this.#parts.clock.nowMs();
+    this.#ownerSinceMs.set(record.cell, nowMs);
     this.#ownedCells.releaseSuperseded(record);
     if (isSameProcess(record.owner, this.#parts.self)) {
       this.#ownedCells.add(record, this.#workersOf(record.cell));
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -12,6 +12,8 @@
   type BatchCall,
   type BatchReply,
   type PeerStatus,
+  type RunsReply,
+  type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
 import type { QueueConfiguration } from './queueTable';
@@ -25,6 +27,8 @@
 export type StatusFailure = (typeof StatusFailure)[keyof typeof StatusFailure];
 
 const REQUEST_LIMITS: CallLimits = { timeoutMs: 450 };
+/** A job waits for the answer before it starts. */
+const RUNS_LIMITS: CallLimits = { timeoutMs: 100 };
 /**
  * When a status call has had no answer for this time, its connection may have been lost without a
  * reset, and so may the pooled ones. They are replaced, so that the next call uses a new connection
@@ -153,6 +157,18 @@
     }
   }
 
+  /** True if the owner says that runs of a job may be in progress; false without an answer. */
+  async mayRunJob(address: string, runsRequest: RunsRequest): Promise<boolean> {
+    try {
+      const text = await this.#post(address, PeerPath.runs, runsRequest, RUNS_LIMITS);
+      return parseBody<RunsReply>(text, ['mayRun'])?.mayRun ?? false;
+    } catch (error) {
+      const cause = { address, error: messageOf(error) };
+      this.#journal.logDecision('runs-unread', { ...runsRequest, ...cause });
+      return false;
+    }
+  }
+
   /** Ends all batch calls to an owner that is gone; the batches count as lost. */
   abandonCallsTo(address: string): void {
     this.#calls.abandonCallsTo(address);
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -8,6 +8,7 @@
 export const PeerPath = {
   status: '/v1/status',
   batches: '/v1/batches',
+  runs: '/v1/runs',
   configuration: '/v1/configuration',
 } as const;
 
@@ -92,6 +93,17 @@
   readonly clocks?: ClockReading;
 }
 
+/** Asks the owner of a cell whether runs of a job may be in progress there. */
+export interface RunsRequest {
+  readonly cell: string;
+  readonly jobId: string;
+}
+
+/** Answer to a `RunsRequest`; false also if the receiver does not own the cell. */
+export interface RunsReply {
+  readonly mayRun: boolean;
+}
+
 /** Parses a JSON body that must be an object with these members; null otherwise. */
 export function parseBody<T>(text: string, members: readonly (keyof T & string)[]): T | null {
   try {
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -19,6 +19,7 @@
   type BatchCall,
   type BatchReply,
   type HostStatus,
+  type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
 import type { QueueConfiguration } from './queueTable';
@@ -33,6 +34,8 @@
   run(call: BatchCall, contact: SubmitterContact): Promise<BatchOutcome>;
   withdraw(cell: string, batchId: string, reason: BatchReason): void;
   summary(cell: string): CellSummary | null;
+  /** True if runs of the job may be in progress in a cell of this host. */
+  mayRunJob(cell: string, jobId: string): boolean;
   configuration(): QueueConfiguration | null;
 }
 
@@ -137,6 +140,9 @@
       case PeerPath.batches:
         await this.#answerBatch(text, response);
         break;
+      case PeerPath.runs:
+        this.#answerRuns(text, response);
+        break;
       case PeerPath.configuration:
         sendJson(response, 200, this.#handler.configuration());
         break;
@@ -168,6 +174,16 @@
     sendJson(response, 200, { ...this.#handler.status(statusRequest), batches, clocks });
   }
 
+  #answerRuns(text: string, response: ServerResponse): void {
+    const runsRequest = parseBody<RunsRequest>(text, ['cell', 'jobId']);
+    if (!runsRequest) {
+      sendJson(response, 400, { detail: 'expected cell and jobId' });
+      return;
+    }
+    const { cell, jobId } = runsRequest;
+    sendJson(response, 200, { mayRun: this.#handler.mayRunJob(cell, jobId) });
+  }
+
   async #answerBatch(text: string, response: ServerResponse): Promise<void> {
     const call = parseBody<BatchCall>(text, ['from', 'cell', 'batch']);
     if (!call) {
--- a/src/dispatcher/stepRunner.ts
+++ b/src/dispatcher/stepRunner.ts
@@ -9,15 +9,17 @@
 import { waitForPendingReads } from './caller';
 import { supersedes, type CellRecord } from './cellRecord';
 import type { Cluster } from './cluster';
+import { EarlierRuns, type EarlierRunsCluster } from './earlierRuns';
 import type { DispatchJournal } from './journal';
 import { spreadTasks, type CellAssignment } from './router';
 import { combineOutcomes, type JobOutcome, type RunningJob } from './runningJob';
 
 /** The members of the cluster that a step runner uses. */
-export type StepRunnerCluster = Pick<
-  Cluster,
-  'loads' | 'ownDomainCells' | 'expectsOwner' | 'serving' | 'ownerOf' | 'isServing' | 'run'
->;
+export type StepRunnerCluster = EarlierRunsCluster &
+  Pick<
+    Cluster,
+    'loads' | 'ownDomainCells' | 'expectsOwner' | 'serving' | 'ownerOf' | 'isServing' | 'run'
+  >;
 
 /** Dependencies of a step runner. */
 export interface StepRunnerParts {
@@ -104,10 +106,13 @@
 export class StepRunner {
   readonly #parts: StepRunnerParts;
 
+  readonly #earlierRuns: EarlierRuns;
+
   #batchCount = 0;
 
   constructor(parts: StepRunnerParts) {
     this.#parts = parts;
+    this.#earlierRuns = new EarlierRuns(parts);
   }
 
   /**
@@ -116,6 +121,7 @@
   async run(job: RunningJob, group: TaskGroup): Promise<JobOutcome> {
     await this.#awaitCell(job);
     if (group.step.after.length > 0) await waitForPendingReads();
+    else await this.#earlierRuns.waitUntilOver(job);
     if (job.hasEnded) return NOT_SENT;
     const assignments = this.#spread(group);
     if (assignments.length === 0) return NO_CELL;
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -30,6 +30,8 @@
   /** Id of the host that owns it. */
   ownerId: string;
   isServing: boolean;
+  /** Jobs of which the new owner of the cell has found runs; empty unless it has changed owners. */
+  readonly foundJobs: Set<string>;
 }
 
 /** Outcome of a batch whose owner is lost, or whose call failed. */
@@ -61,6 +63,7 @@
     token: 1000,
     ownerId: 'b',
     isServing: true,
+    foundJobs: new Set(),
     ...overrides,
   };
 }
@@ -73,6 +76,8 @@
 
   readonly expectsOwner = true;
 
+  lacksOwner = false;
+
   /** All batches, in the order in which they were sent. */
   readonly sent: SentBatch[] = [];
 
@@ -109,6 +114,14 @@
     return this.#cell(cell).isServing;
   }
 
+  recentlyTakenOver(): readonly string[] {
+    return this.#cells.filter(({ foundJobs }) => foundJobs.size > 0).map(({ name }) => name);
+  }
+
+  async mayRunJob(cell: string, jobId: string): Promise<boolean> {
+    return this.#cell(cell).foundJobs.has(jobId);
+  }
+
   run(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
     const { isLocal } = this.#cell(cell);
     return new Promise((resolve) => {
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -75,6 +75,7 @@
         this.end(batchId, { type: 'lost', reason, started: null, succeeded: [] });
       },
       summary: () => null,
+      mayRunJob: () => false,
       configuration: () => null,
     },
     CLOCK,
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -64,6 +64,7 @@
       },
       withdraw: (_, batchId) => this.withdrawn.push(batchId),
       summary: () => null,
+      mayRunJob: () => false,
       configuration: () => null,
     },
     this.ownerClock,
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -235,6 +235,60 @@
   });
 });
 
+describe('a job that its client sends again after submitter and owner of a cell were lost', () => {
+  let clock: FakeClock;
+
+  beforeEach(() => {
+    clock = install({ toFake: ['setTimeout', 'clearTimeout'] });
+  });
+
+  afterEach(() => clock.uninstall());
+
+  // Guards against two runs of a task: one that the new owner of a cell has found on its workers,
+  // and one that another cell, which knows nothing of it, starts for the new submission.
+  it('starts in no cell while the new owner of another one has runs of it', async () => {
+    const takenOver = fakeCell('a', { room: 0, foundJobs: new Set([JOB_ID]) });
+    const simulation = new Simulation(clock, [takenOver, fakeCell('b', { room: 2 })]);
+    await simulation.submit([step(2)]);
+    await simulation.pass(200);
+    expect(simulation.sentTo).toEqual([]);
+    takenOver.foundJobs.clear();
+    await simulation.pass(50);
+    expect(simulation.sentTo).toEqual(['b']);
+  });
+
+  // Guards against jobs that wait for the runs of other jobs.
+  it('waits for runs of its own only', async () => {
+    const takenOver = fakeCell('a', { room: 0, foundJobs: new Set(['00000000000000bb']) });
+    const simulation = new Simulation(clock, [takenOver, fakeCell('b', { room: 2 })]);
+    await simulation.submit([step(2)]);
+    expect(simulation.sentTo).toEqual(['b']);
+  });
+
+  // Guards against a start before a cell has an owner that could find runs of the job, and against
+  // a job that waits for an owner for ever.
+  it('waits for cells without an owner, but not longer than a takeover takes', async () => {
+    const simulation = new Simulation(clock, [fakeCell('a', { room: 2 })]);
+    simulation.cells.lacksOwner = true;
+    await simulation.submit([step(2)]);
+    await simulation.pass(250);
+    expect(simulation.sentTo).toEqual([]);
+    await simulation.pass(100);
+    expect(simulation.sentTo).toEqual(['a']);
+  });
+
+  // Guards against a job that is started although its client has left while it waited.
+  it('sends nothing if it is cancelled while it waits', async () => {
+    const takenOver = fakeCell('a', { foundJobs: new Set([JOB_ID]) });
+    const simulation = new Simulation(clock, [takenOver, fakeCell('b')]);
+    await simulation.submit([step(1)]);
+    simulation.runner.cancel(JOB_ID);
+    await simulation.pass(LONG_MS);
+    expect(simulation.outcome?.type).toEqual('refused');
+    expect(simulation.sentTo).toEqual([]);
+  });
+});
+
 describe('a refused job', () => {
   let clock: FakeClock;
 
