--- a/test/cells/cellSimulation.ts
+++ b/test/cells/cellSimulation.ts
@@ -81,7 +81,7 @@
 
   readonly decisions: { decision: string; fields: Readonly<Record<string, unknown>> }[] = [];
 
-  readonly #runMs: (batch: TaskBatch) => number;
+  readonly #runMs: (batch: TaskBatch, task?: string) => number;
 
   readonly #scheduled: { atMs: number; callback: () => void }[] = [];
 
@@ -92,7 +92,7 @@
   constructor(
     workers: readonly SimulatedWorker[],
     nowMs = 0,
-    runMs = (batch: TaskBatch) => batch.estimateMs,
+    runMs: (batch: TaskBatch, task?: string) => number = (batch) => batch.estimateMs,
     reportImmediately = true,
   ) {
     this.nowMs = nowMs;
@@ -273,7 +273,7 @@
       worker: worker.entry.id,
       atMs: this.nowMs,
     });
-    const runMs = this.#runMs(batch) * worker.faults.slowness;
+    const runMs = this.#runMs(batch, action.task) * worker.faults.slowness;
     worker.runs.set(`${action.task}#${action.run}`, {
       task: action.task,
       run: action.run,
