Count only those forecast arrivals that come before a batch starts

Hypothesis: batches are refused with room free because arrivals of more urgent queues up to the latest start of the batch count as ahead of it, also those that come after it has started.

Change: the batch is forecast without arrivals first; arrivals count up to the start found, and up to the latest start as before where its queue is above its share.

Test: a busy cell, where a batch that ends in time was refused.

--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -1,7 +1,7 @@
 /**
  * Admission control: decides on arrival whether a batch can meet its objective. The forecast
  * includes the work that is served before it: batches that already wait in the cell, and arrivals
- * expected from other queues with precedence before the latest start of the batch.
+ * expected from other queues with precedence before the batch starts.
  */
 import type { Batch } from './batch';
 import type { CellState } from './cellState';
@@ -60,10 +60,18 @@
 
   #forecastEndMs(batch: Batch, available: readonly CellWorker[], nowMs: number): number {
     const order = this.#state.queueOrder(nowMs);
-    const ahead = this.#demandsAhead(batch, order, nowMs);
+    const waiting = this.#waitingAhead(batch, order);
     const isAboveShare = !order.isBelowShare(batch.spec.queue);
     const usable = isAboveShare ? withoutReserve(available) : available;
-    return forecastEndMs(usable, ahead, demandOf(batch, batch.spec.tasks.length), nowMs);
+    const demand = demandOf(batch, batch.spec.tasks.length);
+    const endMs = forecastEndMs(usable, waiting, demand, nowMs);
+    // Later arrivals overtake a batch only until it starts. Above its share, a queue leaves room for
+    // all that the others bring in the meantime, because its runs would keep them waiting.
+    const startAtMs = isAboveShare ? batch.latestStartMs : endMs - batch.expectedMs;
+    const horizonMs = Math.min(startAtMs, batch.latestStartMs) - nowMs;
+    const arriving = this.#arrivalsAhead(batch, order, horizonMs, nowMs);
+    if (arriving.length === 0) return endMs;
+    return forecastEndMs(usable, [...waiting, ...arriving], demand, nowMs);
   }
 
   /** True if no other batch waits and all tasks of this one could start at once. */
@@ -74,8 +82,8 @@
     return endMs <= nowMs + batch.expectedMs * maxSlowness(available);
   }
 
-  /** Work that would be served before the batch. */
-  #demandsAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
+  /** Waiting work that would be served before the batch. */
+  #waitingAhead(batch: Batch, order: QueueOrder): readonly Demand[] {
     const { queue, priority } = batch.spec;
     const waiting = [...this.#state.batches.values()].filter((other) => {
       const { queue: otherQueue, priority: otherPriority } = other.spec;
@@ -83,15 +91,18 @@
       if (otherQueue === queue) return other.latestStartMs <= batch.latestStartMs;
       return order.precedes(otherQueue, otherPriority, queue, priority);
     });
-    const ahead = waiting.map((other) => demandOf(other, other.waitingCount));
-    return [...ahead, ...this.#expectedArrivalsAhead(batch, order, nowMs)];
+    return waiting.map((other) => demandOf(other, other.waitingCount));
   }
 
-  /** Arrivals of other queues, before the latest start of the batch, that would be served first. */
-  #expectedArrivalsAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
+  /** Arrivals of other queues, within `horizonMs`, that would be served before the batch. */
+  #arrivalsAhead(
+    batch: Batch,
+    order: QueueOrder,
+    horizonMs: number,
+    nowMs: number,
+  ): readonly Demand[] {
     const { queue, priority } = batch.spec;
     const { arrivals } = this.#state;
-    const horizonMs = batch.latestStartMs - nowMs;
     const isAboveShare = !order.isBelowShare(queue);
     return arrivals.queues().flatMap((otherQueue) => {
       const isMoreUrgent = (this.#priorities.get(otherQueue) ?? 0) < priority;
