Keep a worker for a blocked task only from the time at which the task can start (EASY backfilling)

Hypothesis: the worker kept free for the first blocked batch stands idle while waiting tasks would end before that batch can use it. One of 11 workers is a tenth of a cell, taken under load.

Change: the worker with the earliest expected room is kept, not the one with the most free CPU, and later tasks start there if they are expected to end before that time.

--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -1,14 +1,17 @@
 /** Starts waiting tasks on workers that have room for them, in queue order. */
 import type { Batch, TaskEntry } from './batch';
 import type { CellState } from './cellState';
-import { chooseWorker, chooseWorkerToReserve, type PlacementQuery } from './placement';
+import { chooseWorker, reservationFor, type PlacementQuery } from './placement';
 import { groupByQueue, nextQueue, type QueueOrder } from './queueOrder';
 import { createRun } from './run';
 import type { CellWorker } from './worker';
 
 /** Number of blocked batches that later ones may overtake (backfill). */
 const BACKFILL_LIMIT = 8;
-/** Workers kept free for the first blocked batches. Tasks of later batches use only the others. */
+/**
+ * Workers kept for the first blocked batches (EASY backfilling). Tasks of later batches start there
+ * only if they are expected to end before the blocked task can start.
+ */
 const RESERVED_WORKERS = 1;
 /**
  * Time after a pause of the owner's process in which no task is started, in milliseconds. Messages
@@ -21,10 +24,10 @@
 function reserveWorker(
   workers: readonly CellWorker[],
   query: PlacementQuery,
-  reserved: Set<string>,
+  reserved: Map<string, number>,
 ): void {
-  const worker = chooseWorkerToReserve(workers, query);
-  if (worker) reserved.add(worker.entry.id);
+  const reservation = reservationFor(workers, query);
+  if (reservation) reserved.set(reservation.workerId, reservation.fromMs);
 }
 
 /** Places the tasks of one cell. */
@@ -49,7 +52,7 @@
     const queues = groupByQueue(this.#state.batches.values());
     if (queues.length === 0) return;
     const order = this.#state.queueOrder(nowMs);
-    const reserved = new Set<string>();
+    const reserved = new Map<string, number>();
     let blocked = 0;
     let queue = nextQueue(queues, order);
     while (queue && blocked <= BACKFILL_LIMIT) {
@@ -60,13 +63,26 @@
   }
 
   /** Starts tasks of a batch while there is room; false if one of them has to wait. */
-  #placeBatch(batch: Batch, order: QueueOrder, reserved: Set<string>, nowMs: number): boolean {
+  #placeBatch(
+    batch: Batch,
+    order: QueueOrder,
+    reserved: Map<string, number>,
+    nowMs: number,
+  ): boolean {
     const { shape, service, jobId } = batch.spec;
     const workers = this.#state.workersFor(service);
     const contactExpiresMs = nowMs + this.#state.contactRemainingMs(batch);
     return batch.startableTasks(nowMs).every((task) => {
       if (!this.#mayStart(order, batch, nowMs)) return false;
-      const query: PlacementQuery = { shape, task, jobId, reserved, contactExpiresMs, nowMs };
+      const query: PlacementQuery = {
+        shape,
+        task,
+        jobId,
+        reserved,
+        contactExpiresMs,
+        expectedMs: batch.expectedMs,
+        nowMs,
+      };
       const worker = chooseWorker(workers, query);
       if (worker) {
         this.#start(batch, task, worker, nowMs);
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -17,8 +17,10 @@
   readonly shape: TaskShape;
   readonly task: TaskEntry;
   readonly jobId: string;
-  /** Ids of workers kept free for a blocked batch. */
-  readonly reserved: ReadonlySet<string>;
+  /** Workers kept free for a blocked batch, with the time from which it needs them. */
+  readonly reserved: ReadonlyMap<string, number>;
+  /** Expected run time of the task on an ordinary worker. */
+  readonly expectedMs: number;
   /** Runs of the batch must end by this time unless its submitter is heard from again. */
   readonly contactExpiresMs: number;
   readonly nowMs: number;
@@ -41,7 +43,9 @@
 
 function isAllowed(worker: CellWorker, query: PlacementQuery): boolean {
   const { shape, task, jobId, reserved, contactExpiresMs, nowMs } = query;
-  if (reserved.has(worker.entry.id) || !worker.isAvailable(nowMs)) return false;
+  if (!worker.isAvailable(nowMs)) return false;
+  const reservedFromMs = reserved.get(worker.entry.id) ?? Infinity;
+  if (nowMs + query.expectedMs * worker.slowness > reservedFromMs) return false;
   // The lease that a start carries covers every run on the worker, and the new run is covered by
   // the leases already granted there.
   if (worker.hasOrphanedRun || worker.leasesEndMs > contactExpiresMs) return false;
@@ -67,15 +71,37 @@
   return best;
 }
 
-/** Chooses the worker with the most free CPU for a task that no worker has room for now. */
-export function chooseWorkerToReserve(
-  workers: Iterable<CellWorker>,
-  { shape, reserved, nowMs }: PlacementQuery,
-): CellWorker | null {
-  const candidates = Array.from(workers).filter(
-    (worker) =>
-      worker.isAvailable(nowMs) && worker.couldRun(shape) && !reserved.has(worker.entry.id),
+/** Time at which the worker is expected to have room for a task if nothing else starts there. */
+function roomAtMs(worker: CellWorker, { shape, nowMs }: PlacementQuery): number {
+  let free = worker.freeCpuMillis;
+  if (free >= shape.cpuMillis) return nowMs;
+  const runs = [...worker.runs.values()].sort(
+    (left, right) => left.startedAtMs + left.expectedMs - right.startedAtMs - right.expectedMs,
   );
-  const byFreeCpu = candidates.sort((left, right) => right.freeCpuMillis - left.freeCpuMillis);
-  return byFreeCpu[0] ?? null;
+  const last = runs.find((run) => {
+    free += run.shape.cpuMillis;
+    return free >= shape.cpuMillis;
+  });
+  return last ? Math.max(nowMs, last.startedAtMs + last.expectedMs) : Infinity;
+}
+
+/** A worker that is kept free for a blocked task, from the time at which the task can start. */
+export interface Reservation {
+  readonly workerId: string;
+  readonly fromMs: number;
+}
+
+/** Chooses the worker that is expected to have room first for a task that none can take now. */
+export function reservationFor(
+  workers: Iterable<CellWorker>,
+  query: PlacementQuery,
+): Reservation | null {
+  let best: Reservation | null = null;
+  Array.from(workers).forEach((worker) => {
+    if (!worker.isAvailable(query.nowMs) || !worker.couldRun(query.shape)) return;
+    if (query.reserved.has(worker.entry.id)) return;
+    const fromMs = roomAtMs(worker, query);
+    if (fromMs < (best?.fromMs ?? Infinity)) best = { workerId: worker.entry.id, fromMs };
+  });
+  return best;
 }
--- a/test/cells/mixedLoad.test.ts
+++ b/test/cells/mixedLoad.test.ts
@@ -36,6 +36,42 @@
   });
 });
 
+describe('a cell with a blocked large task', () => {
+  const large = { shape: { ...batchOf().shape, cpuMillis: 60_000 }, goalMs: 400 };
+
+  // Guards against a worker that stands idle while tasks wait that would end before the large one
+  // can start there.
+  it('backfilling: short tasks use the worker that is kept until the large task can start', () => {
+    const simulation = CellSimulation.withWorkers(1);
+    simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 300, goalMs: 900 }));
+    const check = { queue: 'check', priority: 1, goalMs: 900 };
+    simulation.offer(batchOf({ ...check, estimateMs: 60 }));
+    const short = simulation.offer(batchOf({ ...check, estimateMs: 100 }));
+    const blocked = simulation.offer(batchOf(large));
+    simulation.advance(200);
+    expect(short.outcome).toEqual({ type: 'done' });
+    simulation.advance(SECOND_MS);
+    expect(blocked.outcome).toEqual({ type: 'done' });
+    expect(blocked.endedAtMs).toBeLessThanOrEqual(blocked.objectiveAtMs);
+  });
+
+  // Guards against small tasks that take each bit of room as it comes free.
+  it('backfilling: tasks that would delay the large task wait', () => {
+    const simulation = CellSimulation.withWorkers(1);
+    const small = { queue: 'check', priority: 1, estimateMs: 100, goalMs: 2000 };
+    // The runs end at different times, so that room for the large task never comes by itself.
+    Array.from({ length: 30 }, () => {
+      simulation.advance(13);
+      return simulation.offer(batchOf(small));
+    });
+    const blocked = simulation.offer(batchOf({ ...large, queue: 'unlock' }));
+    simulation.advance(3 * SECOND_MS);
+    expect(blocked.outcome).toEqual({ type: 'done' });
+    expect(blocked.endedAtMs).toBeLessThanOrEqual(blocked.objectiveAtMs);
+    expect(simulation.tally('check').inTime).toEqual(30);
+  });
+});
+
 describe('a cell under a mixed load', () => {
   // Guards against refusals of work that could be served: what other queues are forecast to bring
   // after a batch has started does not delay it.
