Start the rest of a begun batch before other batches while its queue is below its share

Hypothesis: a wide job of which a part runs waits behind queues that use less, because its own runs count as usage; its last task decides, so the part that runs is of no use and holds its room longer.

Change: begun batches of queues below their share come first, by latest start, in dispatch and in the forecast of admission.

--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -8,7 +8,7 @@
 import { refusalOf } from './cellState';
 import { forecastEndMs, type Demand } from './forecast';
 import { BatchReason, type BatchOutcome } from './messages';
-import { RESERVE_FRACTION, type QueueOrder } from './queueOrder';
+import { goesOnFirst, RESERVE_FRACTION, type QueueOrder } from './queueOrder';
 import type { CellWorker } from './worker';
 
 /** Slack that an admitted batch must have before its objective, as a fraction of its run time. */
@@ -88,6 +88,7 @@
     const waiting = [...this.#state.batches.values()].filter((other) => {
       const { queue: otherQueue, priority: otherPriority } = other.spec;
       if (other.waitingCount === 0) return false;
+      if (goesOnFirst(other, order)) return true;
       if (otherQueue === queue) return other.latestStartMs <= batch.latestStartMs;
       return order.precedes(otherQueue, otherPriority, queue, priority);
     });
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -2,7 +2,7 @@
 import type { Batch, TaskEntry } from './batch';
 import type { CellState } from './cellState';
 import { chooseWorker, reservationFor, type PlacementQuery } from './placement';
-import { groupByQueue, nextQueue, type QueueOrder } from './queueOrder';
+import { begunFirst, groupByQueue, nextQueue, type QueueOrder } from './queueOrder';
 import { createRun } from './run';
 import type { CellWorker } from './worker';
 
@@ -49,11 +49,14 @@
   /** Starts the waiting tasks for which there is room now. */
   startWaitingTasks(nowMs: number): void {
     if (nowMs < this.#startsHeldUntilMs) return;
-    const queues = groupByQueue(this.#state.batches.values());
-    if (queues.length === 0) return;
+    const waiting = [...this.#state.batches.values()].filter((batch) => batch.waitingCount > 0);
+    if (waiting.length === 0) return;
     const order = this.#state.queueOrder(nowMs);
     const reserved = new Map<string, number>();
-    let blocked = 0;
+    const begun = begunFirst(waiting, order);
+    const placed = begun.map((batch) => this.#placeBatch(batch, order, reserved, nowMs));
+    let blocked = placed.filter((isPlaced) => !isPlaced).length;
+    const queues = groupByQueue(waiting.filter((batch) => !begun.includes(batch)));
     let queue = nextQueue(queues, order);
     while (queue && blocked <= BACKFILL_LIMIT) {
       const batch = queue.batches.shift();
--- a/src/cells/queueOrder.ts
+++ b/src/cells/queueOrder.ts
@@ -3,7 +3,8 @@
  * share of the cell. Queues below their share precede those above it and are ordered by usage,
  * lowest first, then by priority; queues above their share are ordered by priority. A flood of one
  * queue, urgent or not, therefore leaves the others their share, and queues may use capacity above
- * their share that is otherwise idle.
+ * their share that is otherwise idle. Before all queues come begun batches of queues below their
+ * share: a job ends with its last task, so those that wait keep the others from being of use.
  */
 import type { Batch } from './batch';
 
@@ -69,6 +70,11 @@
   }
 }
 
+/** True if the rest of a batch is served before all batches that have not begun. */
+export function goesOnFirst(batch: Batch, order: QueueOrder): boolean {
+  return batch.isBegun && order.isBelowShare(batch.spec.queue);
+}
+
 /** Waiting batches of one queue, ordered by latest start. */
 export interface WaitingQueue {
   readonly name: string;
@@ -76,19 +82,25 @@
   readonly batches: Batch[];
 }
 
-/** Groups batches with waiting tasks by queue. */
-export function groupByQueue(batches: Iterable<Batch>): readonly WaitingQueue[] {
+function byLatestStart(left: Batch, right: Batch): number {
+  return left.latestStartMs - right.latestStartMs;
+}
+
+/** Returns the batches that go on first, those that must start first at the front. */
+export function begunFirst(batches: readonly Batch[], order: QueueOrder): readonly Batch[] {
+  return batches.filter((batch) => goesOnFirst(batch, order)).sort(byLatestStart);
+}
+
+/** Groups batches by queue. */
+export function groupByQueue(batches: readonly Batch[]): readonly WaitingQueue[] {
   const groups = new Map<string, WaitingQueue>();
-  Array.from(batches).forEach((batch) => {
-    if (batch.waitingCount === 0) return;
+  batches.forEach((batch) => {
     const { queue, priority } = batch.spec;
     const group = groups.get(queue) ?? { name: queue, priority, batches: [] };
     group.batches.push(batch);
     groups.set(queue, group);
   });
-  groups.forEach(({ batches: waiting }) =>
-    waiting.sort((left, right) => left.latestStartMs - right.latestStartMs),
-  );
+  groups.forEach(({ batches: waiting }) => waiting.sort(byLatestStart));
   return [...groups.values()];
 }
 
--- a/test/cells/mixedLoad.test.ts
+++ b/test/cells/mixedLoad.test.ts
@@ -72,6 +72,24 @@
   });
 });
 
+describe('a cell with wide and narrow jobs', () => {
+  // Guards against wide jobs of which a part runs while the rest waits behind jobs that have not
+  // begun: the whole job is then late, and what has run of it was of no use.
+  it('partial start: the rest of a begun job starts before other jobs do', () => {
+    const simulation = CellSimulation.withWorkers(4);
+    simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 60, taskCount: 2 }));
+    const wide = simulation.offer(batchOf({ queue: 'unlock', estimateMs: 200, taskCount: 8 }));
+    simulation.advance(10);
+    const check = { queue: 'check', priority: 1, estimateMs: 60, goalMs: 900, taskCount: 2 };
+    Array.from({ length: 4 }, () => simulation.offer(batchOf(check)));
+    simulation.advance(SECOND_MS);
+    expect(wide.outcome).toEqual({ type: 'done' });
+    // 60 ms until there is room, 200 ms to run, and 20 ms for messages.
+    expect(wide.endedAtMs).toBeLessThanOrEqual(280);
+    expect(simulation.tally('check').inTime).toEqual(4);
+  });
+});
+
 describe('a cell under a mixed load', () => {
   // Guards against refusals of work that could be served: what other queues are forecast to bring
   // after a batch has started does not delay it.
