Admit a batch that can start at once beside batches that are blocked

Hypothesis: the forecast counts a waiting batch as ahead also where it finds no room now, and refuses small batches that would fit beside it.

Test: backfilling in test/cells/mixedLoad.test.ts, where the short task was refused before.

--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -74,10 +74,14 @@
     return forecastEndMs(usable, [...waiting, ...arriving], demand, nowMs);
   }
 
-  /** True if no other batch waits and all tasks of this one could start at once. */
+  /**
+   * True if all tasks of the batch could start at once. Batches that wait have found no room, so it
+   * takes none from them; one that is late already gives way to them.
+   */
   #canStartAtOnce(batch: Batch, available: readonly CellWorker[], nowMs: number): boolean {
     const { batches } = this.#state;
-    if ([...batches.values()].some(({ waitingCount }) => waitingCount > 0)) return false;
+    const isLate = batch.latestStartMs < nowMs;
+    if (isLate && [...batches.values()].some(({ waitingCount }) => waitingCount > 0)) return false;
     const endMs = forecastEndMs(available, [], demandOf(batch, batch.spec.tasks.length), nowMs);
     return endMs <= nowMs + batch.expectedMs * maxSlowness(available);
   }
--- a/test/cells/mixedLoad.test.ts
+++ b/test/cells/mixedLoad.test.ts
@@ -55,6 +55,17 @@
     expect(blocked.endedAtMs).toBeLessThanOrEqual(blocked.objectiveAtMs);
   });
 
+  // Guards against refusals with room free: a blocked large task counts as ahead of all others in the
+  // forecast, also of tasks that fit beside it now.
+  it('backfilling: admits a short task that fits beside a blocked one', () => {
+    const simulation = CellSimulation.withWorkers(1);
+    simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 300, goalMs: 900 }));
+    simulation.offer(batchOf(large));
+    const short = simulation.offer(batchOf({ queue: 'check', priority: 1, estimateMs: 100 }));
+    simulation.advance(150);
+    expect(short.outcome).toEqual({ type: 'done' });
+  });
+
   // Guards against small tasks that take each bit of room as it comes free.
   it('backfilling: tasks that would delay the large task wait', () => {
     const simulation = CellSimulation.withWorkers(1);
