Decide for a whole job before it is divided over cells

Hypothesis: cells admit the parts of a divided job one by one. Some parts start while others are refused by every cell; these are queued late, the whole job is late, and the work on it keeps others from being in time.

Change: where no cell seems to have room for all tasks, or one has refused them, the submitter asks up to six cells how many of the tasks they would end in time. It then sends the job to one cell that takes it whole, or to as few as possible, or refuses it at once as not run. A question costs one call to each cell in place of an offer and a refusal.

Tests: wide jobs in stepRunner.test.ts, the room that a cell tells in mixedLoad.test.ts. An impossible job is still refused as impossible.

--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -6,8 +6,8 @@
 import type { Batch } from './batch';
 import type { CellState } from './cellState';
 import { refusalOf } from './cellState';
-import { forecastEndMs, type Demand } from './forecast';
-import { BatchReason, type BatchOutcome } from './messages';
+import { forecastEndsMs, type Demand } from './forecast';
+import { BatchReason, type BatchOutcome, type CellRoom } from './messages';
 import { goesOnFirst, RESERVE_FRACTION, type QueueOrder } from './queueOrder';
 import type { CellWorker } from './worker';
 
@@ -23,6 +23,15 @@
   return { tasks, cpuMillis: batch.spec.shape.cpuMillis, expectedMs: batch.expectedMs };
 }
 
+function noRoom(reason: BatchReason, retryAfterMs: number): CellRoom {
+  return { tasks: 0, retryAfterMs, reason };
+}
+
+/** Time by which the tasks of an admitted batch are forecast to end. */
+function latestEndMs(batch: Batch): number {
+  return batch.objectiveAtMs - batch.expectedMs * MARGIN_FRACTION;
+}
+
 /** Workers on which a queue above its share may be forecast: all but the reserve. */
 function withoutReserve(workers: readonly CellWorker[]): readonly CellWorker[] {
   return workers.slice(Math.ceil(workers.length * RESERVE_FRACTION));
@@ -52,38 +61,63 @@
     if (!workers.some((worker) => worker.couldRun(spec.shape))) {
       return refusalOf(BatchReason.impossible, IMPOSSIBLE_RETRY_MS);
     }
-    const endMs = this.#forecastEndMs(batch, available, nowMs);
-    const lateMs = endMs + batch.expectedMs * MARGIN_FRACTION - batch.objectiveAtMs;
-    if (lateMs <= 0 || this.#canStartAtOnce(batch, available, nowMs)) return null;
+    const lateMs = Math.max(...this.#forecastEndsMs(batch, available, nowMs)) - latestEndMs(batch);
+    if (lateMs <= 0) return null;
+    if (this.#startableAtOnce(batch, available, nowMs) === spec.tasks.length) return null;
     return refusalOf(BatchReason.overloaded, lateMs);
   }
 
-  #forecastEndMs(batch: Batch, available: readonly CellWorker[], nowMs: number): number {
+  /** Number of tasks of a batch that would be admitted, without admitting them. */
+  roomFor(batch: Batch, nowMs: number): CellRoom {
+    const workers = this.#state.workersFor(batch.spec.service);
+    const available = workers.filter((worker) => worker.isAvailable(nowMs));
+    if (available.length === 0) return noRoom(BatchReason.noWorkers, 0);
+    if (batch.isPastDeadline(nowMs)) return noRoom(BatchReason.deadline, 0);
+    if (!workers.some((worker) => worker.couldRun(batch.spec.shape))) {
+      return noRoom(BatchReason.impossible, IMPOSSIBLE_RETRY_MS);
+    }
+    this.#priorities.set(batch.spec.queue, batch.spec.priority);
+    const endsMs = this.#forecastEndsMs(batch, available, nowMs);
+    const inTime = endsMs.filter((endMs) => endMs <= latestEndMs(batch)).length;
+    const tasks = Math.max(inTime, this.#startableAtOnce(batch, available, nowMs));
+    const lateMs = Math.max(...endsMs) - latestEndMs(batch);
+    const retryAfterMs = Math.ceil(Math.min(IMPOSSIBLE_RETRY_MS, Math.max(0, lateMs)));
+    return { tasks, retryAfterMs, reason: BatchReason.overloaded };
+  }
+
+  /** Forecast ends of the tasks of a batch. */
+  #forecastEndsMs(
+    batch: Batch,
+    available: readonly CellWorker[],
+    nowMs: number,
+  ): readonly number[] {
     const order = this.#state.queueOrder(nowMs);
     const waiting = this.#waitingAhead(batch, order);
     const isAboveShare = !order.isBelowShare(batch.spec.queue);
     const usable = isAboveShare ? withoutReserve(available) : available;
     const demand = demandOf(batch, batch.spec.tasks.length);
-    const endMs = forecastEndMs(usable, waiting, demand, nowMs);
+    const endsMs = forecastEndsMs(usable, waiting, demand, nowMs);
     // Later arrivals overtake a batch only until it starts. Above its share, a queue leaves room for
     // all that the others bring in the meantime, because its runs would keep them waiting.
-    const startAtMs = isAboveShare ? batch.latestStartMs : endMs - batch.expectedMs;
+    const lastStartMs = Math.max(...endsMs) - batch.expectedMs;
+    const startAtMs = isAboveShare ? batch.latestStartMs : lastStartMs;
     const horizonMs = Math.min(startAtMs, batch.latestStartMs) - nowMs;
     const arriving = this.#arrivalsAhead(batch, order, horizonMs, nowMs);
-    if (arriving.length === 0) return endMs;
-    return forecastEndMs(usable, [...waiting, ...arriving], demand, nowMs);
+    if (arriving.length === 0) return endsMs;
+    return forecastEndsMs(usable, [...waiting, ...arriving], demand, nowMs);
   }
 
   /**
-   * True if all tasks of the batch could start at once. Batches that wait have found no room, so it
-   * takes none from them; one that is late already gives way to them.
+   * Number of tasks of the batch that could start at once. Batches that wait have found no room, so
+   * it takes none from them; one that is late already gives way to them.
    */
-  #canStartAtOnce(batch: Batch, available: readonly CellWorker[], nowMs: number): boolean {
+  #startableAtOnce(batch: Batch, available: readonly CellWorker[], nowMs: number): number {
     const { batches } = this.#state;
     const isLate = batch.latestStartMs < nowMs;
-    if (isLate && [...batches.values()].some(({ waitingCount }) => waitingCount > 0)) return false;
-    const endMs = forecastEndMs(available, [], demandOf(batch, batch.spec.tasks.length), nowMs);
-    return endMs <= nowMs + batch.expectedMs * maxSlowness(available);
+    if (isLate && [...batches.values()].some(({ waitingCount }) => waitingCount > 0)) return 0;
+    const demand = demandOf(batch, batch.spec.tasks.length);
+    const latestMs = nowMs + batch.expectedMs * maxSlowness(available);
+    return forecastEndsMs(available, [], demand, nowMs).filter((endMs) => endMs <= latestMs).length;
   }
 
   /** Waiting work that would be served before the batch. */
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -9,7 +9,13 @@
 import { CellState, describeBatch, type CellOptions } from './cellState';
 import { Dispatch } from './dispatch';
 import { FirstArrivals } from './firstArrivals';
-import { BatchReason, type BatchOutcome, type CellSummary, type TaskBatch } from './messages';
+import {
+  BatchReason,
+  type BatchOutcome,
+  type CellRoom,
+  type CellSummary,
+  type TaskBatch,
+} from './messages';
 import { ProgressMonitor } from './progressMonitor';
 import { runKey, type Run } from './run';
 import { LOCAL_SUBMITTER, type SubmitterContact } from './submitterContact';
@@ -118,6 +124,14 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
+  /** How many tasks of a batch would be admitted now. The batch is neither queued nor refused. */
+  roomFor(offered: TaskBatch, nowMs: number): CellRoom {
+    const spec = this.#firstArrivals.withTotalWait(offered, nowMs);
+    const expectedMs = this.#state.runTimes.expectedMs(spec.queue, spec.estimateMs);
+    const batch = new Batch(spec, LOCAL_SUBMITTER, expectedMs, nowMs, nowMs);
+    return this.#admission.roomFor(batch, nowMs);
+  }
+
   /** Ends a batch whose outcome is no longer awaited, and stops its runs. */
   withdraw(batchId: string, reason: BatchReason, nowMs: number): void {
     const batch = this.#state.batches.get(batchId);
--- a/src/cells/forecast.ts
+++ b/src/cells/forecast.ts
@@ -90,22 +90,18 @@
 }
 
 /**
- * Time at which the last task of `demand` would end if `ahead` is started first; Infinity if a task
- * of `demand` never finds room.
+ * Times at which the tasks of `demand` would end if `ahead` is started first, in order of their
+ * starts; Infinity for a task that never finds room.
  */
-export function forecastEndMs(
+export function forecastEndsMs(
   workers: readonly CellWorker[],
   ahead: readonly Demand[],
   demand: Demand,
   nowMs: number,
-): number {
+): readonly number[] {
   const timelines = workers.map((worker) => timelineOf(worker, nowMs));
   ahead.forEach((other) => {
     for (let count = 0; count < other.tasks; count += 1) simulateTask(timelines, other, nowMs);
   });
-  let lastMs = nowMs;
-  for (let count = 0; count < demand.tasks; count += 1) {
-    lastMs = Math.max(lastMs, simulateTask(timelines, demand, nowMs));
-  }
-  return lastMs;
+  return Array.from({ length: demand.tasks }, () => simulateTask(timelines, demand, nowMs));
 }
--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -89,6 +89,16 @@
       readonly succeeded: readonly string[];
     };
 
+/** How much of a batch a cell could serve if it were offered now. */
+export interface CellRoom {
+  /** Number of its tasks that could end in time. */
+  readonly tasks: number;
+  /** Time after which all of them could. */
+  readonly retryAfterMs: number;
+  /** Why not all of them could; without meaning if they can. */
+  readonly reason: BatchReason;
+}
+
 /** Load of a cell; sent with each answer. */
 export interface CellSummary {
   readonly cell: string;
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -5,7 +5,13 @@
 import { Cell } from '../cells/cell';
 import type { CellOptions } from '../cells/cellState';
 import type { CellAction, StartAnswer } from '../cells/actions';
-import type { BatchOutcome, BatchReason, CellSummary, TaskBatch } from '../cells/messages';
+import type {
+  BatchOutcome,
+  BatchReason,
+  CellRoom,
+  CellSummary,
+  TaskBatch,
+} from '../cells/messages';
 import type { SubmitterContact } from '../cells/submitterContact';
 import type { WorkerEntry } from '../cells/worker';
 import type { DispatchJournal } from './journal';
@@ -96,6 +102,11 @@
     return this.#cell.hasRunsOf(jobId) || (isNew && this.#cell.hasUnlistedWorkers);
   }
 
+  /** How many tasks of a batch the cell would admit now. */
+  roomFor(batch: TaskBatch): CellRoom {
+    return this.#cell.roomFor(batch, this.#now());
+  }
+
   /** Runs a batch and resolves with its outcome. */
   run(batch: TaskBatch, contact?: SubmitterContact): Promise<BatchOutcome> {
     return new Promise((resolve) => {
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -5,6 +5,7 @@
 import {
   BatchReason,
   type BatchOutcome,
+  type CellRoom,
   type CellSummary,
   type TaskBatch,
 } from '../cells/messages';
@@ -234,6 +235,19 @@
     return this.#ownedCells.get(cell)?.mayRunJob(jobId) ?? false;
   }
 
+  /** How many tasks of a batch a cell could end in time; null if its owner does not answer. */
+  async roomIn(cell: string, batch: TaskBatch): Promise<CellRoom | null> {
+    if (this.#ownedCells.get(cell)) return this.roomInOwnCell(cell, batch);
+    const record = this.#registry.get(cell);
+    if (!record || isSameProcess(record.owner, this.#parts.self)) return null;
+    return this.#parts.peers.roomIn(record.owner.address, { cell, batch });
+  }
+
+  /** The same for a cell of this host; null if this host does not own it. */
+  roomInOwnCell(cell: string, batch: TaskBatch): CellRoom | null {
+    return this.#ownedCells.get(cell)?.roomFor(batch) ?? null;
+  }
+
   /** Runs a batch in a cell, locally or at the cell's owner. `abort` withdraws the batch. */
   async run(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
     const owner = this.#ownedCells.get(cell);
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -129,6 +129,7 @@
         run: (call, contact) => this.#cluster.runForPeer(call, contact),
         withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
         summary: (cell) => this.#cluster.summary(cell),
+        roomIn: (cell, batch) => this.#cluster.roomInOwnCell(cell, batch),
         mayRunJob: (cell, jobId) => this.#cluster.mayRunOwnJob(cell, jobId),
         configuration: () => queues.configuration,
       },
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peerClient.ts
@@ -1,5 +1,5 @@
 /** HTTP client for calls to other hosts. */
-import { agedBatch, BatchReason, type BatchOutcome } from '../cells/messages';
+import { agedBatch, BatchReason, type BatchOutcome, type CellRoom } from '../cells/messages';
 import { BatchCalls, type BatchCallInProgress } from './batchCalls';
 import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from './journal';
@@ -12,6 +12,8 @@
   type BatchCall,
   type BatchReply,
   type PeerStatus,
+  type RoomReply,
+  type RoomRequest,
   type RunsReply,
   type RunsRequest,
   type StatusRequest,
@@ -29,6 +31,8 @@
 const REQUEST_LIMITS: CallLimits = { timeoutMs: 450 };
 /** A job waits for the answer before it starts. */
 const RUNS_LIMITS: CallLimits = { timeoutMs: 100 };
+/** Below the slack of most jobs, which wait for the answer. */
+const ROOM_LIMITS: CallLimits = { timeoutMs: 30 };
 /**
  * When a status call has had no answer for this time, its connection may have been lost without a
  * reset, and so may the pooled ones. They are replaced, so that the next call uses a new connection
@@ -169,6 +173,19 @@
     }
   }
 
+  /** Asks an owner for the room in its cell; null if it does not answer. */
+  async roomIn(address: string, roomRequest: RoomRequest): Promise<CellRoom | null> {
+    try {
+      const text = await this.#post(address, PeerPath.room, roomRequest, ROOM_LIMITS);
+      return parseBody<RoomReply>(text, ['room'])?.room ?? null;
+    } catch (error) {
+      const { cell, batch } = roomRequest;
+      const cause = { address, error: messageOf(error) };
+      this.#journal.logDecision('room-unread', { jobId: batch.jobId, cell, ...cause });
+      return null;
+    }
+  }
+
   /** Ends all batch calls to an owner that is gone; the batches count as lost. */
   abandonCallsTo(address: string): void {
     this.#calls.abandonCallsTo(address);
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -1,5 +1,5 @@
 /** Message bodies of the peer interface, and validation of received ones. */
-import type { BatchOutcome, CellSummary, TaskBatch } from '../cells/messages';
+import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../cells/messages';
 import type { CellRecord, HostIdentity } from './cellRecord';
 import type { ClockReading, SendTime } from './peerClocks';
 import type { WorkerList } from './workerLists';
@@ -9,6 +9,7 @@
   status: '/v1/status',
   batches: '/v1/batches',
   runs: '/v1/runs',
+  room: '/v1/room',
   configuration: '/v1/configuration',
 } as const;
 
@@ -104,6 +105,17 @@
   readonly mayRun: boolean;
 }
 
+/** Asks the owner of a cell how many tasks of a batch it could end in time. */
+export interface RoomRequest {
+  readonly cell: string;
+  readonly batch: TaskBatch;
+}
+
+/** Answer to a `RoomRequest`; null if the receiver does not own the cell. */
+export interface RoomReply {
+  readonly room: CellRoom | null;
+}
+
 /** Parses a JSON body that must be an object with these members; null otherwise. */
 export function parseBody<T>(text: string, members: readonly (keyof T & string)[]): T | null {
   try {
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peerServer.ts
@@ -5,7 +5,14 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
-import { agedBatch, BatchReason, type BatchOutcome, type CellSummary } from '../cells/messages';
+import {
+  agedBatch,
+  BatchReason,
+  type BatchOutcome,
+  type CellRoom,
+  type CellSummary,
+  type TaskBatch,
+} from '../cells/messages';
 import type { SubmitterContact } from '../cells/submitterContact';
 import type { LogFields } from '../observe/observer';
 import { BatchContact, readingBefore } from './batchContact';
@@ -19,6 +26,7 @@
   type BatchCall,
   type BatchReply,
   type HostStatus,
+  type RoomRequest,
   type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
@@ -36,6 +44,8 @@
   summary(cell: string): CellSummary | null;
   /** True if runs of the job may be in progress in a cell of this host. */
   mayRunJob(cell: string, jobId: string): boolean;
+  /** How many tasks of a batch a cell of this host could end in time; null for other cells. */
+  roomIn(cell: string, batch: TaskBatch): CellRoom | null;
   configuration(): QueueConfiguration | null;
 }
 
@@ -143,6 +153,9 @@
       case PeerPath.runs:
         this.#answerRuns(text, response);
         break;
+      case PeerPath.room:
+        this.#answerRoom(text, response);
+        break;
       case PeerPath.configuration:
         sendJson(response, 200, this.#handler.configuration());
         break;
@@ -184,6 +197,16 @@
     sendJson(response, 200, { mayRun: this.#handler.mayRunJob(cell, jobId) });
   }
 
+  #answerRoom(text: string, response: ServerResponse): void {
+    const roomRequest = parseBody<RoomRequest>(text, ['cell', 'batch']);
+    if (!roomRequest) {
+      sendJson(response, 400, { detail: 'expected cell and batch' });
+      return;
+    }
+    const { cell, batch } = roomRequest;
+    sendJson(response, 200, { room: this.#handler.roomIn(cell, batch) });
+  }
+
   async #answerBatch(text: string, response: ServerResponse): Promise<void> {
     const call = parseBody<BatchCall>(text, ['from', 'cell', 'batch']);
     if (!call) {
--- a/src/dispatcher/router.ts
+++ b/src/dispatcher/router.ts
@@ -72,7 +72,7 @@
 }
 
 /** Cells with workers, least loaded first. */
-function sortByLoad(
+export function byLoad(
   summaries: readonly CellSummary[],
   ownDomainCells: ReadonlySet<string>,
   estimateMs: number,
@@ -104,6 +104,29 @@
   return cells[index] ?? cells[0] ?? null;
 }
 
+/**
+ * Assigns tasks to cells by the number that each can take: all to the first cell with room for all,
+ * else to as few cells as possible. Null if there is too little room.
+ */
+export function assignByRoom(
+  rooms: readonly { readonly cell: string; readonly tasks: number }[],
+  tasks: number,
+): readonly CellAssignment[] | null {
+  const indexes = Array.from({ length: tasks }, (_, index) => index);
+  const whole = rooms.find((room) => room.tasks >= tasks);
+  if (whole) return [{ cell: whole.cell, taskIndexes: indexes }];
+  const byRoom = [...rooms].sort((left, right) => right.tasks - left.tasks);
+  const assignments: CellAssignment[] = [];
+  let assigned = 0;
+  byRoom.forEach((room) => {
+    const taskIndexes = indexes.slice(assigned, assigned + room.tasks);
+    if (taskIndexes.length === 0) return;
+    assigned += taskIndexes.length;
+    assignments.push({ cell: room.cell, taskIndexes });
+  });
+  return assigned === tasks ? assignments : null;
+}
+
 /** Distributes the tasks of a step over cells; empty if no cell has workers. */
 export function spreadTasks(
   summaries: readonly CellSummary[],
@@ -111,7 +134,7 @@
   { tasks, cpuMillis, estimateMs }: StepDemand,
   random: RandomSource,
 ): readonly CellAssignment[] {
-  const cells = sortByLoad(summaries, ownDomainCells, estimateMs);
+  const cells = byLoad(summaries, ownDomainCells, estimateMs);
   const indexes = Array.from({ length: tasks }, (_, index) => index);
   const cellsWithRoom = cells.filter((summary) => roomFor(summary, cpuMillis) >= tasks);
   const inOwnDomain = cellsWithRoom.filter(({ cell }) => ownDomainCells.has(cell));
--- a/src/dispatcher/stepRunner.ts
+++ b/src/dispatcher/stepRunner.ts
@@ -10,16 +10,15 @@
 import { supersedes, type CellRecord } from './cellRecord';
 import type { Cluster } from './cluster';
 import { EarlierRuns, type EarlierRunsCluster } from './earlierRuns';
+import { JobDivision, type DivisionCluster } from './jobDivision';
 import type { DispatchJournal } from './journal';
 import { spreadTasks, type CellAssignment } from './router';
 import { combineOutcomes, type JobOutcome, type RunningJob } from './runningJob';
 
 /** The members of the cluster that a step runner uses. */
 export type StepRunnerCluster = EarlierRunsCluster &
-  Pick<
-    Cluster,
-    'loads' | 'ownDomainCells' | 'expectsOwner' | 'serving' | 'ownerOf' | 'isServing' | 'run'
-  >;
+  DivisionCluster &
+  Pick<Cluster, 'loads' | 'expectsOwner' | 'ownerOf' | 'isServing' | 'run'>;
 
 /** Dependencies of a step runner. */
 export interface StepRunnerParts {
@@ -108,11 +107,14 @@
 
   readonly #earlierRuns: EarlierRuns;
 
+  readonly #division: JobDivision;
+
   #batchCount = 0;
 
   constructor(parts: StepRunnerParts) {
     this.#parts = parts;
     this.#earlierRuns = new EarlierRuns(parts);
+    this.#division = new JobDivision(parts.cluster, parts.journal);
   }
 
   /**
@@ -125,9 +127,33 @@
     if (job.hasEnded) return NOT_SENT;
     const assignments = this.#spread(group);
     if (assignments.length === 0) return NO_CELL;
+    if (assignments.length > 1) return this.#runDivided(job, group, assignments);
     return this.#runAssignments(job, group, assignments, true);
   }
 
+  /**
+   * Runs tasks that no cell seems to have room for together. The job is refused as a whole if the
+   * cells have too little room for it; once it has begun, it goes on late with `fallback`.
+   */
+  async #runDivided(
+    job: RunningJob,
+    group: TaskGroup,
+    fallback: readonly CellAssignment[],
+  ): Promise<JobOutcome> {
+    const division = await this.#division.divide(this.#batchOf(job, group, job.begun, false));
+    // The caller may have disconnected in the meantime, and sent the job elsewhere.
+    await waitForPendingReads();
+    if (job.hasEnded) return NOT_SENT;
+    if (division.type === 'assigned') {
+      return this.#runAssignments(job, group, division.assignments, false);
+    }
+    if (division.type === 'refused' && !job.begun && job.openGroups === 0) {
+      const { reason, retryAfterMs } = division;
+      return { type: 'refused', reason, retryAfterMs };
+    }
+    return this.#runAssignments(job, group, fallback, false);
+  }
+
   /** Waits up to `CELL_WAIT_MS` for a cell to be served, after a start or a change of owner. */
   async #awaitCell(job: RunningJob): Promise<void> {
     const { cluster, clock } = this.#parts;
@@ -193,20 +219,24 @@
       if (outcome.type !== 'refused') return this.#resolveOutcome(job, group, sent);
       refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
       const assignments = maySplit && !job.hasEnded ? this.#spread(group) : [];
-      if (assignments.length > 1) return this.#spreadAnew(job, group, assignments);
+      const isOverloaded = outcome.reason === BatchReason.overloaded;
+      if (assignments.length > 1 || (isOverloaded && assignments.length > 0)) {
+        return this.#divideAnew(job, group, assignments);
+      }
       cell = job.hasEnded ? null : this.#leastLoadedCell(tried);
     }
     return this.#handleRefusalByAll(job, group, refusal);
   }
 
-  #spreadAnew(
+  /** Divides a group that a cell has refused as a whole. */
+  #divideAnew(
     job: RunningJob,
     group: TaskGroup,
-    assignments: readonly CellAssignment[],
+    fallback: readonly CellAssignment[],
   ): Promise<JobOutcome> {
     const running = job;
     running.openGroups -= 1;
-    return this.#runAssignments(job, group, assignments, false);
+    return this.#runDivided(job, group, fallback);
   }
 
   /**
--- a/test/cells/mixedLoad.test.ts
+++ b/test/cells/mixedLoad.test.ts
@@ -26,6 +26,26 @@
   return inTime / all;
 }
 
+describe('the room that a cell tells for a wide batch', () => {
+  // Guards against a job that is divided by numbers at which the cells refuse its parts.
+  it('is the number of tasks that it admits and ends in time', () => {
+    [1, 2, 3, 5].forEach((busy) => {
+      const simulation = CellSimulation.withWorkers(4);
+      simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 300, taskCount: busy }));
+      const wide = batchOf({ taskCount: 24 });
+      const { tasks } = simulation.cell.roomFor(wide, simulation.nowMs);
+      expect(tasks).toBeGreaterThan(0);
+      expect(tasks).toBeLessThan(24);
+      const more = simulation.offer(batchOf({ taskCount: tasks + 1 }));
+      expect(more.outcome?.type).toEqual('refused');
+      const record = simulation.offer(batchOf({ taskCount: tasks }));
+      simulation.advance(SECOND_MS);
+      expect(record.outcome).toEqual({ type: 'done' });
+      expect(record.endedAtMs).toBeLessThanOrEqual(record.objectiveAtMs);
+    });
+  });
+});
+
 describe('a cell under a load of one kind', () => {
   // Guards against a queue that is admitted up to an objective which the estimate sets too late:
   // under a steady overload every admitted job waits as long as it may, and all are late.
--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -55,6 +55,7 @@
       withdraw: (_, batchId) => withdrawn.push(batchId),
       summary: () => null,
       mayRunJob: () => false,
+      roomIn: () => null,
       configuration: () => null,
     },
     CLOCK,
--- a/test/dispatcher/earlierRuns.test.ts
+++ b/test/dispatcher/earlierRuns.test.ts
@@ -84,6 +84,7 @@
           asked.push(cell);
           return found.has(jobId);
         },
+        roomIn: () => null,
         configuration: () => null,
       },
       clock,
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -1,5 +1,5 @@
 /** Fake cells without workers. A test answers each batch and sets the owners of the cells. */
-import type { BatchOutcome, CellSummary, TaskBatch } from '../../src/cells/messages';
+import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../../src/cells/messages';
 import type { Caller } from '../../src/dispatcher/caller';
 import type { CellRecord } from '../../src/dispatcher/cellRecord';
 import type { StepRunnerCluster } from '../../src/dispatcher/stepRunner';
@@ -30,6 +30,8 @@
   /** Id of the host that owns it. */
   ownerId: string;
   isServing: boolean;
+  /** Answer to a question for room; null if the owner gives none. */
+  readonly answeredRoom: CellRoom | null;
   /** Jobs of which the new owner of the cell has found runs; empty unless it has changed owners. */
   readonly foundJobs: Set<string>;
 }
@@ -63,6 +65,7 @@
     token: 1000,
     ownerId: 'b',
     isServing: true,
+    answeredRoom: null,
     foundJobs: new Set(),
     ...overrides,
   };
@@ -118,6 +121,10 @@
     return this.#cells.filter(({ foundJobs }) => foundJobs.size > 0).map(({ name }) => name);
   }
 
+  async roomIn(cell: string): Promise<CellRoom | null> {
+    return this.#cell(cell).answeredRoom;
+  }
+
   async mayRunJob(cell: string, jobId: string): Promise<boolean> {
     return this.#cell(cell).foundJobs.has(jobId);
   }
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -76,6 +76,7 @@
       },
       summary: () => null,
       mayRunJob: () => false,
+      roomIn: () => null,
       configuration: () => null,
     },
     CLOCK,
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -65,6 +65,7 @@
       withdraw: (_, batchId) => this.withdrawn.push(batchId),
       summary: () => null,
       mayRunJob: () => false,
+      roomIn: () => null,
       configuration: () => null,
     },
     this.ownerClock,
