Forecast a later round of tasks after the end of the round before

Forecasts of wide batches and of long queues were too early, so batches were admitted and then late.

Change: a simulated worker has a time from which its free CPU holds.

--- a/src/cells/forecast.ts
+++ b/src/cells/forecast.ts
@@ -20,7 +20,9 @@
 
 /** Simulated state of one worker. */
 interface WorkerTimeline {
+  /** CPU that is free from `fromMs`, the latest start so far, until the first release. */
   freeCpuMillis: number;
+  fromMs: number;
   readonly slowness: number;
   /** Ordered by time. */
   readonly releases: CapacityRelease[];
@@ -38,13 +40,14 @@
     };
   });
   releases.sort((left, right) => left.atMs - right.atMs);
-  return { freeCpuMillis: worker.freeCpuMillis, slowness: worker.slowness, releases };
+  const { freeCpuMillis, slowness } = worker;
+  return { freeCpuMillis, fromMs: nowMs, slowness, releases };
 }
 
 /** Earliest time at which the worker has room for a task; does not modify the timeline. */
-function earliestStartMs(timeline: WorkerTimeline, cpuMillis: number, nowMs: number): number {
+function earliestStartMs(timeline: WorkerTimeline, cpuMillis: number): number {
   let free = timeline.freeCpuMillis;
-  if (free >= cpuMillis) return nowMs;
+  if (free >= cpuMillis) return timeline.fromMs;
   for (let index = 0; index < timeline.releases.length; index += 1) {
     const release = timeline.releases[index];
     free += release?.cpuMillis ?? 0;
@@ -55,6 +58,7 @@
 
 function allocate(target: WorkerTimeline, cpuMillis: number, startMs: number, endMs: number): void {
   const timeline = target;
+  timeline.fromMs = startMs;
   const firstLater = timeline.releases.findIndex(({ atMs }) => atMs > startMs);
   const passed = timeline.releases.splice(
     0,
@@ -72,11 +76,11 @@
 }
 
 /** Starts a task where it can start first; returns its end, or Infinity if it never finds room. */
-function simulateTask(timelines: readonly WorkerTimeline[], demand: Demand, nowMs: number): number {
+function simulateTask(timelines: readonly WorkerTimeline[], demand: Demand): number {
   let best: WorkerTimeline | null = null;
   let bestAtMs = Infinity;
   timelines.forEach((timeline) => {
-    const atMs = earliestStartMs(timeline, demand.cpuMillis, nowMs);
+    const atMs = earliestStartMs(timeline, demand.cpuMillis);
     if (atMs < bestAtMs) {
       best = timeline;
       bestAtMs = atMs;
@@ -101,7 +105,7 @@
 ): readonly number[] {
   const timelines = workers.map((worker) => timelineOf(worker, nowMs));
   ahead.forEach((other) => {
-    for (let count = 0; count < other.tasks; count += 1) simulateTask(timelines, other, nowMs);
+    for (let count = 0; count < other.tasks; count += 1) simulateTask(timelines, other);
   });
-  return Array.from({ length: demand.tasks }, () => simulateTask(timelines, demand, nowMs));
+  return Array.from({ length: demand.tasks }, () => simulateTask(timelines, demand));
 }
