Use a moment of the load at which arrivals after the start decide; remove a field never read

The case now taken is admitted with the change and refused with all arrivals up to the latest start (both run). ClaimSchedule.vacantSinceMs was written and never read.

--- a/src/dispatcher/claimPolicy.ts
+++ b/src/dispatcher/claimPolicy.ts
@@ -64,7 +64,6 @@
 const CLAIM_RETRY_MS = 250;
 
 interface ClaimSchedule {
-  readonly vacantSinceMs: number;
   readonly claimAtMs: number;
 }
 
@@ -137,7 +136,6 @@
 
   #isDue(cell: string, nowMs: number, delayMs: number): boolean {
     const schedule = this.#schedules.get(cell) ?? {
-      vacantSinceMs: nowMs,
       claimAtMs: nowMs + delayMs,
     };
     const due = nowMs >= schedule.claimAtMs;
--- a/test/cells/mixedLoad.test.ts
+++ b/test/cells/mixedLoad.test.ts
@@ -128,17 +128,15 @@
   // Guards against refusals of work that could be served: what other queues are forecast to bring
   // after a batch has started does not delay it.
   it('busy cell: a batch is not refused for arrivals that are forecast after its start', () => {
-    const simulation = CellSimulation.withWorkers(4);
+    const simulation = CellSimulation.withWorkers(3);
     for (let ms = 0; ms < 4 * SECOND_MS; ms += 20) {
-      simulation.offer(batchOf({ queue: 'unlock', estimateMs: 60, taskCount: 3 }));
+      simulation.offer(batchOf({ queue: 'unlock', estimateMs: 60 }));
       simulation.advance(20);
     }
     simulation.advance(100);
-    simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 400, taskCount: 8 }));
-    simulation.advance(300);
-    const record = simulation.offer(
-      batchOf({ queue: 'check', priority: 1, estimateMs: 200, taskCount: 2 }),
-    );
+    simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 400, taskCount: 6 }));
+    simulation.advance(260);
+    const record = simulation.offer(batchOf({ queue: 'check', priority: 1, estimateMs: 200 }));
     simulation.advance(SECOND_MS);
     expect(record.outcome).toEqual({ type: 'done' });
     expect(record.endedAtMs).toBeLessThanOrEqual(record.objectiveAtMs);
