Move the sending of batches out of the step runner

stepRunner.ts had grown to 397 lines and two jobs: which cells get the tasks of a step, and how one batch is built and sent. The tests of test/dispatcher pass as before; no decision changes.

--- a/src/dispatcher/stepRunner.ts
+++ b/src/dispatcher/stepRunner.ts
@@ -3,9 +3,15 @@
  * further cells when one refuses, and resends a batch to the new owner when ownership of its cell
  * changes.
  */
-import type { JobStep } from '../cells/job';
-import { BatchReason, type BatchOutcome, type BatchTask, type TaskBatch } from '../cells/messages';
+import { BatchReason, type BatchOutcome } from '../cells/messages';
 import type { Clock, RandomSource } from '../core/clock';
+import {
+  BatchSender,
+  NOT_SENT,
+  RETRY_AFTER_MS,
+  type SendResult,
+  type TaskGroup,
+} from './batchSender';
 import { waitForPendingReads } from './caller';
 import { supersedes, type CellRecord } from './cellRecord';
 import type { Cluster } from './cluster';
@@ -35,43 +41,12 @@
 const OWNER_POLL_MS = 20;
 /** Added to run numbers for a new owner, so that they exceed any that the previous owner used. */
 const RUN_NUMBER_GAP = 16;
-const RETRY_AFTER_MS = 300;
 /** Maximum time that a job waits for a cell without an owner to get one. */
 const CELL_WAIT_MS = 300;
 /** A cell that refuses a batch does so within this time. */
 const REFUSAL_WAIT_MS = 8;
-/**
- * Sends of a group to one cell before `expired` counts as a refusal. The first `expired` reply
- * carries the owner's clock readings, so a second one means that the connection is slow.
- */
-const MAX_EXPIRED_SENDS = 2;
-
-/** Outcome of a batch that is not sent because its job has already ended. */
-const NOT_SENT = {
-  type: 'refused',
-  reason: BatchReason.withdrawn,
-  retryAfterMs: RETRY_AFTER_MS,
-} as const;
 const NO_CELL: JobOutcome = { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
 
-/** Tasks of one step that are sent to one cell as one batch. */
-export interface TaskGroup {
-  readonly step: JobStep;
-  readonly tasks: readonly BatchTask[];
-  readonly otherStepsMs: number;
-}
-
-/** Outcome of a batch, with the record of the owner that it was sent to; null if none was known. */
-interface SendResult {
-  readonly cell: string;
-  readonly record: CellRecord | null;
-  readonly outcome: BatchOutcome;
-}
-
-function isExpired({ outcome }: SendResult): boolean {
-  return outcome.type === 'refused' && outcome.reason === BatchReason.expired;
-}
-
 /** The tasks that have not succeeded, numbered for a new owner after the previous one was lost. */
 function remainingGroup(group: TaskGroup, outcome: BatchOutcome): TaskGroup {
   const started = outcome.type === 'lost' ? outcome.started : null;
@@ -105,14 +80,15 @@
 export class StepRunner {
   readonly #parts: StepRunnerParts;
 
+  readonly #sender: BatchSender;
+
   readonly #earlierRuns: EarlierRuns;
 
   readonly #division: JobDivision;
 
-  #batchCount = 0;
-
   constructor(parts: StepRunnerParts) {
     this.#parts = parts;
+    this.#sender = new BatchSender(parts);
     this.#earlierRuns = new EarlierRuns(parts);
     this.#division = new JobDivision(parts.cluster, parts.journal);
   }
@@ -140,7 +116,9 @@
     group: TaskGroup,
     fallback: readonly CellAssignment[],
   ): Promise<JobOutcome> {
-    const division = await this.#division.divide(this.#batchOf(job, group, job.begun, false));
+    const division = await this.#division.divide(
+      this.#sender.batchOf(job, group, job.begun, false),
+    );
     // The caller may have disconnected in the meantime, and sent the job elsewhere.
     await waitForPendingReads();
     if (job.hasEnded) return NOT_SENT;
@@ -212,9 +190,9 @@
     let refusal: JobOutcome = NO_CELL;
     while (cell !== null) {
       tried.add(cell);
-      const batch = () => this.#batchOf(job, group, job.begun, false);
+      const batch = () => this.#sender.batchOf(job, group, job.begun, false);
       // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
-      const sent = await this.#send(job, cell, batch);
+      const sent = await this.#sender.send(job, cell, batch);
       const { outcome } = sent;
       if (outcome.type !== 'refused') return this.#resolveOutcome(job, group, sent);
       refusal = { type: 'refused', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs };
@@ -262,9 +240,9 @@
     let reason = 'no-cell';
     while (cell !== null) {
       tried.add(cell);
-      const batch = () => this.#batchOf(job, group, true, false);
+      const batch = () => this.#sender.batchOf(job, group, true, false);
       // eslint-disable-next-line no-await-in-loop -- cells are tried one after the other
-      const sent = await this.#send(job, cell, batch);
+      const sent = await this.#sender.send(job, cell, batch);
       if (sent.outcome.type !== 'refused') return this.#resolveOutcome(job, group, sent);
       reason = sent.outcome.reason;
       cell = job.hasEnded ? null : this.#leastLoadedCell(tried);
@@ -310,9 +288,9 @@
     if (remaining.tasks.length === 0) return { type: 'completed' };
     while (!job.hasEnded && clock.nowMs() < latestStartMs) {
       if (this.#hasNewerOwner(cell, record) && cluster.isServing(cell)) {
-        const batch = () => this.#batchOf(job, remaining, true, true);
+        const batch = () => this.#sender.batchOf(job, remaining, true, true);
         // eslint-disable-next-line no-await-in-loop -- polls until there is an owner
-        const retried = await this.#send(job, cell, batch);
+        const retried = await this.#sender.send(job, cell, batch);
         if (retried.outcome.type !== 'refused')
           return this.#resolveOutcome(job, remaining, retried);
         // The new owner started nothing, but may have adopted a run and renewed its lease.
@@ -330,68 +308,4 @@
     const record = this.#parts.cluster.ownerOf(cell);
     return record !== null && (last === null || supersedes(record, last));
   }
-
-  #batchOf(job: RunningJob, group: TaskGroup, begun: boolean, mayRun: boolean): TaskBatch {
-    const { policy, job: spec } = job.request;
-    const nowMs = this.#parts.clock.nowMs();
-    this.#batchCount += 1;
-    return {
-      batchId: `${this.#parts.prefix}-${this.#batchCount}`,
-      jobId: spec.id,
-      queue: policy.name,
-      service: policy.service,
-      priority: policy.priority,
-      maxAttempts: policy.maxAttempts,
-      payload: spec.payload,
-      shape: group.step.shape,
-      estimateMs: group.step.estimateMs,
-      tasks: group.tasks,
-      slackFactor: policy.slackFactor,
-      goalMs: policy.goalMs,
-      waitedMs: nowMs - job.arrivedAtMs,
-      otherStepsMs: group.otherStepsMs,
-      deadlineInMs: job.deadlineAtMs - nowMs,
-      begun,
-      mayRun,
-    };
-  }
-
-  /**
-   * Sends a batch, and once more under a new id if it was refused as expired. That refusal
-   * guarantees that the batch did not run.
-   */
-  async #send(job: RunningJob, cell: string, batchOf: () => TaskBatch): Promise<SendResult> {
-    let sent = await this.#sendOnce(job, cell, batchOf());
-    for (let sends = 1; sends < MAX_EXPIRED_SENDS && isExpired(sent); sends += 1) {
-      // eslint-disable-next-line no-await-in-loop -- resent only after the owner refused it
-      sent = await this.#sendOnce(job, cell, batchOf());
-    }
-    return sent;
-  }
-
-  /**
-   * All batches are sent here: none after the job has ended; its end withdraws those in progress.
-   */
-  async #sendOnce(job: RunningJob, cell: string, batch: TaskBatch): Promise<SendResult> {
-    const record = this.#parts.cluster.ownerOf(cell);
-    if (job.hasEnded) return { cell, record, outcome: NOT_SENT };
-    const abort = new AbortController();
-    const removeListener = job.onEnd(() => abort.abort());
-    const outcome = await this.#parts.cluster.run(cell, batch, abort);
-    removeListener();
-    const running = job;
-    if (outcome.type !== 'refused') running.begun = true;
-    this.#parts.journal.logDecision('batch-answered', {
-      jobId: batch.jobId,
-      batchId: batch.batchId,
-      cell,
-      tasks: batch.tasks.length,
-      outcome: outcome.type,
-      ...('reason' in outcome ? { reason: outcome.reason } : {}),
-    });
-    // The caller may send again after these outcomes, and the job's end may be read only after the
-    // reply.
-    if (outcome.type === 'refused' || outcome.type === 'lost') await waitForPendingReads();
-    return { cell, record, outcome };
-  }
 }
