Divide a job first by the tasks that start at once

Change: a cell tells also how many tasks could start at once. The job goes where all start at once, in one cell or in several, before it goes where they would end in time after a wait. The failing test passes unchanged; a test of the division fails before.

--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -24,7 +24,7 @@
 }
 
 function noRoom(reason: BatchReason, retryAfterMs: number): CellRoom {
-  return { tasks: 0, retryAfterMs, reason };
+  return { startable: 0, tasks: 0, retryAfterMs, reason };
 }
 
 /** Time by which the tasks of an admitted batch are forecast to end. */
@@ -79,10 +79,11 @@
     this.#priorities.set(batch.spec.queue, batch.spec.priority);
     const endsMs = this.#forecastEndsMs(batch, available, nowMs);
     const inTime = endsMs.filter((endMs) => endMs <= latestEndMs(batch)).length;
-    const tasks = Math.max(inTime, this.#startableAtOnce(batch, available, nowMs));
+    const startable = this.#startableAtOnce(batch, available, nowMs);
     const lateMs = Math.max(...endsMs) - latestEndMs(batch);
     const retryAfterMs = Math.ceil(Math.min(IMPOSSIBLE_RETRY_MS, Math.max(0, lateMs)));
-    return { tasks, retryAfterMs, reason: BatchReason.overloaded };
+    const tasks = Math.max(inTime, startable);
+    return { startable, tasks, retryAfterMs, reason: BatchReason.overloaded };
   }
 
   /** Forecast ends of the tasks of a batch. */
--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -91,7 +91,9 @@
 
 /** How much of a batch a cell could serve if it were offered now. */
 export interface CellRoom {
-  /** Number of its tasks that could end in time. */
+  /** Number of its tasks that could start at once. */
+  readonly startable: number;
+  /** Number of its tasks that could end in time, at least those that could start at once. */
   readonly tasks: number;
   /** Time after which all of them could. */
   readonly retryAfterMs: number;
--- a/src/dispatcher/jobDivision.ts
+++ b/src/dispatcher/jobDivision.ts
@@ -52,11 +52,14 @@
       return room ? [{ cell, ...room }] : [];
     });
     if (rooms.length === 0) return { type: 'unknown' };
-    const assignments = assignByRoom(rooms, batch.tasks.length);
+    // Tasks that start at once in several cells end earlier than those that wait in one.
+    const atOnce = rooms.map(({ cell, startable }) => ({ cell, tasks: startable }));
+    const taskCount = batch.tasks.length;
+    const assignments = assignByRoom(atOnce, taskCount) ?? assignByRoom(rooms, taskCount);
     this.#journal.logDecision('job-divided', {
       jobId: batch.jobId,
       tasks: batch.tasks.length,
-      rooms: rooms.map(({ cell, tasks }) => `${cell}:${tasks}`),
+      rooms: rooms.map(({ cell, startable, tasks }) => `${cell}:${startable}/${tasks}`),
       parts: assignments?.length ?? 0,
     });
     if (assignments) return { type: 'assigned', assignments };
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -291,7 +291,8 @@
 
 describe('a wide job for which no cell has room alone', () => {
   let clock: FakeClock;
-  const room = (tasks: number) => ({ tasks, retryAfterMs: 250, reason: 'overloaded' }) as const;
+  const room = (tasks: number, startable = 0) =>
+    ({ startable, tasks, retryAfterMs: 250, reason: 'overloaded' }) as const;
 
   beforeEach(() => {
     clock = install({ toFake: ['setTimeout', 'clearTimeout'] });
@@ -328,6 +329,23 @@
     expect(simulation.outcome).toEqual({ type: 'completed' });
   });
 
+  // Guards against a job that waits in one cell while others have room for its tasks.
+  it('is divided if it starts at once that way, although one cell could end it in time', async () => {
+    const cells = [
+      fakeCell('a', { answeredRoom: room(9, 3) }),
+      fakeCell('b', { answeredRoom: room(9, 6) }),
+    ];
+    const simulation = new Simulation(clock, cells);
+    simulation.cells.onSend = ({ answer }) => answer(DONE);
+    await simulation.submit([step(9)]);
+    await simulation.pass(0);
+    const parts = simulation.cells.sent.map(({ cell, batch }) => [cell, batch.tasks.length]);
+    expect(parts).toEqual([
+      ['b', 6],
+      ['a', 3],
+    ]);
+  });
+
   // Guards against refusals while another cell has room: the load reports of cells are old.
   it('goes to another cell that can take it whole if the first one refuses it', async () => {
     const cells = [
