--- /dev/null
+++ b/review/lib/record.ts
@@ -0,0 +1,28 @@
+/** Record of one run of a case: what was sent, answered and run, in the order of time. */
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+
+/** Fields of one line. */
+export type RecordFields = Readonly<Record<string, unknown>>;
+
+/** Collects the lines of `record.txt`. */
+export class CaseRecord {
+  readonly #lines: string[] = [];
+
+  readonly #startedAtMs = performance.now();
+
+  /** Milliseconds since the start of the case. */
+  nowMs(): number {
+    return performance.now() - this.#startedAtMs;
+  }
+
+  write(event: string, fields: RecordFields = {}): void {
+    const time = this.nowMs().toFixed(0).padStart(6);
+    this.#lines.push(`${time} ms ${event} ${JSON.stringify(fields)}`);
+  }
+
+  /** Writes the record into the folder of the case. */
+  async save(folder: string): Promise<void> {
+    await writeFile(join(folder, 'record.txt'), `${this.#lines.join('\n')}\n`);
+  }
+}
