review/1: a domain stays without an owner after a host that was cut off has died

A host that is cut off from the other hosts and the store claims the cell without the store, and dies before anybody hears of it. The owner is fenced by the workers and releases the cell, but its record still names it, so neither it nor another host claims the cell again.

--- a/review/lib/hostProcess.ts
+++ b/review/lib/hostProcess.ts
@@ -17,6 +17,8 @@
   readonly seeds: readonly string[];
   /** Ports for clients, readiness, other hosts and metrics. */
   readonly ports: readonly number[];
+  /** Port under which other hosts reach it, that of a proxy; null for its own. */
+  readonly announcedPort: number | null;
   readonly folder: string;
 }
 
@@ -72,7 +74,9 @@
       platform: { address: storeAddress },
     };
     const template = await readFile(await readDeploy('template'), 'utf8');
-    const text = fillTemplate(template, fields).replace(`${IP}:${METRICS_PORT}`, metrics ?? '');
+    const filled = fillTemplate(template, fields).replace(`${IP}:${METRICS_PORT}`, metrics ?? '');
+    const announced = this.#announcedLine();
+    const text = filled.replace(/^peers = .*$/m, (line) => `${line}${announced}`);
     const file = join(folder, `${node}.ini`);
     await writeFile(file, text);
     const [program = '', ...args] = (await readDeploy('run')).split(' ');
@@ -89,11 +93,22 @@
     this.#record.write('host-starts', { node });
   }
 
+  /** Setting for a host behind a proxy. */
+  #announcedLine(): string {
+    const { announcedPort } = this.#place;
+    return announcedPort === null ? '' : `\npeers-announced = ${IP}:${announcedPort}`;
+  }
+
   signal(signal: NodeJS.Signals): void {
     this.#record.write('signal', { node: this.node, signal });
     this.#child?.kill(signal);
   }
 
+  /** Process id; 0 before the first start. */
+  get pid(): number {
+    return this.#child?.pid ?? 0;
+  }
+
   get isRunning(): boolean {
     return this.#child !== null && this.#child.exitCode === null && this.#child.signalCode === null;
   }
--- a/review/lib/site.ts
+++ b/review/lib/site.ts
@@ -3,11 +3,14 @@
 import { get } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { text } from 'node:stream/consumers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { PortBlock } from '../../src/standins/portBlock';
 import { KvStandin } from '../../test/platform/kvStandin';
+import { FaultProxy } from '../../test/soak/faultProxy';
 import { Client } from './client';
 import { HostProcess } from './hostProcess';
+import { LinkProxy } from './linkProxy';
 import { Ledger } from './ledger';
 import { CaseRecord } from './record';
 import { ReviewWorker, type WorkerTraits } from './reviewWorker';
@@ -20,10 +23,18 @@
   readonly workers: Readonly<Record<string, WorkerTraits>>;
   /** Newest configuration of the operator. */
   readonly configuration: object;
+  /** True if hosts reach each other and the store through proxies that can be cut. */
+  readonly hasProxies?: boolean;
+}
+
+/** Proxies of one host: to the store, and from other hosts. */
+export interface HostProxies {
+  readonly store: FaultProxy;
+  readonly peers: LinkProxy;
 }
 
 const REGION = 'bg-central';
-const PORTS_PER_HOST = 4;
+const PORTS_PER_HOST = 5;
 const MAX_SEEDS = 3;
 const READY_LIMIT_MS = 20_000;
 const POLL_MS = 50;
@@ -40,6 +51,15 @@
   });
 }
 
+function readText(url: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const call = get(url, { agent: false }, (response) => {
+      text(response).then(resolve, reject);
+    });
+    call.once('error', reject);
+  });
+}
+
 /** A deployment that is running. */
 export class Site {
   readonly record = new CaseRecord();
@@ -54,10 +74,15 @@
 
   readonly hosts: HostProcess[] = [];
 
+  /** Proxies of the hosts, in their order; empty if there are none. */
+  readonly proxies: HostProxies[] = [];
+
   readonly #shape: SiteShape;
 
   #folder = '';
 
+  #storeAddress = '';
+
   #block: PortBlock | null = null;
 
   constructor(shape: SiteShape) {
@@ -69,29 +94,58 @@
     const { zones, hostsPerZone, workers, configuration } = this.#shape;
     this.#folder = await mkdtemp(join(tmpdir(), 'wasabiyoke-review-'));
     const storeAddress = await this.store.open();
+    this.#storeAddress = storeAddress;
     this.store.put('op/config', JSON.stringify(configuration));
     Object.entries(workers).forEach(([id, traits]) => {
       this.workers.set(id, new ReviewWorker(id, traits, this.store, this.ledger, this.record));
     });
     await Promise.all([...this.workers.values()].map((worker) => worker.boot()));
+    await this.#placeHosts(zones, hostsPerZone, storeAddress);
+    await Promise.all(this.hosts.map((host) => host.start()));
+    await this.awaitReady();
+    await sleep(SETTLE_MS);
+  }
+
+  async #placeHosts(
+    zones: readonly string[],
+    hostsPerZone: number,
+    storeAddress: string,
+  ): Promise<void> {
     const hostCount = zones.length * hostsPerZone;
     this.#block = await PortBlock.reserve(hostCount * PORTS_PER_HOST);
     const ports = [...this.#block.ports];
     const places = zones.flatMap((zone) =>
-      Array.from({ length: hostsPerZone }, (_, index) => ({
-        node: `front-${zone}-${index + 1}`,
-        zone,
-        ports: ports.splice(0, PORTS_PER_HOST),
-      })),
+      Array.from({ length: hostsPerZone }, (_, index) => {
+        const [announcedPort = 0, ...own] = ports.splice(0, PORTS_PER_HOST);
+        return { node: `front-${zone}-${index + 1}`, zone, announcedPort, ports: own };
+      }),
     );
-    const seeds = places.slice(0, MAX_SEEDS).map((place) => `127.0.0.1:${place.ports[2]}`);
-    places.forEach((place) => {
-      const rest = { zones, region: REGION, storeAddress, seeds, folder: this.#folder };
-      this.hosts.push(new HostProcess({ ...place, ...rest }, this.record));
-    });
-    await Promise.all(this.hosts.map((host) => host.start()));
-    await this.awaitReady();
-    await sleep(SETTLE_MS);
+    const { hasProxies = false } = this.#shape;
+    const seeds = places
+      .slice(0, MAX_SEEDS)
+      .map((place) => `127.0.0.1:${hasProxies ? place.announcedPort : place.ports[2]}`);
+    const shared = { zones, region: REGION, seeds, folder: this.#folder };
+    const hosts = await Promise.all(
+      places.map(async (place, index) => {
+        if (!hasProxies) {
+          const direct = { ...place, ...shared, storeAddress, announcedPort: null };
+          return new HostProcess(direct, this.record);
+        }
+        const proxies = {
+          store: new FaultProxy(storeAddress),
+          peers: new LinkProxy(place.node, place.ports[2] ?? 0, () => this.#pids()),
+        };
+        this.proxies[index] = proxies;
+        await proxies.peers.open(place.announcedPort);
+        const proxied = await proxies.store.open();
+        return new HostProcess({ ...place, ...shared, storeAddress: proxied }, this.record);
+      }),
+    );
+    this.hosts.push(...hosts);
+  }
+
+  #pids(): ReadonlyMap<string, number> {
+    return new Map(this.hosts.map(({ node, pid }) => [node, pid]));
   }
 
   /** Waits until all hosts are ready. */
@@ -108,6 +162,17 @@
     this.record.write('all-hosts-ready');
   }
 
+  /** Value of a key in the platform's store; throws if there is none. */
+  async readStore(key: string): Promise<string> {
+    const path = `/wasabiyoke/kv-range?prefix=${encodeURIComponent(key)}`;
+    const { items } = JSON.parse(await readText(`http://${this.#storeAddress}${path}`)) as {
+      items: { key: string; value: string }[];
+    };
+    const item = items.find((candidate) => candidate.key === key);
+    if (!item) throw new Error(`the store has no ${key}`);
+    return Buffer.from(item.value, 'base64').toString('utf8');
+  }
+
   host(index: number): HostProcess {
     const host = this.hosts[index];
     if (!host) throw new Error(`there is no host ${index}`);
@@ -118,6 +183,10 @@
   async close(): Promise<void> {
     await Promise.all(this.hosts.map((host) => host.kill()));
     this.workers.forEach((worker) => worker.crash());
+    this.proxies.forEach(({ store, peers }) => {
+      store.close();
+      peers.close();
+    });
     this.store.close();
     await this.#block?.release();
     if (process.env.KEEP_LOGS === undefined)
