--- a/review/lib/record.ts
+++ b/review/lib/record.ts
@@ -1,6 +1,5 @@
 /** Record of one run of a case: what was sent, answered and run, in the order of time. */
 import { writeFile } from 'node:fs/promises';
-import { join } from 'node:path';
 
 /** Fields of one line. */
 export type RecordFields = Readonly<Record<string, unknown>>;
@@ -21,8 +20,8 @@
     this.#lines.push(`${time} ms ${event} ${JSON.stringify(fields)}`);
   }
 
-  /** Writes the record into the folder of the case. */
-  async save(folder: string): Promise<void> {
-    await writeFile(join(folder, 'record.txt'), `${this.#lines.join('\n')}\n`);
+  /** Writes the record to a file. */
+  async save(file: string): Promise<void> {
+    await writeFile(file, `${this.#lines.join('\n')}\n`);
   }
 }
--- a/review/lib/reviewWorker.ts
+++ b/review/lib/reviewWorker.ts
@@ -274,9 +274,9 @@
       isAnswered = true;
       this.#waitingHolds.delete(answer);
       const nowMs = this.#ledgerNowMs();
-      const running = [...this.#runs.values()].map(({ entry, workMs }) => {
+      const running = [...this.#runs.values()].map(({ entry, step, workMs }) => {
         const percent = Math.floor((100 * (nowMs - entry.beganAtMs)) / workMs);
-        return [entry.task, entry.run, '', Math.min(99, percent), 0];
+        return [entry.task, entry.run, '', Math.min(99, percent), step.cpu];
       });
       this.#send(response, { status: HttpStatus.ok, body: { running, endedRuns: this.#ended } });
     };
--- a/review/lib/runCase.ts
+++ b/review/lib/runCase.ts
@@ -1,5 +1,4 @@
-/** Runs a case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
-import { dirname } from 'node:path';
+/** Runs a case, and tells by the exit code whether the rule held. */
 import { Site, type SiteShape } from './site';
 
 /** What a case does. */
@@ -9,17 +8,26 @@
   play(site: Site, hasTrouble: boolean): Promise<readonly string[]>;
 }
 
-const ExitCode = { held: 0, broken: 1, notRun: 2 } as const;
+/** Node itself ends with 1 if a script fails, so a broken rule has another code. */
+const ExitCode = { held: 0, broken: 10, notRun: 2 } as const;
 const TIME_LIMIT_MS = 115_000;
 
-async function playCase(script: CaseScript, folder: string): Promise<number> {
+/** Ends all processes of the case early, on a signal, an error or the time limit. */
+async function giveUp(site: Site, recordFile: string, reason: string): Promise<void> {
+  site.record.write('not-run', { reason });
+  await site.close().catch(() => {});
+  await site.record.save(recordFile);
+  process.exit(ExitCode.notRun); // eslint-disable-line n/no-process-exit
+}
+
+async function playCase(script: CaseScript, recordFile: string): Promise<number> {
   const site = new Site(script.shape);
   const hasTrouble = process.env.TROUBLE !== '0';
-  const timer = setTimeout(() => {
-    site.record.write('time-limit-exceeded');
-    const ended = site.close().then(() => site.record.save(folder));
-    ended.finally(() => process.exit(ExitCode.notRun)); // eslint-disable-line n/no-process-exit
-  }, TIME_LIMIT_MS);
+  const stop = (reason: string) => giveUp(site, recordFile, reason);
+  const timer = setTimeout(() => stop('time limit'), TIME_LIMIT_MS);
+  process.once('SIGTERM', () => stop('SIGTERM'));
+  process.once('SIGINT', () => stop('SIGINT'));
+  process.once('uncaughtException', (error) => stop(String(error)));
   let exitCode: number;
   try {
     await site.open();
@@ -28,18 +36,21 @@
     process.stdout.write(broken.length === 0 ? 'held\n' : `broken:\n${broken.join('\n')}\n`);
     exitCode = broken.length === 0 ? ExitCode.held : ExitCode.broken;
   } catch (error) {
-    site.record.write('not-run', { error: String(error) });
+    site.record.write('not-run', { reason: String(error) });
     process.stdout.write(`not run: ${String(error)}\n`);
     exitCode = ExitCode.notRun;
   }
   clearTimeout(timer);
   await site.close();
-  await site.record.save(folder);
+  await site.record.save(recordFile);
   return exitCode;
 }
 
-/** Runs a case whose record goes into the folder that the first argument names. */
+/** Runs a case; the first argument names the file for its record. */
 export function runCase(script: CaseScript): void {
-  const folder = process.argv[2] ?? dirname(process.argv[1] ?? '.');
-  playCase(script, folder).then((exitCode) => process.exit(exitCode)); // eslint-disable-line n/no-process-exit
+  const recordFile = process.argv[2] ?? 'record.txt';
+  playCase(script, recordFile).then(
+    (exitCode) => process.exit(exitCode), // eslint-disable-line n/no-process-exit
+    () => process.exit(ExitCode.notRun), // eslint-disable-line n/no-process-exit
+  );
 }
