Report a replaced worker once, not with each renewal until its entry expires

Cause: a worker that comes back under another id answers 421 at the address of the former one. Each renewal of the former id, every 120 ms until its entry expires, reset the session and told the cell of a restart again. Ruled out: that the owner starts its work over (the listed runs end with the first report, the rest were repetitions without effect but for the line and a cleared back-off).

The session now reports it once until the worker lists its runs again. The new test failed before: 4 restarts reported, 1 expected.

--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -112,6 +112,9 @@
 
   #failures = 0;
 
+  /** True while another process answers at the worker's address, from its first answer. */
+  #isReplaced = false;
+
   #closed = false;
 
   /** Number of the last renewal sent. Only the answer to this one triggers the next renewal. */
@@ -229,7 +232,8 @@
     if (answer.type === 'silent') {
       this.#handleSilence(answer.error);
     } else if (answer.type === 'restarted') {
-      this.#resetProcess();
+      if (!this.#isReplaced) this.#resetProcess();
+      this.#isReplaced = true;
       this.#scheduleRetry();
     } else {
       // The first answer of a worker process only tells its clock. Renew again at once, to extend
@@ -261,6 +265,7 @@
   #applyListing(answer: Extract<RenewAnswer, { type: 'listed' }>, sentAtMs: number): void {
     const { clockMs, processStartMs, running, hasMoreEnded = false } = answer;
     this.#failures = 0;
+    this.#isReplaced = false;
     const known = this.#workerClock;
     const isOlder =
       known?.processStartMs === processStartMs
--- a/test/dispatcher/workerSession.test.ts
+++ b/test/dispatcher/workerSession.test.ts
@@ -44,6 +44,8 @@
 
   readonly silences: string[] = [];
 
+  restarts = 0;
+
   isIdle = true;
 
   startAnswer: StartAnswer = StartAnswer.accepted;
@@ -76,7 +78,9 @@
       {
         reported: (_, report) => this.reports.push(report),
         silent: (_, error) => this.silences.push(error),
-        restarted: () => {},
+        restarted: () => {
+          this.restarts += 1;
+        },
         fenced: () => {},
         renewed: () => {},
       },
@@ -205,3 +209,21 @@
     ]);
   });
 });
+
+describe('a worker in whose place another process answers', () => {
+  // Guards against a restart that is reported again with each renewal until its entry expires.
+  it('is reported as restarted once, and again after it has listed its runs', async (t) => {
+    const simulation = new SessionSimulation(t);
+    await simulation.settle();
+    for (let index = 2; index < 6; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- renewals are answered one after the other
+      await simulation.answer(index, { type: 'restarted' });
+      // eslint-disable-next-line no-await-in-loop -- renewals are answered one after the other
+      await simulation.pass(120);
+    }
+    expect(simulation.restarts).toEqual(1);
+    await simulation.answer(6, { ...LISTED, processStartMs: 2 });
+    await simulation.answer(7, { type: 'restarted' });
+    expect(simulation.restarts).toEqual(2);
+  });
+});
