--- a/src/cells/actions.ts
+++ b/src/cells/actions.ts
@@ -51,6 +51,8 @@
 export interface WorkerReport {
   /** When the renewal was sent, on the clock of the cell's owner. */
   readonly sentAtMs: number;
+  /** Start of the process that answered, in Unix milliseconds. */
+  readonly processStartMs: number;
   readonly running: readonly RunningEntry[];
   readonly ended: readonly EndedRun[];
   /** True if more runs have ended than the report lists. */
--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -18,6 +18,10 @@
   notBeforeMs: number;
   /** Workers on which the task has failed or been slow. */
   readonly avoided: Set<string>;
+  /** Not started until it is known whether the workers that were lost under it have crashed. */
+  isHeld: boolean;
+  /** A previous owner may have started it, and its run has not been found. */
+  mayHaveRun: boolean;
 }
 
 function objectiveInMs(spec: TaskBatch, expectedMs: number): number {
@@ -37,6 +41,8 @@
     workerId: null,
     notBeforeMs: mayRun ? previousRunsOverAtMs : 0,
     avoided: new Set(),
+    isHeld: false,
+    mayHaveRun: mayRun,
   };
 }
 
@@ -132,12 +138,14 @@
   /** Tasks that may be started now. */
   startableTasks(nowMs: number): readonly TaskEntry[] {
     return this.tasks.filter(
-      ({ done, workerId, notBeforeMs }) => !done && workerId === null && notBeforeMs <= nowMs,
+      ({ done, workerId, notBeforeMs, isHeld }) =>
+        !done && workerId === null && !isHeld && notBeforeMs <= nowMs,
     );
   }
 
-  /** Number of tasks that are neither done nor running. */
+  /** Number of tasks that are neither done, nor running, nor held. */
   get waitingCount(): number {
-    return this.tasks.filter(({ done, workerId }) => !done && workerId === null).length;
+    return this.tasks.filter(({ done, workerId, isHeld }) => !done && workerId === null && !isHeld)
+      .length;
   }
 }
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -7,6 +7,8 @@
 import { Batch } from './batch';
 import { BatchAdmission } from './batchAdmission';
 import { CellState, describeBatch, type CellOptions } from './cellState';
+import type { CrashHistory } from './crashHistory';
+import { CrashMonitor } from './crashMonitor';
 import { Dispatch } from './dispatch';
 import { FirstArrivals } from './firstArrivals';
 import {
@@ -37,17 +39,21 @@
 
   readonly #progressMonitor: ProgressMonitor;
 
+  readonly #crashMonitor: CrashMonitor;
+
   readonly #firstArrivals = new FirstArrivals();
 
-  constructor(id: string, options: CellOptions) {
-    this.#state = new CellState(id, options, {
+  /** `crashes` is shared by all cells of the host. */
+  constructor(id: string, options: CellOptions, crashes: CrashHistory) {
+    this.#state = new CellState(id, options, crashes, {
       runStarted: (run) => this.#state.taskOf(run)?.batch.markStarted(),
       runEnded: (run, outcome, worker, atMs) => this.#runEnded(run, outcome, worker, atMs),
       runFound: (task) => this.#takeover.runFound(task),
       startRefused: (run, answer, atMs) => this.#startRefused(run, answer, atMs),
     });
     this.#admission = new BatchAdmission(this.#state);
-    this.#dispatch = new Dispatch(this.#state);
+    this.#crashMonitor = new CrashMonitor(this.#state);
+    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor);
     this.#takeover = new Takeover(this.#state);
     this.#progressMonitor = new ProgressMonitor(this.#state);
   }
@@ -121,6 +127,7 @@
     });
     if (batch.isDone) this.#state.finish(batch, { type: 'done' }, nowMs);
     else if (batch.isPastDeadline(nowMs)) this.#state.giveUp(batch, BatchReason.deadline, nowMs);
+    this.#crashMonitor.applyVerdicts(nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
@@ -181,8 +188,11 @@
 
   report(workerId: string, report: WorkerReport, nowMs: number): void {
     this.#state.runTracker.report(workerId, report, nowMs);
+    const worker = this.workers.get(workerId);
+    if (worker) this.#crashMonitor.workerAnswered(worker, report.running);
     this.#progressMonitor.check(workerId, nowMs);
     this.#takeover.finishCompletedBatches(nowMs);
+    this.#crashMonitor.applyVerdicts(nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
@@ -191,12 +201,16 @@
     if (!worker?.reachable) return;
     this.#state.runTracker.workerSilent(workerId);
     this.#state.logDecision('worker-silent', { worker: workerId, runs: worker.runs.size });
+    this.#crashMonitor.workerLost(worker);
     this.#giveUpLateBatches(nowMs);
   }
 
   workerRestarted(workerId: string, nowMs: number): void {
+    const worker = this.workers.get(workerId);
     this.#state.logDecision('worker-restarted', { worker: workerId });
+    if (worker) this.#crashMonitor.workerReplaced(worker);
     this.#state.runTracker.workerRestarted(workerId, nowMs);
+    this.#crashMonitor.applyVerdicts(nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
@@ -231,6 +245,7 @@
     runTracker.tick(nowMs);
     runTracker.removeMissingWorkers(options.missingGraceMs, nowMs);
     this.#takeover.stopUnclaimed(nowMs);
+    this.#crashMonitor.applyVerdicts(nowMs);
     this.#giveUpLateBatches(nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
   }
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -2,6 +2,7 @@
 import type { CellAction, DecisionFields } from './actions';
 import { Arrivals } from './arrivals';
 import type { Batch, TaskEntry } from './batch';
+import type { CrashHistory } from './crashHistory';
 import type { BatchOutcome, BatchReason } from './messages';
 import { QueueOrder } from './queueOrder';
 import { RunState, type Run } from './run';
@@ -52,10 +53,14 @@
 
   readonly batches = new Map<string, Batch>();
 
+  /** Lost workers by task; shared by all cells of this host. */
+  readonly crashes: CrashHistory;
+
   #actions: CellAction[] = [];
 
-  constructor(id: string, options: CellOptions, events: RunEvents) {
+  constructor(id: string, options: CellOptions, crashes: CrashHistory, events: RunEvents) {
     this.id = id;
+    this.crashes = crashes;
     this.options = options;
     this.runTracker = new RunTracker(options.leaseMs, events, (action) => this.push(action));
   }
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -1,9 +1,12 @@
 /** Starts waiting tasks on workers that have room for them, in queue order. */
 import type { Batch, TaskEntry } from './batch';
 import type { CellState } from './cellState';
+import { CrashVerdict } from './crashHistory';
+import type { CrashMonitor } from './crashMonitor';
+import { chooseIsolation } from './isolation';
 import { chooseWorker, reservationFor, type PlacementQuery } from './placement';
 import { begunFirst, groupByQueue, nextQueue, type QueueOrder } from './queueOrder';
-import { createRun } from './run';
+import { createRun, Isolation } from './run';
 import type { CellWorker } from './worker';
 
 /** Number of blocked batches that later ones may overtake (backfill). */
@@ -30,14 +33,40 @@
   if (reservation) reserved.set(reservation.workerId, reservation.fromMs);
 }
 
+/** One pass over the waiting batches. */
+interface Round {
+  readonly order: QueueOrder;
+  /** Workers kept free, with the time from which they are needed. */
+  readonly reserved: Map<string, number>;
+  /** Number of those kept for blocked batches. */
+  reservedForBlocked: number;
+  /** True if one is kept for an isolated task. */
+  hasReservedForIsolated: boolean;
+  readonly nowMs: number;
+}
+
+function reserveForBlocked(
+  workers: readonly CellWorker[],
+  query: PlacementQuery,
+  round: Round,
+): void {
+  const current = round;
+  const before = round.reserved.size;
+  reserveWorker(workers, query, round.reserved);
+  current.reservedForBlocked += round.reserved.size - before;
+}
+
 /** Places the tasks of one cell. */
 export class Dispatch {
   readonly #state: CellState;
 
+  readonly #crashMonitor: CrashMonitor;
+
   #startsHeldUntilMs = -Infinity;
 
-  constructor(state: CellState) {
+  constructor(state: CellState, crashMonitor: CrashMonitor) {
     this.#state = state;
+    this.#crashMonitor = crashMonitor;
   }
 
   /** Holds all starts back after a pause of the owner's process; returns the end of that time. */
@@ -52,49 +81,98 @@
     const waiting = [...this.#state.batches.values()].filter((batch) => batch.waitingCount > 0);
     if (waiting.length === 0) return;
     const order = this.#state.queueOrder(nowMs);
-    const reserved = new Map<string, number>();
+    const round: Round = {
+      order,
+      reserved: new Map(),
+      reservedForBlocked: 0,
+      hasReservedForIsolated: false,
+      nowMs,
+    };
     const begun = begunFirst(waiting, order);
-    const placed = begun.map((batch) => this.#placeBatch(batch, order, reserved, nowMs));
+    const placed = begun.map((batch) => this.#placeBatch(batch, round));
     let blocked = placed.filter((isPlaced) => !isPlaced).length;
     const queues = groupByQueue(waiting.filter((batch) => !begun.includes(batch)));
     let queue = nextQueue(queues, order);
     while (queue && blocked <= BACKFILL_LIMIT) {
       const batch = queue.batches.shift();
-      if (batch && !this.#placeBatch(batch, order, reserved, nowMs)) blocked += 1;
+      if (batch && !this.#placeBatch(batch, round)) blocked += 1;
       queue = nextQueue(queues, order);
     }
   }
 
-  /** Starts tasks of a batch while there is room; false if one of them has to wait. */
-  #placeBatch(
+  /** Starts tasks of a batch while there is room; false if one of them finds none. */
+  #placeBatch(batch: Batch, round: Round): boolean {
+    const workers = this.#state.workersFor(batch.spec.service);
+    const tasks = batch.startableTasks(round.nowMs);
+    tasks.forEach((task) => this.#checkEarlierRun(task));
+    const isolated = tasks.filter(({ name }) => this.#verdict(name) !== CrashVerdict.none);
+    const others = isolated.length === 0 ? tasks : tasks.filter((task) => !isolated.includes(task));
+    const arePlaced = others.every((task) => {
+      const query = this.#queryFor(batch, task, Isolation.none, round);
+      if (this.#place(batch, query, workers, round)) return true;
+      if (round.reservedForBlocked < RESERVED_WORKERS) reserveForBlocked(workers, query, round);
+      return false;
+    });
+    // These may wait long for a worker of their own, and keep no other task from being started.
+    isolated.forEach((task) => this.#placeIsolated(batch, task, workers, round));
+    return arePlaced;
+  }
+
+  /** Starts a task that was on a lost worker, if it finds one that suits it. */
+  #placeIsolated(
+    batch: Batch,
+    task: TaskEntry,
+    workers: readonly CellWorker[],
+    round: Round,
+  ): void {
+    if (this.#verdict(task.name) !== CrashVerdict.isolate) return;
+    const { allowed, isReserving } = chooseIsolation(batch, workers, round.nowMs);
+    const isPlaced = allowed.some((isolation) =>
+      this.#place(batch, this.#queryFor(batch, task, isolation, round), workers, round),
+    );
+    if (isPlaced || !isReserving || round.hasReservedForIsolated) return;
+    const current = round;
+    const query = this.#queryFor(batch, task, Isolation.exclusive, round);
+    reserveWorker(workers, query, round.reserved);
+    current.hasReservedForIsolated = true;
+  }
+
+  #place(
     batch: Batch,
-    order: QueueOrder,
-    reserved: Map<string, number>,
-    nowMs: number,
+    query: PlacementQuery,
+    workers: readonly CellWorker[],
+    { order, nowMs }: Round,
   ): boolean {
-    const { shape, service, jobId } = batch.spec;
-    const workers = this.#state.workersFor(service);
+    if (!this.#mayStart(order, batch, nowMs)) return false;
+    const worker = chooseWorker(workers, query);
+    if (!worker) return false;
+    this.#start(batch, query, worker);
+    order.addUsage(batch.spec.queue, query.shape.cpuMillis);
+    return true;
+  }
+
+  #queryFor(
+    batch: Batch,
+    task: TaskEntry,
+    isolation: Isolation,
+    { reserved, nowMs }: Round,
+  ): PlacementQuery {
+    const { shape, jobId } = batch.spec;
     const contactExpiresMs = nowMs + this.#state.contactRemainingMs(batch);
-    return batch.startableTasks(nowMs).every((task) => {
-      if (!this.#mayStart(order, batch, nowMs)) return false;
-      const query: PlacementQuery = {
-        shape,
-        task,
-        jobId,
-        reserved,
-        contactExpiresMs,
-        expectedMs: batch.expectedMs,
-        nowMs,
-      };
-      const worker = chooseWorker(workers, query);
-      if (worker) {
-        this.#start(batch, task, worker, nowMs);
-        order.addUsage(batch.spec.queue, shape.cpuMillis);
-        return true;
-      }
-      if (reserved.size < RESERVED_WORKERS) reserveWorker(workers, query, reserved);
-      return false;
-    });
+    const { expectedMs } = batch;
+    return { shape, task, jobId, reserved, isolation, contactExpiresMs, expectedMs, nowMs };
+  }
+
+  #verdict(task: string): CrashVerdict {
+    const { crashes } = this.#state;
+    return crashes.size === 0 ? CrashVerdict.none : crashes.verdict(task);
+  }
+
+  /** Before its first start here, a task of a previous owner is searched among the workers. */
+  #checkEarlierRun(startable: TaskEntry): void {
+    const task = startable;
+    if (task.mayHaveRun) this.#crashMonitor.runNotFound(task);
+    task.mayHaveRun = false;
   }
 
   /**
@@ -109,7 +187,8 @@
     return free - batch.spec.shape.cpuMillis >= order.reserveCpuMillis;
   }
 
-  #start(batch: Batch, task: TaskEntry, worker: CellWorker, nowMs: number): void {
+  #start(batch: Batch, query: PlacementQuery, worker: CellWorker): void {
+    const { task, isolation, nowMs } = query;
     const entry = task;
     const { queue, shape, jobId, payload } = batch.spec;
     const workerId = worker.entry.id;
@@ -127,6 +206,7 @@
         batchId: batch.id,
         expectedMs: batch.expectedMs * worker.slowness,
         startExpiresMs: nowMs + this.#state.options.leaseMs,
+        isolation,
       },
       nowMs,
     );
@@ -142,6 +222,7 @@
       freeCpuMillis: worker.freeCpuMillis,
       slowness: Number(worker.slowness.toFixed(2)),
       expectedMs: Math.round(run.expectedMs),
+      ...(isolation === Isolation.none ? {} : { isolation, neighbours: worker.runs.size - 1 }),
     });
   }
 }
--- a/src/cells/forecast.ts
+++ b/src/cells/forecast.ts
@@ -36,7 +36,7 @@
     const leftMs = run.startedAtMs + run.expectedMs - nowMs;
     return {
       atMs: nowMs + Math.max(leftMs, run.expectedMs * OVERDUE_FRACTION),
-      cpuMillis: run.shape.cpuMillis,
+      cpuMillis: worker.occupiedCpuMillis(run),
     };
   });
   releases.sort((left, right) => left.atMs - right.atMs);
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -5,12 +5,15 @@
  */
 import type { TaskEntry } from './batch';
 import type { TaskShape } from './job';
+import { Isolation } from './run';
 import type { CellWorker } from './worker';
 
 /** Cost of leaving a whole worker unused; a run that takes twice as long costs 1 more. */
 const UNUSED_CPU_WEIGHT = 0.5;
 /** A task away from the rack that holds its data takes about half its run time longer. */
 const OTHER_RACK_COST = 0.5;
+/** Cost of running beside a task that may crash the worker. */
+const ISOLATED_NEIGHBOUR_COST = 1;
 
 /** Input of a placement decision besides the workers. */
 export interface PlacementQuery {
@@ -19,6 +22,7 @@
   readonly jobId: string;
   /** Workers kept free for a blocked batch, with the time from which it needs them. */
   readonly reserved: ReadonlyMap<string, number>;
+  readonly isolation: Isolation;
   /** Expected run time of the task on an ordinary worker. */
   readonly expectedMs: number;
   /** Runs of the batch must end by this time unless its submitter is heard from again. */
@@ -38,7 +42,24 @@
   const { cpuMillis, labels } = worker.entry;
   const unusedFraction = (worker.freeCpuMillis - shape.cpuMillis) / Math.max(1, cpuMillis);
   const isOtherRack = shape.preferredRack !== null && !labels.includes(shape.preferredRack);
-  return worker.slowness + UNUSED_CPU_WEIGHT * unusedFraction + (isOtherRack ? OTHER_RACK_COST : 0);
+  return (
+    worker.slowness +
+    UNUSED_CPU_WEIGHT * unusedFraction +
+    (isOtherRack ? OTHER_RACK_COST : 0) +
+    (worker.isolation === Isolation.none ? 0 : ISOLATED_NEIGHBOUR_COST)
+  );
+}
+
+/** Cost of an isolated task, which is to share its worker with as few runs as possible. */
+function isolatedCostOf(worker: CellWorker, shape: TaskShape): number {
+  return worker.runs.size * ISOLATED_NEIGHBOUR_COST + costOf(worker, shape);
+}
+
+/** True if the runs on the worker permit this isolation of another one. */
+function permitsIsolation(worker: CellWorker, isolation: Isolation): boolean {
+  if (isolation === Isolation.none) return true;
+  if (isolation === Isolation.exclusive) return worker.runs.size === 0;
+  return worker.isolation === Isolation.none;
 }
 
 function isAllowed(worker: CellWorker, query: PlacementQuery): boolean {
@@ -50,7 +71,7 @@
   // the leases already granted there.
   if (worker.hasOrphanedRun || worker.leasesEndMs > contactExpiresMs) return false;
   if (task.avoided.has(worker.entry.id) || !worker.couldRun(shape)) return false;
-  if (!worker.hasRoom(shape)) return false;
+  if (!worker.hasRoom(shape) || !permitsIsolation(worker, query.isolation)) return false;
   return shape.tasksPerWorker === null || countRunsOfJob(worker, jobId) < shape.tasksPerWorker;
 }
 
@@ -61,9 +82,10 @@
 ): CellWorker | null {
   let best: CellWorker | null = null;
   let bestCost = Infinity;
+  const placementCost = query.isolation === Isolation.none ? costOf : isolatedCostOf;
   Array.from(workers).forEach((worker) => {
     if (!isAllowed(worker, query)) return;
-    const cost = costOf(worker, query.shape);
+    const cost = placementCost(worker, query.shape);
     if (cost >= bestCost) return;
     best = worker;
     bestCost = cost;
@@ -72,15 +94,18 @@
 }
 
 /** Time at which the worker is expected to have room for a task if nothing else starts there. */
-function roomAtMs(worker: CellWorker, { shape, nowMs }: PlacementQuery): number {
+function roomAtMs(worker: CellWorker, query: PlacementQuery): number {
+  const { nowMs } = query;
+  const isExclusive = query.isolation === Isolation.exclusive;
+  const needed = isExclusive ? worker.entry.cpuMillis : query.shape.cpuMillis;
   let free = worker.freeCpuMillis;
-  if (free >= shape.cpuMillis) return nowMs;
+  if (free >= needed) return nowMs;
   const runs = [...worker.runs.values()].sort(
     (left, right) => left.startedAtMs + left.expectedMs - right.startedAtMs - right.expectedMs,
   );
   const last = runs.find((run) => {
-    free += run.shape.cpuMillis;
-    return free >= shape.cpuMillis;
+    free += worker.occupiedCpuMillis(run);
+    return free >= needed;
   });
   return last ? Math.max(nowMs, last.startedAtMs + last.expectedMs) : Infinity;
 }
--- a/src/cells/run.ts
+++ b/src/cells/run.ts
@@ -13,6 +13,16 @@
 } as const;
 export type RunState = (typeof RunState)[keyof typeof RunState];
 
+/** How far a run is kept apart from others on its worker. */
+export const Isolation = {
+  none: 'none',
+  /** No other isolated run is placed beside it, and other tasks prefer other workers. */
+  apart: 'apart',
+  /** It has its worker for itself. */
+  exclusive: 'exclusive',
+} as const;
+export type Isolation = (typeof Isolation)[keyof typeof Isolation];
+
 /** A run, identified by `task` and `run` together. */
 export interface Run {
   readonly task: string;
@@ -22,6 +32,7 @@
   shape: TaskShape;
   queue: string;
   readonly jobId: string;
+  readonly isolation: Isolation;
   /** Batch that the run belongs to; null for a run that was found on a worker and not claimed. */
   batchId: string | null;
   /** True while that batch has no outcome. */
@@ -63,6 +74,7 @@
   readonly batchId: string | null;
   readonly expectedMs: number;
   readonly startExpiresMs: number;
+  readonly isolation: Isolation;
 }
 
 /** Creates a run whose start is sent now. */
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -13,7 +13,7 @@
   type WorkerReport,
 } from './actions';
 import type { TaskShape } from './job';
-import { createRun, runKey, RunState, type Run } from './run';
+import { createRun, Isolation, runKey, RunState, type Run } from './run';
 import { adoptionDecision, stopDecision, StopReason, unclaimedEndDecision } from './runDecisions';
 import { TaskRuns } from './taskRuns';
 import { UnclaimedEnds, type UnclaimedEnd } from './unclaimedEnds';
@@ -168,6 +168,8 @@
     const worker = this.workers.get(workerId);
     if (!worker) return;
     worker.reachable = true;
+    worker.processStartMs = report.processStartMs;
+    worker.isReplaced = false;
     report.ended.forEach((entry) => this.#recordEnd(worker, entry, nowMs));
     const listed = new Set(report.running.map(({ task, run }) => runKey(task, run)));
     report.running.forEach((entry) => this.#updateRun(worker, entry, nowMs));
@@ -283,6 +285,7 @@
         batchId: null,
         expectedMs: 0,
         startExpiresMs: nowMs,
+        isolation: Isolation.none,
       },
       nowMs,
     );
--- a/src/cells/takeover.ts
+++ b/src/cells/takeover.ts
@@ -125,6 +125,7 @@
     claimed.queue = batch.spec.queue;
     claimed.expectedMs = batch.expectedMs;
     entry.workerId = run.workerId;
+    entry.mayHaveRun = false;
     entry.lastRun = Math.max(entry.lastRun, run.run);
     batch.markStarted();
     const { task: name, run: number, workerId, state } = run;
@@ -135,6 +136,7 @@
     const end = this.#state.runTracker.takeUnclaimedEnd(task.name);
     if (!end) return;
     const entry = task;
+    entry.mayHaveRun = false;
     entry.lastRun = Math.max(entry.lastRun, end.run);
     // A job that is submitted again runs from the beginning.
     if (!batch.spec.mayRun) return;
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -5,7 +5,7 @@
  */
 import { WorkerHealth } from '../core/health';
 import type { TaskShape } from './job';
-import { runKey, RunState, type Run } from './run';
+import { Isolation, runKey, RunState, type Run } from './run';
 
 /** A worker in the platform's list. */
 export interface WorkerEntry {
@@ -52,6 +52,12 @@
   /** No task is started before this time, because the worker refused a start or is slow. */
   backoffUntilMs = 0;
 
+  /** Start of the process that answered last, in Unix milliseconds; 0 before its first answer. */
+  processStartMs = 0;
+
+  /** True from the first answer of another process until the worker lists its runs. */
+  isReplaced = false;
+
   /** All leases granted to the worker have expired by this time, even if its clock runs slowly. */
   leasesEndMs = 0;
 
@@ -73,11 +79,28 @@
   get usedCpuMillis(): number {
     let used = 0;
     this.runs.forEach((run) => {
-      used += run.shape.cpuMillis;
+      used += this.occupiedCpuMillis(run);
     });
     return used;
   }
 
+  /** CPU that a run keeps from others. */
+  occupiedCpuMillis({ isolation, shape }: Run): number {
+    const isExclusive = isolation === Isolation.exclusive;
+    return isExclusive ? Math.max(shape.cpuMillis, this.entry.cpuMillis) : shape.cpuMillis;
+  }
+
+  /** The strongest isolation of its runs. */
+  get isolation(): Isolation {
+    let isolation: Isolation = Isolation.none;
+    this.runs.forEach((run) => {
+      if (isolation !== Isolation.exclusive && run.isolation !== Isolation.none) {
+        isolation = run.isolation;
+      }
+    });
+    return isolation;
+  }
+
   get freeCpuMillis(): number {
     return Math.max(0, this.entry.cpuMillis - this.usedCpuMillis);
   }
@@ -133,6 +156,7 @@
 
   /** True if the worker has room for the task beside its current runs. */
   hasRoom(shape: TaskShape): boolean {
+    if (this.isolation === Isolation.exclusive) return false;
     let { cpuMillis, memoryMb, accelerators } = this.entry;
     this.runs.forEach((run) => {
       cpuMillis -= run.shape.cpuMillis;
@@ -157,5 +181,7 @@
     this.health.reset();
     this.#slowness = 1;
     this.backoffUntilMs = 0;
+    this.processStartMs = 0;
+    this.isReplaced = true;
   }
 }
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/cellOwner.ts
@@ -3,6 +3,7 @@
  * worker, and returns the outcomes of batches to their submitters.
  */
 import { Cell } from '../cells/cell';
+import type { CrashHistory } from '../cells/crashHistory';
 import type { CellOptions } from '../cells/cellState';
 import type { CellAction, StartAnswer } from '../cells/actions';
 import type {
@@ -27,6 +28,7 @@
   readonly fencingToken: number;
   readonly workerClient: WorkerClient;
   readonly options: CellOptions & SessionOptions;
+  readonly crashes: CrashHistory;
   readonly clock: HostClock;
   readonly journal: DispatchJournal;
   /**
@@ -64,10 +66,8 @@
     this.#parts = parts;
     this.#openedAtMs = parts.clock.nowMs();
     this.#pauseDetector = new PauseDetector(parts.clock);
-    this.#cell = new Cell(parts.cell, {
-      ...parts.options,
-      leaseMs: latestLeaseEndMs(parts.options.leaseMs, 0),
-    });
+    const leaseMs = latestLeaseEndMs(parts.options.leaseMs, 0);
+    this.#cell = new Cell(parts.cell, { ...parts.options, leaseMs }, parts.crashes);
     this.#timer = setInterval(() => {
       this.#cell.tick(this.#now());
       this.#performActions();
--- a/src/dispatcher/cellRecord.ts
+++ b/src/dispatcher/cellRecord.ts
@@ -3,12 +3,14 @@
  * the number of cells per failure domain.
  */
 import { createHash } from 'node:crypto';
+import type { CrashRecord } from '../cells/crashRecord';
 import type { Entry } from '../store/store';
 
 /** Prefix of all keys of the dispatcher in the store. */
 export const RECORD_PREFIX = 'wasabiyoke/';
 const CELL_PREFIX = `${RECORD_PREFIX}cells/`;
 const HOST_PREFIX = `${RECORD_PREFIX}hosts/`;
+const CRASHES_PREFIX = `${RECORD_PREFIX}crashes/`;
 /** Key of the number of cells per failure domain. */
 export const LAYOUT_KEY = `${RECORD_PREFIX}layout`;
 
@@ -88,6 +90,16 @@
   return HOST_PREFIX + hostId;
 }
 
+/** Store key of the lost workers that a host has recorded. */
+export function crashesKey(hostId: string): string {
+  return CRASHES_PREFIX + hostId;
+}
+
+/** Encodes records of lost workers for the store. */
+export function encodeCrashes(records: readonly CrashRecord[]): string {
+  return JSON.stringify({ records });
+}
+
 /** Encodes a host's identity for the store. */
 export function encodeHost({ hostId, incarnation, domain, address, cores }: HostIdentity): string {
   return JSON.stringify({ hostId, incarnation, domain, address, cores });
@@ -133,7 +145,9 @@
 export type StoredRecord =
   | { readonly type: 'cell'; readonly record: CellRecord }
   | { readonly type: 'host'; readonly host: HostIdentity }
-  | { readonly type: 'layout'; readonly cellsPerDomain: number };
+  | { readonly type: 'layout'; readonly cellsPerDomain: number }
+  /** The records are not validated yet. */
+  | { readonly type: 'crashes'; readonly hostId: string; readonly records: readonly unknown[] };
 
 function decodeLayout(fields: Partial<Record<string, unknown>> | null): StoredRecord | null {
   const count = fields?.cellsPerDomain;
@@ -141,10 +155,20 @@
   return isCount ? { type: 'layout', cellsPerDomain: count } : null;
 }
 
+/** Decodes records of lost workers, which are not validated yet; null if the text is malformed. */
+export function decodeCrashes(text: string): readonly unknown[] | null {
+  const records = parseObject(text)?.records;
+  return Array.isArray(records) ? records : null;
+}
+
 /** Decodes an entry of the store; null if it is malformed or of unknown type. */
 export function decodeEntry({ key, value }: Entry): StoredRecord | null {
   const fields = parseObject(value);
   if (key === LAYOUT_KEY) return decodeLayout(fields);
+  if (key.startsWith(CRASHES_PREFIX)) {
+    const records = decodeCrashes(value);
+    return records && { type: 'crashes', hostId: key.slice(CRASHES_PREFIX.length), records };
+  }
   const identity = fields && decodeIdentity(fields);
   if (!identity) return null;
   if (key.startsWith(HOST_PREFIX)) return { type: 'host', host: identity };
--- a/src/dispatcher/cellRegistry.ts
+++ b/src/dispatcher/cellRegistry.ts
@@ -36,6 +36,8 @@
   readonly onOwner: (record: CellRecord) => void;
   /** Called once, with the number of cells per failure domain. */
   readonly onLayout: (cellsPerDomain: number) => void;
+  /** Called with the lost workers that a host has recorded in the store. */
+  readonly onCrashes: (hostId: string, records: readonly unknown[]) => void;
 }
 
 const WATCH_RETRY_MS = 200;
@@ -247,6 +249,8 @@
       this.#parts.journal.logDecision('record-unreadable', { key: entry.key });
     } else if (decoded.type === 'host') {
       this.#hosts.set(decoded.host.hostId, decoded.host);
+    } else if (decoded.type === 'crashes') {
+      this.#parts.onCrashes(decoded.hostId, decoded.records);
     } else if (decoded.type === 'layout') {
       this.setLayout(decoded.cellsPerDomain, 'store');
     } else {
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -10,6 +10,7 @@
   type TaskBatch,
 } from '../cells/messages';
 import type { CellOptions } from '../cells/cellState';
+import type { CrashHistory } from '../cells/crashHistory';
 import type { SubmitterContact } from '../cells/submitterContact';
 import type { WorkerEntry } from '../cells/worker';
 import type { RandomSource } from '../core/clock';
@@ -17,6 +18,7 @@
 import { CellLayout } from './cellLayout';
 import type { CellOwner } from './cellOwner';
 import { isSameProcess, type CellRecord, type HostIdentity } from './cellRecord';
+import { CrashExchange } from './crashExchange';
 import type { DispatchJournal } from './journal';
 import { LayoutSelector } from './layoutSelector';
 import { OwnedCells } from './ownedCells';
@@ -49,6 +51,8 @@
   readonly seeds: readonly string[];
   readonly queues: QueueTable;
   readonly options: ClusterOptions;
+  /** Lost workers by task. */
+  readonly crashes: CrashHistory;
   readonly clock: HostClock;
   readonly random: RandomSource;
   readonly journal: DispatchJournal;
@@ -79,6 +83,8 @@
 
   readonly #claims: CellClaims;
 
+  readonly #crashExchange: CrashExchange;
+
   readonly #statusExchange: StatusExchange;
 
   readonly #layoutSelector = new LayoutSelector();
@@ -110,12 +116,14 @@
     this.#pauseDetector = new PauseDetector(clock);
     this.#startedAtMs = clock.nowMs();
     this.#lastServingAtMs = this.#startedAtMs;
+    this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
       store: platform.store,
       journal,
       onOwner: (record) => this.#ownerChanged(record),
       onLayout: (cellsPerDomain) => this.#applyLayout(cellsPerDomain),
+      onCrashes: (hostId, records) => this.#crashExchange.applyStored(hostId, records),
     });
     this.#workerLists = new WorkerLists({
       directory: platform.workers,
@@ -134,6 +142,7 @@
       ...parts,
       records: this.#registry,
       lists: this.#workerLists,
+      crashes: this.#crashExchange,
       onSummaries: (summaries) => this.#updateLoads(summaries),
       onPolled: () => this.#refreshHealth(clock.nowMs()),
     });
@@ -184,6 +193,7 @@
     this.#claims.close();
     this.#registry.close();
     this.#statusExchange.close();
+    this.#crashExchange.close();
     this.#ownedCells.close();
   }
 
@@ -336,6 +346,7 @@
     const nowMs = this.#parts.clock.nowMs();
     const gapMs = this.#pauseDetector.check();
     if (gapMs > 0) this.#resume(gapMs, nowMs);
+    this.#crashExchange.tick();
     this.#pollPeers(nowMs);
     this.#refreshHealth(nowMs);
     this.#chooseLayout(nowMs);
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -5,6 +5,7 @@
  */
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
+import { CrashHistory } from '../cells/crashHistory';
 import { splitAddress } from '../settings/address';
 import type { HostIdentity } from './cellRecord';
 import { Cluster, type ClusterOptions } from './cluster';
@@ -94,6 +95,7 @@
       missingGraceMs: MISSING_WORKER_GRACE_MS,
       workerListPeriodMs: WORKER_LIST_PERIOD_MS,
     };
+    const crashes = new CrashHistory(clock.timeOfDayMs, settings.jobStateMs);
     this.#cluster = new Cluster({
       self,
       domains: settings.domains,
@@ -102,6 +104,7 @@
       seeds: settings.seeds,
       queues,
       options,
+      crashes,
       clock,
       random,
       journal,
@@ -114,7 +117,7 @@
       clock,
       journal,
     });
-    const runner = new JobRunner({ stepRunner, clock, journal });
+    const runner = new JobRunner({ stepRunner, crashes, clock, journal });
     const isServing = () => this.#cluster.serving().length > 0;
     this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
     this.#peerServer = new PeerServer(
--- a/src/dispatcher/dispatcher.ts
+++ b/src/dispatcher/dispatcher.ts
@@ -107,8 +107,9 @@
     return this.#runner.cancel(jobId);
   }
 
-  has(jobId: string): boolean {
-    return this.#runner.has(jobId);
+  /** State of a job; null if it is not known. */
+  stateOf(jobId: string): 'running' | 'failed' | null {
+    return this.#runner.stateOf(jobId);
   }
 
   pendingOf(queue: string): number {
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobRunner.ts
@@ -4,6 +4,7 @@
  */
 import type { JobStep } from '../cells/job';
 import type { Clock } from '../core/clock';
+import type { CrashHistory } from '../cells/crashHistory';
 import type { Caller } from './caller';
 import type { DispatchJournal } from './journal';
 import type { StepRunner } from './stepRunner';
@@ -12,6 +13,7 @@
 /** Dependencies of a job runner. */
 export interface JobRunnerParts {
   readonly stepRunner: StepRunner;
+  readonly crashes: Pick<CrashHistory, 'givenUpTaskOf'>;
   readonly clock: Clock;
   readonly journal: DispatchJournal;
 }
@@ -62,9 +64,11 @@
 
   /**
    * Runs a job, or joins the job with the same id if one is in progress on this host. The job is
-   * aborted when the last of its callers disconnects.
+   * aborted when the last of its callers disconnects. A job that has failed because a task of it
+   * was given up fails again, without a start.
    */
   async run(request: JobRequest, caller: Caller): Promise<JobOutcome> {
+    if (this.#hasFailed(request.job.id)) return { type: 'failed' };
     const entry = this.#join(request.job.id) ?? this.#start(request);
     const removeListener = caller.onDisconnect(() => this.#callerDisconnected(entry));
     const outcome = await entry.outcome;
@@ -72,6 +76,20 @@
     return outcome;
   }
 
+  /** `failed` if a task of the job was given up, on whichever host; null if it is not known. */
+  stateOf(jobId: string): 'running' | 'failed' | null {
+    if (this.#jobs.has(jobId)) return 'running';
+    return this.#parts.crashes.givenUpTaskOf(jobId) === null ? null : 'failed';
+  }
+
+  #hasFailed(jobId: string): boolean {
+    if (this.#jobs.has(jobId)) return false;
+    const task = this.#parts.crashes.givenUpTaskOf(jobId);
+    if (task === null) return false;
+    this.#parts.journal.logDecision('job-given-up', { jobId, task, reason: 'crashes' });
+    return true;
+  }
+
   #join(jobId: string): JobEntry | null {
     const entry = this.#jobs.get(jobId);
     if (!entry) return null;
--- a/src/dispatcher/ownedCells.ts
+++ b/src/dispatcher/ownedCells.ts
@@ -4,6 +4,7 @@
  */
 import type { WorkerEntry } from '../cells/worker';
 import type { CellOptions } from '../cells/cellState';
+import type { CrashHistory } from '../cells/crashHistory';
 import { CellOwner } from './cellOwner';
 import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from './journal';
@@ -15,6 +16,7 @@
 export interface OwnedCellsParts {
   readonly workerClient: WorkerClient;
   readonly options: CellOptions & SessionOptions;
+  readonly crashes: CrashHistory;
   readonly clock: HostClock;
   readonly journal: DispatchJournal;
 }
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peerMessages.ts
@@ -1,6 +1,7 @@
 /** Message bodies of the peer interface, and validation of received ones. */
 import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../cells/messages';
 import type { CellRecord, HostIdentity } from './cellRecord';
+import type { CrashPosition, CrashUpdate } from './crashExchange';
 import type { ClockReading, SendTime } from './peerClocks';
 import type { WorkerList } from './workerLists';
 
@@ -30,6 +31,11 @@
   readonly records: readonly CellRecord[];
   /** Version of the sender's list of workers in its own domain. */
   readonly listVersion: number;
+  /**
+   * How far the sender knows the receiver's history of lost workers; absent if it knows nothing of
+   * it, and from hosts of earlier versions.
+   */
+  readonly crashPosition?: CrashPosition | undefined;
   /** Absent if no batch has been sent to the receiver, and from hosts of earlier versions. */
   readonly awaited?: AwaitedCalls | undefined;
   /**
@@ -55,6 +61,8 @@
   readonly records: readonly CellRecord[];
   /** Workers of the requester's domain, if the requester's list is older. */
   readonly workers: WorkerList | null;
+  /** Lost workers that the requester does not know of; absent from hosts of earlier versions. */
+  readonly crashes?: CrashUpdate;
 }
 
 /** Response to a status request. */
--- a/src/dispatcher/settings.ts
+++ b/src/dispatcher/settings.ts
@@ -29,6 +29,8 @@
    * Time after losing an answer at which clients resubmit a job; all its runs have ended by then.
    */
   readonly resubmissionMs: number;
+  /** Time for which callers may ask for the state of a job after its end. */
+  readonly jobStateMs: number;
   readonly drainMs: number;
   readonly linesPerSecond: number;
 }
@@ -123,6 +125,8 @@
  */
 const MIN_RESUBMISSION_MS = 600;
 const DEFAULT_RESUBMISSION_MS = 1300;
+const MAX_JOB_STATE_S = 3600;
+const DEFAULT_JOB_STATE_MS = 120_000;
 const MAX_DRAIN_S = 600;
 const MAX_LINES_PER_SECOND = 100_000;
 const DEFAULT_LINES_PER_SECOND = 400;
@@ -173,6 +177,13 @@
       readInteger(MIN_RESUBMISSION_MS, MAX_LEASE_MS),
       DEFAULT_RESUBMISSION_MS,
     ),
+    jobStateMs: reader.optional(
+      'callers',
+      'job-state-seconds',
+      `a number up to ${MAX_JOB_STATE_S}`,
+      readSeconds(MAX_JOB_STATE_S),
+      DEFAULT_JOB_STATE_MS,
+    ),
     drainMs: reader.value(
       'host',
       'drain-seconds',
--- a/src/dispatcher/statusExchange.ts
+++ b/src/dispatcher/statusExchange.ts
@@ -6,6 +6,7 @@
 import type { CellSummary } from '../cells/messages';
 import type { Clock } from '../core/clock';
 import type { CellRecord, HostIdentity } from './cellRecord';
+import type { CrashExchange } from './crashExchange';
 import type { DispatchJournal } from './journal';
 import type { OwnerHealth } from './claimPolicy';
 import { StatusFailure, type PeerClient } from './peerClient';
@@ -24,6 +25,7 @@
   readonly queues: QueueTable;
   readonly records: CellRegistry;
   readonly lists: WorkerLists;
+  readonly crashes: Pick<CrashExchange, 'changesSince' | 'learn'>;
   readonly clock: Clock;
   readonly journal: DispatchJournal;
   /** Called with the cell loads in each answer. */
@@ -108,7 +110,14 @@
 
   /** Answers a status request from another host and merges the state that it carries. */
   answer(
-    { from, configurationVersion, recordsDigest, records, listVersion }: StatusRequest,
+    {
+      from,
+      configurationVersion,
+      recordsDigest,
+      records,
+      listVersion,
+      crashPosition,
+    }: StatusRequest,
     cells: readonly CellSummary[],
     leaving: boolean,
   ): HostStatus {
@@ -125,6 +134,7 @@
       cells,
       ...this.#recordsFor(recordsDigest),
       workers: lists.newerThan(from.domain, listVersion),
+      crashes: this.#parts.crashes.changesSince(crashPosition),
     };
   }
 
@@ -150,6 +160,7 @@
       configurationVersion: this.#configurationVersion(),
       ...this.#recordsFor(this.#monitor.statusOf(address)?.recordsDigest ?? null),
       listVersion: lists.versionOf(self.domain),
+      crashPosition: this.#monitor.statusOf(address)?.crashes?.position,
     });
     if (this.#closed) return;
     if (status === StatusFailure.refused) {
@@ -169,6 +180,7 @@
       this.#parts.records.setLayout(status.cellsPerDomain, status.hostId);
     }
     this.#learnRecords(status.records, status.hostId);
+    if (status.crashes) this.#parts.crashes.learn(status.crashes.records, status.hostId);
     if (status.workers) lists.merge(self.domain, status.workers);
     if (status.configurationVersion > this.#configurationVersion()) {
       this.#pullConfiguration(address);
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/workerSession.ts
@@ -280,7 +280,8 @@
       this.#acknowledged,
     );
     // Report before the next renewal: whether leases may be extended depends on the listed runs.
-    this.#events.reported(this.#target.id, { sentAtMs, running, ended, hasMoreEnded });
+    const report = { sentAtMs, processStartMs, running, ended, hasMoreEnded };
+    this.#events.reported(this.#target.id, report);
   }
 
   #resetProcess(): void {
--- a/test/cells/cell.test.ts
+++ b/test/cells/cell.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 import { RunOutcome, StartAnswer, type CellAction } from '../../src/cells/actions';
 import { Cell } from '../../src/cells/cell';
+import { CrashHistory } from '../../src/cells/crashHistory';
 import { BatchReason, type BatchOutcome, type TaskBatch } from '../../src/cells/messages';
 import { batchOf, CellSimulation } from './cellSimulation';
 import { workerEntry } from './simulatedWorker';
@@ -27,10 +28,12 @@
 function cellWithStart(
   answer: StartAnswer = StartAnswer.accepted,
 ): Pick<Start, 'task' | 'run' | 'workerId'> & { readonly cell: Cell } {
-  const cell = new Cell('sofia-a', OPTIONS);
+  const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
   const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
   cell.setWorkers(entries, 0);
-  entries.forEach(({ id }) => cell.report(id, { sentAtMs: 0, running: [], ended: [] }, 1));
+  entries.forEach(({ id }) =>
+    cell.report(id, { sentAtMs: 0, processStartMs: 1, running: [], ended: [] }, 1),
+  );
   cell.offer(batchOf({ taskCount: 1, deadlineInMs: 3000, goalMs: 1000 }), 2);
   const { task = '', run = 0, workerId = '' } = startsOf(cell)[0] ?? {};
   cell.startAnswered(task, run, workerId, answer, 4);
@@ -157,7 +160,7 @@
     cell.workerRestarted(workerId, 5);
     expect(startsOf(cell)).toEqual([]);
     const running = [{ task, run, percent: 5 }];
-    cell.report(workerId, { sentAtMs: 3, running, ended: [] }, 5);
+    cell.report(workerId, { sentAtMs: 3, processStartMs: 1, running, ended: [] }, 5);
     expect(startsOf(cell)).toEqual([]);
   });
 
@@ -171,12 +174,16 @@
     const [second] = startsOf(cell);
     expect([second?.task, second?.run, second?.workerId === workerId]).toEqual([task, 2, false]);
     const running = [{ task, run, percent: 5 }];
-    cell.report(workerId, { sentAtMs: 1200, running, ended: [] }, 1201);
+    cell.report(workerId, { sentAtMs: 1200, processStartMs: 1, running, ended: [] }, 1201);
     const ended = [{ sequence: 1, task, run: 2, end: RunOutcome.lapsed }];
-    cell.report(second?.workerId ?? '', { sentAtMs: 1200, running: [], ended }, 1210);
+    cell.report(
+      second?.workerId ?? '',
+      { sentAtMs: 1200, processStartMs: 1, running: [], ended },
+      1210,
+    );
     expect(startsOf(cell)).toEqual([]);
     const late = [{ sequence: 1, task, run, end: RunOutcome.lapsed }];
-    cell.report(workerId, { sentAtMs: 1220, running: [], ended: late }, 1230);
+    cell.report(workerId, { sentAtMs: 1220, processStartMs: 1, running: [], ended: late }, 1230);
     expect(startsOf(cell).map((start) => [start.task, start.run])).toEqual([[task, 3]]);
   });
 
@@ -193,7 +200,11 @@
 
   it('immediately restarts a task when the worker that ran it has restarted', () => {
     const { cell, task, run, workerId } = cellWithStart();
-    cell.report(workerId, { sentAtMs: 5, running: [{ task, run, percent: 5 }], ended: [] }, 6);
+    cell.report(
+      workerId,
+      { sentAtMs: 5, processStartMs: 1, running: [{ task, run, percent: 5 }], ended: [] },
+      6,
+    );
     cell.workerRestarted(workerId, 7);
     expect(startsOf(cell).map((start) => start.task)).toEqual([task]);
   });
@@ -202,10 +213,14 @@
   it('does not treat an unlisted run as over while the worker has more ends to report', () => {
     const { cell, task, run, workerId } = cellWithStart();
     const other = { sequence: 1, task: 'other.0.0.0', run: 1, end: RunOutcome.succeeded };
-    cell.report(workerId, { sentAtMs: 5, running: [], ended: [other], hasMoreEnded: true }, 6);
+    cell.report(
+      workerId,
+      { sentAtMs: 5, processStartMs: 1, running: [], ended: [other], hasMoreEnded: true },
+      6,
+    );
     expect(startsOf(cell)).toEqual([]);
     const ended = [{ sequence: 501, task, run, end: RunOutcome.succeeded }];
-    cell.report(workerId, { sentAtMs: 7, running: [], ended }, 8);
+    cell.report(workerId, { sentAtMs: 7, processStartMs: 1, running: [], ended }, 8);
     expect(cell.pending).toEqual(0);
   });
 
@@ -347,23 +362,28 @@
   // Guards against a second run if the previous owner moved the task to a worker that has not
   // reported.
   it('does not start a task after the end of one run while a later run may be in progress', () => {
-    const cell = new Cell('sofia-a', OPTIONS);
+    const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
     const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
     cell.setWorkers(entries, 0);
     const batch = asSentToNextOwner(batchOf({ taskCount: 1, deadlineInMs: 5000, goalMs: 4000 }));
     const task = batch.tasks[0]?.name ?? '';
     const ends = [RunOutcome.stopped, RunOutcome.failed, RunOutcome.lapsed];
     const ended = ends.map((end, index) => ({ sequence: index + 1, task, run: index + 1, end }));
-    cell.report('w0', { sentAtMs: 1, running: [], ended }, 2);
+    cell.report('w0', { sentAtMs: 1, processStartMs: 1, running: [], ended }, 2);
     cell.offer(batch, 3);
     expect(startsOf(cell)).toEqual([]);
-    cell.report('w1', { sentAtMs: 1, running: [{ task, run: 4, percent: 5 }], ended: [] }, 40);
+    cell.report(
+      'w1',
+      { sentAtMs: 1, processStartMs: 1, running: [{ task, run: 4, percent: 5 }], ended: [] },
+      40,
+    );
     cell.tick(60);
     expect(startsOf(cell)).toEqual([]);
     cell.report(
       'w1',
       {
         sentAtMs: 41,
+        processStartMs: 1,
         running: [],
         ended: [{ sequence: 1, task, run: 4, end: RunOutcome.succeeded }],
       },
@@ -404,8 +424,8 @@
     const { cell, task, run, workerId } = cellWithStart();
     cell.ownerResumed(2300, 3000);
     cell.startAnswered(task, run, workerId, StartAnswer.accepted, 3001);
-    cell.report('w0', { sentAtMs: 3001, running: [], ended: [] }, 3002);
-    cell.report('w1', { sentAtMs: 3001, running: [], ended: [] }, 3002);
+    cell.report('w0', { sentAtMs: 3001, processStartMs: 1, running: [], ended: [] }, 3002);
+    cell.report('w1', { sentAtMs: 3001, processStartMs: 1, running: [], ended: [] }, 3002);
     const long = { deadlineInMs: 9000, goalMs: 9000 };
     cell.offer(batchOf(long), 3003);
     cell.withdraw('other', BatchReason.withdrawn, 3004);
@@ -516,29 +536,29 @@
 
   // Guards against a start when only one of two runs from earlier owners has ended.
   it('starts a task only when all of its adopted runs have ended', () => {
-    const cell = new Cell('sofia-a', OPTIONS);
+    const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
     cell.setWorkers([workerEntry('w0'), workerEntry('w1')], 0);
     const name = 'again.0.0.0';
     const listOf = (run: number) => [{ task: name, run, percent: 5 }];
     const endOf = (run: number) => [{ sequence: 1, task: name, run, end: RunOutcome.lapsed }];
-    cell.report('w0', { sentAtMs: 1, running: listOf(1), ended: [] }, 2);
-    cell.report('w1', { sentAtMs: 1, running: listOf(2), ended: [] }, 2);
+    cell.report('w0', { sentAtMs: 1, processStartMs: 1, running: listOf(1), ended: [] }, 2);
+    cell.report('w1', { sentAtMs: 1, processStartMs: 1, running: listOf(2), ended: [] }, 2);
     cell.offer(batchOf({ jobId, begun: true, deadlineInMs: 3000, goalMs: 1000 }), 3);
-    cell.report('w0', { sentAtMs: 4, running: [], ended: endOf(1) }, 5);
+    cell.report('w0', { sentAtMs: 4, processStartMs: 1, running: [], ended: endOf(1) }, 5);
     expect(startsOf(cell)).toEqual([]);
-    cell.report('w1', { sentAtMs: 6, running: [], ended: endOf(2) }, 7);
+    cell.report('w1', { sentAtMs: 6, processStartMs: 1, running: [], ended: endOf(2) }, 7);
     expect(startsOf(cell).map(({ run }) => run)).toEqual([3]);
   });
 
   // Guards against a start beside a run that its worker reports after the submission has arrived.
   it('claims a run that is found while its task is waiting', () => {
-    const cell = new Cell('sofia-a', OPTIONS);
+    const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
     cell.setWorkers([workerEntry('w0')], 0);
     cell.offer(batchOf({ jobId, begun: true, deadlineInMs: 3000, goalMs: 1000 }), 1);
     const running = [{ task: 'again.0.0.0', run: 3, percent: 5 }];
-    cell.report('w0', { sentAtMs: 2, running, ended: [] }, 3);
+    cell.report('w0', { sentAtMs: 2, processStartMs: 1, running, ended: [] }, 3);
     expect(startsOf(cell)).toEqual([]);
-    cell.report('w0', { sentAtMs: 4, running: [], ended: [] }, 5);
+    cell.report('w0', { sentAtMs: 4, processStartMs: 1, running: [], ended: [] }, 5);
     expect(startsOf(cell).map(({ run }) => run)).toEqual([4]);
   });
 });
--- a/test/cells/cellSimulation.ts
+++ b/test/cells/cellSimulation.ts
@@ -5,6 +5,7 @@
  */
 import { Cell } from '../../src/cells/cell';
 import { RunOutcome, StartAnswer, type CellAction } from '../../src/cells/actions';
+import { CrashHistory } from '../../src/cells/crashHistory';
 import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
 import { SimulatedWorker, workerEntry, type SimulatedRun } from './simulatedWorker';
 
@@ -12,6 +13,8 @@
 const RENEWAL_INTERVAL_MS = 250;
 const TICK_MS = 20;
 const ONE_WAY_MS = 0.5;
+/** Time from the crash of a worker until another process answers in its place. */
+const RESTART_MS = 3000;
 
 /** A batch offered to the cell, its outcome and the time of that outcome. */
 export interface BatchRecord {
@@ -79,6 +82,15 @@
   /** Starts of a task while another run of it was in progress. */
   readonly overlaps: string[] = [];
 
+  /** Workers that have crashed, in order. */
+  readonly crashedWorkers: string[] = [];
+
+  /** Tasks that crash each worker that starts them, 5 ms after the start. */
+  readonly crashingTasks = new Set<string>();
+
+  /** Lost workers, as the host knows them; several cells may share them. */
+  readonly crashes: CrashHistory;
+
   readonly decisions: { decision: string; fields: Readonly<Record<string, unknown>> }[] = [];
 
   readonly #runMs: (batch: TaskBatch, task?: string) => number;
@@ -94,16 +106,19 @@
     nowMs = 0,
     runMs: (batch: TaskBatch, task?: string) => number = (batch) => batch.estimateMs,
     reportImmediately = true,
+    crashes?: CrashHistory,
   ) {
     this.nowMs = nowMs;
     this.workers = workers;
     this.#runMs = runMs;
-    this.cell = new Cell('sofia-a', {
+    this.crashes = crashes ?? new CrashHistory(() => this.nowMs, 120_000);
+    const options = {
       leaseMs: 1050,
       submitterTimeoutMs: 1300,
       abandonDetectionMs: 1000,
       missingGraceMs: 2500,
-    });
+    };
+    this.cell = new Cell('sofia-a', options, this.crashes);
     this.cell.setWorkers(
       workers.map(({ entry }) => entry),
       nowMs,
@@ -147,6 +162,20 @@
     }
   }
 
+  /** Ends a worker's process. The owner notices at once, and a new process answers later. */
+  crash(worker: SimulatedWorker): void {
+    if (worker.isDown) return;
+    worker.crash();
+    this.crashedWorkers.push(worker.entry.id);
+    this.cell.workerSilent(worker.entry.id, this.nowMs);
+    const callback = () => {
+      worker.restart(this.nowMs);
+      this.cell.workerRestarted(worker.entry.id, this.nowMs);
+      this.#renew(worker);
+    };
+    this.#scheduled.push({ atMs: this.nowMs + RESTART_MS, callback });
+  }
+
   /** Number of batches of a queue by outcome. */
   tally(queue: string): {
     inTime: number;
@@ -180,6 +209,7 @@
 
   #stepWorker(simulated: SimulatedWorker): void {
     const worker = simulated;
+    if (worker.isDown) return;
     const before = worker.ended.length;
     [...worker.runs.entries()].forEach(([key, run]) => {
       if (!worker.faults.hangs && run.endsAtMs <= this.nowMs) worker.finish(key, run.end);
@@ -204,6 +234,7 @@
       worker.entry.id,
       {
         sentAtMs: this.nowMs,
+        processStartMs: worker.processStartMs,
         ended,
         running: [...worker.runs.values()].map((run) => ({
           task: run.task,
@@ -250,6 +281,10 @@
     }
     if (action.type !== 'start' && action.type !== 'stop') return;
     const worker = this.workers.find(({ entry }) => entry.id === action.workerId);
+    if (worker?.isDown) {
+      if (action.type === 'start') this.#answerStart(action, StartAnswer.unhealthy, 1);
+      return;
+    }
     if (!worker || worker.faults.silent) {
       if (action.type === 'start') this.#answerStart(action, StartAnswer.unclear, 250);
       return;
@@ -282,6 +317,9 @@
       endsAtMs: this.nowMs + runMs,
       end: worker.faults.fails ? RunOutcome.failed : RunOutcome.succeeded,
     });
+    if (this.crashingTasks.has(action.task)) {
+      this.#scheduled.push({ atMs: this.nowMs + 5, callback: () => this.crash(worker) });
+    }
     if (worker.faults.losesStartAnswers) this.#answerStart(action, StartAnswer.unclear, 250);
     else this.#answerStart(action, StartAnswer.accepted, 2 * ONE_WAY_MS);
   }
--- /dev/null
+++ b/test/cells/crashes.test.ts
@@ -0,0 +1,144 @@
+/** A cell whose tasks crash their workers: who is started again, where, and beside whom. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { batchOf, CellSimulation } from './cellSimulation';
+
+/** A caller that waits long enough for many runs, and the next worker for each. */
+const LONG = { deadlineInMs: 60_000, goalMs: 60_000 } as const;
+const CRASHING = 'crashing.0.0.0';
+
+function startsOf(simulation: CellSimulation, task: string): readonly string[] {
+  return simulation.starts.filter((start) => start.task === task).map(({ worker }) => worker);
+}
+
+function withCrashingTask(workers: number, cpuMillis?: number): CellSimulation {
+  const simulation = CellSimulation.withWorkers(workers, cpuMillis);
+  simulation.crashingTasks.add(CRASHING);
+  return simulation;
+}
+
+describe('a task that crashes each worker that starts it', () => {
+  // Guards against a task that goes from worker to worker until its deadline.
+  it('takes down two workers, and its job fails as soon as that is known', () => {
+    const simulation = withCrashingTask(6);
+    const record = simulation.offer(batchOf({ jobId: 'crashing', ...LONG }));
+    simulation.advance(20_000);
+    expect(simulation.crashedWorkers.length).toEqual(2);
+    expect(record.outcome).toEqual({ type: 'failed', task: CRASHING });
+    // The second worker crashes after the first lease of about 1 s, and is back 3 s later.
+    expect(record.endedAtMs).toBeLessThan(4300);
+  });
+
+  // Guards against a count that begins anew with each submission.
+  it('takes down no other worker when its job is sent again', () => {
+    const simulation = withCrashingTask(6);
+    simulation.offer(batchOf({ jobId: 'crashing', deadlineInMs: 1500, goalMs: 1500 }));
+    simulation.advance(2000);
+    const again = simulation.offer(batchOf({ jobId: 'crashing', ...LONG }));
+    simulation.advance(10_000);
+    expect(simulation.crashedWorkers.length).toEqual(2);
+    expect(again.outcome).toEqual({ type: 'failed', task: CRASHING });
+  });
+
+  // Guards against a count that a cell keeps for itself.
+  it('takes down no other worker when its job is sent to another cell', () => {
+    const first = withCrashingTask(3);
+    first.offer(batchOf({ jobId: 'crashing', ...LONG }));
+    first.advance(500);
+    const workers = [0, 1, 2].map((index) => CellSimulation.worker(`v${index}`));
+    const second = new CellSimulation(workers, first.nowMs, undefined, true, first.crashes);
+    second.crashingTasks.add(CRASHING);
+    first.cell.withdraw([...first.records.keys()][0] ?? '', 'withdrawn', first.nowMs);
+    const records = [1, 2, 3].map(() => {
+      const record = second.offer(batchOf({ jobId: 'crashing', ...LONG }));
+      for (let index = 0; index < 3000; index += 1) {
+        first.advance(1);
+        second.advance(1);
+      }
+      return record;
+    });
+    expect(first.crashedWorkers.length + second.crashedWorkers.length).toEqual(2);
+    expect(records.at(-1)?.outcome).toEqual({ type: 'failed', task: CRASHING });
+  });
+
+  // Guards against neighbours that lose a run with every worker of the task.
+  it('shares only its first worker with other tasks, and these complete', () => {
+    const simulation = withCrashingTask(6);
+    simulation.offer(batchOf({ jobId: 'crashing', ...LONG }));
+    const others = Array.from({ length: 30 }, (_, index) => {
+      const record = simulation.offer(
+        batchOf({ jobId: `other${index}`, estimateMs: 400, ...LONG }),
+      );
+      simulation.advance(100);
+      return record;
+    });
+    simulation.advance(10_000);
+    expect(others.every(({ outcome }) => outcome?.type === 'done')).toEqual(true);
+    expect(simulation.crashedWorkers.length).toEqual(2);
+    const restarted = others.filter(({ batch }) => startsOf(simulation, batch.tasks[0]?.name ?? '').length > 1);
+    // Two tasks fit on a worker.
+    expect(restarted.length).toBeLessThanOrEqual(1);
+    expect(simulation.overlaps).toEqual([]);
+  });
+});
+
+describe('many tasks that crash their workers, among others', () => {
+  // Guards against innocent tasks that are refused or given up because one kind of task crashes.
+  it('leave the other tasks their service', () => {
+    const simulation = CellSimulation.withWorkers(16);
+    const crashing: string[] = [];
+    const others = Array.from({ length: 60 }, (_, index) => {
+      if (index % 10 === 0) {
+        const jobId = `crashing${index}`;
+        simulation.crashingTasks.add(`${jobId}.0.0.0`);
+        crashing.push(`${jobId}.0.0.0`);
+        simulation.offer(batchOf({ jobId, ...LONG }));
+      }
+      const record = simulation.offer(batchOf({ jobId: `other${index}`, queue: 'check', ...LONG }));
+      simulation.advance(100);
+      return record;
+    });
+    simulation.advance(12_000);
+    crashing.forEach((task) => expect(startsOf(simulation, task).length).toEqual(2));
+    expect(others.every(({ outcome }) => outcome?.type === 'done')).toEqual(true);
+  });
+});
+
+describe('tasks on workers that crash by themselves', () => {
+  // Guards against tasks that wait for idle workers after the loss of half a cell.
+  it('all end in time after half of the workers have crashed at once', () => {
+    const simulation = CellSimulation.withWorkers(8);
+    const options = { estimateMs: 300, deadlineInMs: 3000, goalMs: 3000 };
+    const records = Array.from({ length: 16 }, (_, index) =>
+      simulation.offer(batchOf({ jobId: `job${index}`, ...options })),
+    );
+    simulation.advance(50);
+    simulation.workers.slice(0, 4).forEach((worker) => simulation.crash(worker));
+    simulation.advance(400);
+    const later = Array.from({ length: 4 }, (_, index) =>
+      simulation.offer(batchOf({ jobId: `later${index}`, ...options })),
+    );
+    simulation.advance(5000);
+    expect([...records, ...later].map(({ outcome }) => outcome?.type)).toEqual(
+      Array.from({ length: 20 }, () => 'done'),
+    );
+  });
+
+  // Guards against a worker that is cut off and counted as crashed.
+  it('are not counted if the process answers again', () => {
+    const simulation = CellSimulation.withWorkers(3);
+    const record = simulation.offer(batchOf({ jobId: 'job', estimateMs: 6000, ...LONG }));
+    [1, 2, 3].forEach(() => {
+      simulation.advance(400);
+      const worker = simulation.workers.find(({ runs }) => runs.size > 0);
+      if (!worker) throw new Error('the task has no run');
+      worker.faults.silent = true;
+      simulation.advance(1400);
+      worker.faults.silent = false;
+    });
+    simulation.advance(8000);
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(simulation.decisions.some(({ decision }) => decision === 'crash-refuted')).toEqual(true);
+    expect(simulation.overlaps).toEqual([]);
+  });
+});
--- a/test/cells/simulatedWorker.ts
+++ b/test/cells/simulatedWorker.ts
@@ -57,6 +57,11 @@
 
   readonly ended: { task: string; run: number; end: RunOutcome; sequence: number }[] = [];
 
+  /** True between a crash of its process and the start of the next one. */
+  isDown = false;
+
+  processStartMs = 1;
+
   leaseEndsAtMs = 0;
 
   reportedCount = 0;
@@ -73,6 +78,21 @@
     return [...this.runs.values()].reduce((sum, { cpuMillis }) => sum + cpuMillis, 0);
   }
 
+  /** Ends the process with all its runs. */
+  crash(): void {
+    this.isDown = true;
+    this.runs.clear();
+    this.ended.length = 0;
+    this.reportedCount = 0;
+    this.leaseEndsAtMs = 0;
+  }
+
+  /** Starts the next process, which knows nothing of the previous one. */
+  restart(nowMs: number): void {
+    this.isDown = false;
+    this.processStartMs = nowMs;
+  }
+
   finish(key: string, end: RunOutcome): void {
     const run = this.runs.get(key);
     if (!run) return;
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -40,6 +40,7 @@
     journal: JOURNAL,
     onOwner: () => {},
     onLayout: () => {},
+    onCrashes: () => {},
   });
   const layout = new CellLayout(['bole'], cells);
   layout.cells.forEach((cell) => {
@@ -102,7 +103,12 @@
       close: async () => {},
     };
     const self = host('piassa-1', 'piassa');
-    const ignored = { journal: JOURNAL, onOwner: () => {}, onLayout: () => {} };
+    const ignored = {
+      journal: JOURNAL,
+      onOwner: () => {},
+      onLayout: () => {},
+      onCrashes: () => {},
+    };
     const records = new CellRegistry({ self, store, ...ignored });
     records.merge({ cell: 'bole', owner: host('bole-2'), token: 1000 }, 'test');
     const listed = {
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -13,6 +13,7 @@
   type CellRecord,
   type HostIdentity,
 } from '../../src/dispatcher/cellRecord';
+import { CrashHistory } from '../../src/cells/crashHistory';
 import { OwnedCells } from '../../src/dispatcher/ownedCells';
 import type { RecordStore } from '../../src/dispatcher/platform';
 import { CellRegistry } from '../../src/dispatcher/cellRegistry';
@@ -57,6 +58,7 @@
     this.owned = new OwnedCells({
       workerClient: { close: async () => {}, disconnect: () => {} } as never,
       options: OPTIONS,
+      crashes: new CrashHistory(() => 0, 120_000),
       clock: { nowMs: () => 0, timeOfDayMs: () => 0 },
       journal: JOURNAL,
     });
@@ -69,6 +71,7 @@
         if (record.owner === self) this.owned.add(record, []);
       },
       onLayout: () => {},
+      onCrashes: () => {},
     });
     this.registry.open();
     known.forEach((identity) => this.emitChange(hostKey(identity.hostId), encodeHost(identity)));
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -5,6 +5,7 @@
 import { setImmediate as settled } from 'node:timers/promises';
 import type { TestContext } from 'node:test';
 import { StartAnswer } from '../../src/cells/actions';
+import { CrashHistory } from '../../src/cells/crashHistory';
 import { CellOwner } from '../../src/dispatcher/cellOwner';
 import type { DispatchJournal } from '../../src/dispatcher/journal';
 import {
@@ -31,6 +32,9 @@
 
   readonly decisions: string[] = [];
 
+  /** Lost workers, as both owners know them. */
+  readonly crashes = new CrashHistory(() => this.#nowMs, 120_000);
+
   /** Tasks that were running twice at the same time, and since when. */
   readonly overlaps: string[] = [];
 
@@ -143,6 +147,7 @@
         missingGraceMs: 2500,
         renewWaitMs: 120,
       },
+      crashes: this.crashes,
       clock: this.#clock,
       journal,
       onFenced: () => undefined,
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { Ok } from 'ts-results';
+import { CrashHistory } from '../../src/cells/crashHistory';
 import type { BatchOutcome } from '../../src/cells/messages';
 import {
   cellKey,
@@ -95,6 +96,7 @@
     seeds: [],
     queues: new QueueTable(),
     options: OPTIONS,
+    crashes: new CrashHistory(CLOCK.timeOfDayMs, 120_000),
     clock: CLOCK,
     random: RANDOM,
     journal: JOURNAL,
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -82,7 +82,8 @@
       lostRunsEndMs: LOST_RUNS_END_MS,
       ...common,
     });
-    this.runner = new JobRunner({ stepRunner, ...common });
+    const crashes = { givenUpTaskOf: () => null };
+    this.runner = new JobRunner({ stepRunner, crashes, ...common });
   }
 
   /** Submits a job, and waits until its first batches are sent. */
--- a/test/platform/kvStandin.ts
+++ b/test/platform/kvStandin.ts
@@ -85,6 +85,11 @@
     this.#wakeWatches();
   }
 
+  /** True if there is a key with this prefix. */
+  has(prefix: string): boolean {
+    return [...this.#items.keys()].some((key) => key.startsWith(prefix));
+  }
+
   remove(key: string): void {
     this.#revision += 1;
     this.#items.delete(key);
--- a/test/platform/testHost.ts
+++ b/test/platform/testHost.ts
@@ -65,6 +65,7 @@
         leaseMs: 1000,
         drainMs: 6000,
         resubmissionMs: 1300,
+        jobStateMs: 120_000,
         linesPerSecond: 400,
       },
       platform: {
@@ -99,6 +100,7 @@
     extra: object = {},
   ): Promise<Dispatcher.ResponseData> {
     const { path, ...options } = jobRequest({ id, payload, tasks, deadlineMs: DEADLINE_MS, extra });
-    return request(`http://${this.callersAddress}${path}`, options);
+    // A kept connection would outlive this host, and reach it in place of the next one at its address.
+    return request(`http://${this.callersAddress}${path}`, { ...options, reset: true });
   }
 }
--- a/test/platform/workerStandin.ts
+++ b/test/platform/workerStandin.ts
@@ -1,7 +1,7 @@
 /**
  * Simulates a worker of the platform over HTTP: starts, stops and lease renewals, with fencing
- * tokens and a list of ended runs. The payload of a task is its run time in milliseconds, or
- * `fail`.
+ * tokens and a list of ended runs. The payload of a task is its run time in milliseconds, `fail`, or
+ * `crash`, which takes the worker down for some time.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -24,6 +24,11 @@
 /** Run time of a task whose payload is not a number. */
 const DEFAULT_RUN_MS = 5;
 
+/** Time from the start of a task that crashes its worker to the crash. */
+const CRASH_AFTER_MS = 5;
+/** Time for which a worker is down after that. */
+const DOWN_MS = 1300;
+
 /** Observes the runs of a worker. */
 export interface RunObserver {
   started(worker: WorkerStandin, task: string, run: number, payload: string): void;
@@ -92,6 +97,8 @@
 
   address = '';
 
+  #downTimer: NodeJS.Timeout | null = null;
+
   constructor(id: string, domain: string, options: WorkerStandinOptions = {}) {
     this.id = id;
     this.domain = domain;
@@ -110,6 +117,7 @@
 
   close(): void {
     if (this.#leaseTimer) clearTimeout(this.#leaseTimer);
+    if (this.#downTimer) clearTimeout(this.#downTimer);
     this.runs.forEach(({ timer }) => clearTimeout(timer));
     this.#server.close();
     this.#server.closeAllConnections();
@@ -147,6 +155,16 @@
     this.#server.closeAllConnections();
   }
 
+  /** Crashes, and refuses connections until the next process starts. */
+  #goDown(): void {
+    this.crash();
+    this.#server.close();
+    this.#downTimer = setTimeout(() => {
+      this.#processStartedAtMs = Date.now();
+      this.#server.listen(Number(this.address.split(':')[1]), '127.0.0.1');
+    }, DOWN_MS);
+  }
+
   /** Returns the text of its entry in the store. */
   entry(): string {
     return JSON.stringify({
@@ -235,7 +253,10 @@
       this.#options.observer?.started(this, task, run, spec);
       const runMs = (Number(spec) || DEFAULT_RUN_MS) * (this.#options.slowness ?? 1);
       const end = spec === 'fail' ? 'failed' : 'done';
-      const timer = setTimeout(() => this.#endRun(key, end), runMs);
+      const timer =
+        spec === 'crash'
+          ? setTimeout(() => this.#goDown(), CRASH_AFTER_MS)
+          : setTimeout(() => this.#endRun(key, end), runMs);
       const startedAtMs = Date.now();
       const endsAtMs = startedAtMs + runMs;
       this.runs.set(key, { task, run, startedAtMs, runMs, timer, endsAtMs, end });
