--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -43,6 +43,33 @@
       expect(decodeWorker('servers/i-1', text)).toEqual(null),
     );
   });
+
+  // Guards against an entry of another writer whose figures spoil the sums over all workers, or
+  // whose address or id can't be put into a request.
+  it('are ignored if their figures, address or id are out of range', () => {
+    const wrong = [
+      { capacity: { cpu: -5, memMb: 1 } },
+      { capacity: { cpu: 1e308, memMb: 1 } },
+      { capacity: { cpu: 1000, memMb: 1e308 } },
+      { capacity: { cpu: 1000, memMb: 1, gpu: -1 } },
+      { address: '10.128.0.9:99999' },
+      { address: '10.128.0.9:-1' },
+      { address: 'worker.example:8080' },
+      { address: '10.128.0.9:8080\r\nx: y' },
+    ];
+    wrong.forEach((changes) => expect(worker(changes)).toEqual(null));
+    expect(decodeWorker('servers/i\r\nx: y', JSON.stringify(WORKER))).toEqual(null);
+    const tooLarge = JSON.stringify(WORKER).replace('16000', '1e400');
+    expect(decodeWorker('servers/i-1', tooLarge)).toEqual(null);
+    expect(worker({ capacity: { cpu: 0, memMb: 0, gpu: 0 } })?.cpuMillis).toEqual(0);
+  });
+
+  it('do not end the process that reads them, however deeply they are nested', () => {
+    const text = `${JSON.stringify(WORKER).slice(0, -1)},"x":${'['.repeat(1e5)}${']'.repeat(1e5)}}`;
+    const entry = decodeWorker('servers/i-1', text);
+    expect(entry === null || entry.id === 'i-1').toEqual(true);
+    expect(decodeWorker('servers/i-1', '['.repeat(1e5))).toEqual(null);
+  });
 });
 
 describe('configurations', () => {
