Forecast no room on a worker whose runs exceed its shrunken capacity

Checked for a worker that refuses nothing: starts, runs being stopped, adopted runs and growth keep to the capacity it states (capacity.test.ts passed before as well, so LIMIT is not broken by placement). The forecast did not: it began at a free capacity of 0 where the runs exceed the capacity, and counted the end of the first run as room. So a batch was admitted that could not start in time, and the worker kept for a blocked task was expected too early.

--- a/src/cells/forecast.ts
+++ b/src/cells/forecast.ts
@@ -20,7 +20,10 @@
 
 /** Simulated state of one worker. */
 interface WorkerTimeline {
-  /** CPU that is free from `fromMs`, the latest start so far, until the first release. */
+  /**
+   * CPU that is free from `fromMs`, the latest start so far, until the first release; below 0 while
+   * the runs exceed the capacity.
+   */
   freeCpuMillis: number;
   fromMs: number;
   readonly slowness: number;
@@ -40,8 +43,8 @@
     };
   });
   releases.sort((left, right) => left.atMs - right.atMs);
-  const { freeCpuMillis, slowness } = worker;
-  return { freeCpuMillis, fromMs: nowMs, slowness, releases };
+  const { unusedCpuMillis, slowness } = worker;
+  return { freeCpuMillis: unusedCpuMillis, fromMs: nowMs, slowness, releases };
 }
 
 /** Earliest time at which the worker has room for a task; does not modify the timeline. */
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -98,7 +98,7 @@
   const { nowMs } = query;
   const isExclusive = query.isolation === Isolation.exclusive;
   const needed = isExclusive ? worker.entry.cpuMillis : query.shape.cpuMillis;
-  let free = worker.freeCpuMillis;
+  let free = worker.unusedCpuMillis;
   if (free >= needed) return nowMs;
   const runs = [...worker.runs.values()].sort(
     (left, right) => left.startedAtMs + left.expectedMs - right.startedAtMs - right.expectedMs,
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -101,8 +101,13 @@
     return isolation;
   }
 
+  /** CPU that no run occupies; below 0 while the runs exceed a capacity that has shrunk. */
+  get unusedCpuMillis(): number {
+    return this.entry.cpuMillis - this.usedCpuMillis;
+  }
+
   get freeCpuMillis(): number {
-    return Math.max(0, this.entry.cpuMillis - this.usedCpuMillis);
+    return Math.max(0, this.unusedCpuMillis);
   }
 
   /**
--- a/test/cells/crashes.test.ts
+++ b/test/cells/crashes.test.ts
@@ -75,7 +75,9 @@
     simulation.advance(10_000);
     expect(others.every(({ outcome }) => outcome?.type === 'done')).toEqual(true);
     expect(simulation.crashedWorkers.length).toEqual(2);
-    const restarted = others.filter(({ batch }) => startsOf(simulation, batch.tasks[0]?.name ?? '').length > 1);
+    const restarted = others.filter(
+      ({ batch }) => startsOf(simulation, batch.tasks[0]?.name ?? '').length > 1,
+    );
     // Two tasks fit on a worker.
     expect(restarted.length).toBeLessThanOrEqual(1);
     expect(simulation.overlaps).toEqual([]);
--- a/test/platform/crashingTasks.test.ts
+++ b/test/platform/crashingTasks.test.ts
@@ -10,11 +10,7 @@
 /** Submits a job of one task that crashes its worker; resolves with status and state. */
 async function submitTo(host: TestHost | undefined, id: string): Promise<string> {
   if (!host) throw new Error('no such host');
-  const { statusCode, body } = await (host.submit(
-    id,
-    'crash',
-    1,
-  ));
+  const { statusCode, body } = await host.submit(id, 'crash', 1);
   const { state } = (await body.json()) as { state?: string };
   return `${statusCode} ${state ?? ''}`.trim();
 }
