Reserve no worker again for a batch that its share holds back

The restructured placement of also kept a worker for a batch that may not start because its queue is above its share; before, only one that found no room got it. No test: with the queues of the simulation such a batch is refused on arrival or begun, so the difference shows only for a smaller task placed later in the same pass.

--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -108,6 +108,7 @@
     const isolated = tasks.filter(({ name }) => this.#verdict(name) !== CrashVerdict.none);
     const others = isolated.length === 0 ? tasks : tasks.filter((task) => !isolated.includes(task));
     const arePlaced = others.every((task) => {
+      if (!this.#mayStart(round.order, batch, round.nowMs)) return false;
       const query = this.#queryFor(batch, task, Isolation.none, round);
       if (this.#place(batch, query, workers, round)) return true;
       if (round.reservedForBlocked < RESERVED_WORKERS) reserveForBlocked(workers, query, round);
@@ -126,6 +127,7 @@
     round: Round,
   ): void {
     if (this.#verdict(task.name) !== CrashVerdict.isolate) return;
+    if (!this.#mayStart(round.order, batch, round.nowMs)) return;
     const { allowed, isReserving } = chooseIsolation(batch, workers, round.nowMs);
     const isPlaced = allowed.some((isolation) =>
       this.#place(batch, this.#queryFor(batch, task, isolation, round), workers, round),
@@ -137,13 +139,13 @@
     current.hasReservedForIsolated = true;
   }
 
+  /** Starts a task on the worker that suits it best; false if none can take it now. */
   #place(
     batch: Batch,
     query: PlacementQuery,
     workers: readonly CellWorker[],
-    { order, nowMs }: Round,
+    { order }: Round,
   ): boolean {
-    if (!this.#mayStart(order, batch, nowMs)) return false;
     const worker = chooseWorker(workers, query);
     if (!worker) return false;
     this.#start(batch, query, worker);
