--- a/test/dispatcher/settings.test.ts
+++ b/test/dispatcher/settings.test.ts
@@ -38,6 +38,15 @@
     expect(read('resubmission-ms = 599').err).toEqual(true);
   });
 
+  // Guards against a task that is started again while callers may still ask for its failed job.
+  it('takes the time for which callers may ask for the state of a job from the settings', () => {
+    const read = (line: string) =>
+      readDispatcherSettings('a.ini', `${VALID_SETTINGS}[callers]\n${line}\n`);
+    expect(read('').unwrap().jobStateMs).toEqual(120_000);
+    expect(read('job-state-seconds = 30').unwrap().jobStateMs).toEqual(30_000);
+    expect(read('job-state-seconds = 3601').err).toEqual(true);
+  });
+
   it('accepts cores as a number, or as cores times a fraction', () => {
     const coresOf = (line: string) =>
       readDispatcherSettings('a.ini', VALID_SETTINGS.replace('[host]\n', `[host]\n${line}\n`));
