Let a task that lost its worker wait 300 ms for a worker of its own, and keep none free for it

Cause: the wait was bounded by the deadline alone. The worker kept free did not help where batches ahead fill each worker before the isolated task has its turn, and it stood idle where room was short. Ruled out: that the task was held (one loss only).

Now it waits 300 ms at most and takes an idle worker if there is one; none is kept free. isolation.test.ts says so and failed before (no such limit); the new case in crashes.test.ts passed before too.

--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -20,6 +20,8 @@
   readonly avoided: Set<string>;
   /** Not started until it is known whether the workers that were lost under it have crashed. */
   isHeld: boolean;
+  /** Time since which it could have started in isolation; null while it is not waiting for that. */
+  isolatedSinceMs: number | null;
   /** A previous owner may have started it, and its run has not been found. */
   mayHaveRun: boolean;
 }
@@ -42,6 +44,7 @@
     notBeforeMs: mayRun ? previousRunsOverAtMs : 0,
     avoided: new Set(),
     isHeld: false,
+    isolatedSinceMs: null,
     mayHaveRun: mayRun,
   };
 }
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -36,26 +36,11 @@
 /** One pass over the waiting batches. */
 interface Round {
   readonly order: QueueOrder;
-  /** Workers kept free, with the time from which they are needed. */
+  /** Workers kept for blocked batches, with the time from which they are needed. */
   readonly reserved: Map<string, number>;
-  /** Number of those kept for blocked batches. */
-  reservedForBlocked: number;
-  /** True if one is kept for an isolated task. */
-  hasReservedForIsolated: boolean;
   readonly nowMs: number;
 }
 
-function reserveForBlocked(
-  workers: readonly CellWorker[],
-  query: PlacementQuery,
-  round: Round,
-): void {
-  const current = round;
-  const before = round.reserved.size;
-  reserveWorker(workers, query, round.reserved);
-  current.reservedForBlocked += round.reserved.size - before;
-}
-
 /** Places the tasks of one cell. */
 export class Dispatch {
   readonly #state: CellState;
@@ -81,13 +66,7 @@
     const waiting = [...this.#state.batches.values()].filter((batch) => batch.waitingCount > 0);
     if (waiting.length === 0) return;
     const order = this.#state.queueOrder(nowMs);
-    const round: Round = {
-      order,
-      reserved: new Map(),
-      reservedForBlocked: 0,
-      hasReservedForIsolated: false,
-      nowMs,
-    };
+    const round: Round = { order, reserved: new Map(), nowMs };
     const begun = begunFirst(waiting, order);
     const placed = begun.map((batch) => this.#placeBatch(batch, round));
     let blocked = placed.filter((isPlaced) => !isPlaced).length;
@@ -111,7 +90,7 @@
       if (!this.#mayStart(round.order, batch, round.nowMs)) return false;
       const query = this.#queryFor(batch, task, Isolation.none, round);
       if (this.#place(batch, query, workers, round)) return true;
-      if (round.reservedForBlocked < RESERVED_WORKERS) reserveForBlocked(workers, query, round);
+      if (round.reserved.size < RESERVED_WORKERS) reserveWorker(workers, query, round.reserved);
       return false;
     });
     // These may wait long for a worker of their own, and keep no other task from being started.
@@ -128,15 +107,11 @@
   ): void {
     if (this.#verdict(task.name) !== CrashVerdict.isolate) return;
     if (!this.#mayStart(round.order, batch, round.nowMs)) return;
-    const { allowed, isReserving } = chooseIsolation(batch, workers, round.nowMs);
-    const isPlaced = allowed.some((isolation) =>
+    const waiting = task;
+    waiting.isolatedSinceMs ??= round.nowMs;
+    chooseIsolation(batch, task, workers, round.nowMs).some((isolation) =>
       this.#place(batch, this.#queryFor(batch, task, isolation, round), workers, round),
     );
-    if (isPlaced || !isReserving || round.hasReservedForIsolated) return;
-    const current = round;
-    const query = this.#queryFor(batch, task, Isolation.exclusive, round);
-    reserveWorker(workers, query, round.reserved);
-    current.hasReservedForIsolated = true;
   }
 
   /** Starts a task on the worker that suits it best; false if none can take it now. */
@@ -196,6 +171,7 @@
     const workerId = worker.entry.id;
     entry.lastRun += 1;
     entry.workerId = workerId;
+    entry.isolatedSinceMs = null;
     batch.markStarted();
     const run = createRun(
       {
--- a/test/cells/crashes.test.ts
+++ b/test/cells/crashes.test.ts
@@ -84,6 +84,32 @@
   });
 });
 
+describe('a task that lost its worker, in a cell that is never idle', () => {
+  // Guards against a task that waits for an idle worker until its deadline, long after its lease.
+  it('starts again within half a second of the end of its lease', () => {
+    const simulation = CellSimulation.withWorkers(4);
+    const keepBusy = (count: number) => {
+      for (let index = 0; index < count; index += 1) {
+        simulation.offer(
+          batchOf({ estimateMs: 200, begun: true, goalMs: 100, deadlineInMs: 60_000 }),
+        );
+      }
+    };
+    keepBusy(8);
+    const record = simulation.offer(batchOf({ jobId: 'job', begun: true, ...LONG }));
+    simulation.advance(205);
+    const worker = simulation.workers.find(({ runs }) => runs.has('job.0.0.0#1'));
+    if (!worker) throw new Error('the task has no run');
+    simulation.crash(worker);
+    for (let index = 0; index < 50; index += 1) {
+      keepBusy(1);
+      simulation.advance(40);
+    }
+    expect(record.outcome).toEqual({ type: 'done' });
+    expect(record.endedAtMs).toBeLessThan(205 + 1080 + 500);
+  });
+});
+
 describe('many tasks that crash their workers, among others', () => {
   // Guards against innocent tasks that are refused or given up because one kind of task crashes.
   it('leave the other tasks their service', () => {
--- a/test/cells/isolation.test.ts
+++ b/test/cells/isolation.test.ts
@@ -1,7 +1,7 @@
 /** Where a task that was on a lost worker is placed, with which neighbours, and how many at once. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { Batch } from '../../src/cells/batch';
+import { Batch, type TaskEntry } from '../../src/cells/batch';
 import { chooseIsolation } from '../../src/cells/isolation';
 import { chooseWorker, type PlacementQuery } from '../../src/cells/placement';
 import { createRun, Isolation, runKey } from '../../src/cells/run';
@@ -35,10 +35,25 @@
   });
 }
 
+function taskOf(batch: Batch): TaskEntry {
+  const [task] = batch.tasks;
+  if (!task) throw new Error('a batch has a task');
+  return task;
+}
+
+/** The choice for a task whose deadline is `deadlineInMs` away at time 0. */
+function choiceFor(
+  deadlineInMs: number,
+  workers: readonly CellWorker[],
+  nowMs: number,
+): readonly Isolation[] {
+  const batch = batchWithin(deadlineInMs);
+  return chooseIsolation(batch, taskOf(batch), workers, nowMs);
+}
+
 function placed(workers: readonly CellWorker[], isolation: Isolation): string | null {
   const { shape } = batchOf();
-  const [task] = batchWithin(1000).tasks;
-  if (!task) throw new Error('a batch has a task');
+  const task = taskOf(batchWithin(1000));
   const query: PlacementQuery = {
     shape,
     task,
@@ -66,26 +81,31 @@
     expect(placed(workersWith([apart]), apart)).toEqual(null);
   });
 
-  it('waits for a worker of its own while its deadline permits it', () => {
-    const { allowed, isReserving } = chooseIsolation(batchWithin(1000), workersWith([none]), 0);
-    expect(allowed).toEqual([exclusive]);
-    expect(isReserving).toEqual(true);
+  it('waits for a worker of its own', () => {
+    expect(choiceFor(1000, workersWith([none]), 0)).toEqual([exclusive]);
+  });
+
+  // Guards against tasks that wait for an idle worker of a busy cell until their deadline.
+  it('waits for 300 ms at most', () => {
+    const batch = batchWithin(60_000);
+    const waiting = { ...taskOf(batch), isolatedSinceMs: 0 };
+    expect(chooseIsolation(batch, waiting, workersWith([none]), 299)).toEqual([exclusive]);
+    expect(chooseIsolation(batch, waiting, workersWith([none]), 300)).toEqual([exclusive, apart]);
   });
 
   // Guards against tasks that miss their deadline while they wait for an idle worker.
-  it('starts beside other tasks when its deadline is near', () => {
-    const { allowed } = chooseIsolation(batchWithin(1000), workersWith([none]), 900);
-    expect(allowed).toEqual([exclusive, apart]);
+  it('starts beside other tasks at once when its deadline is near', () => {
+    expect(choiceFor(1000, workersWith([none]), 900)).toEqual([exclusive, apart]);
   });
 
   // Guards against a cell that gives all its workers away after the loss of some.
   it('takes at most an eighth of the workers, together with the others like it', () => {
     const idle = Array.from({ length: 15 }, () => []);
     const one = workersWith([exclusive], ...idle);
-    expect(chooseIsolation(batchWithin(1000), one, 0).allowed).toEqual([exclusive]);
+    expect(choiceFor(1000, one, 0)).toEqual([exclusive]);
     const two = workersWith([exclusive], [exclusive], ...idle.slice(1));
-    expect(chooseIsolation(batchWithin(1000), two, 0).allowed).toEqual([]);
-    expect(chooseIsolation(batchWithin(1000), two, 900).allowed).toEqual([apart]);
+    expect(choiceFor(1000, two, 0)).toEqual([]);
+    expect(choiceFor(1000, two, 900)).toEqual([apart]);
   });
 });
 
