--- a/test/cells/crashes.test.ts
+++ b/test/cells/crashes.test.ts
@@ -111,7 +111,7 @@
 });
 
 describe('many tasks that crash their workers, among others', () => {
-  // Guards against innocent tasks that are refused or given up because one kind of task crashes.
+  // Guards against other tasks that are refused or given up because one kind of task crashes workers.
   it('leave the other tasks their service', () => {
     const simulation = CellSimulation.withWorkers(16);
     const crashing: string[] = [];
