--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -93,7 +93,7 @@
       if (round.reserved.size < RESERVED_WORKERS) reserveWorker(workers, query, round.reserved);
       return false;
     });
-    // These may wait long for a worker of their own, and keep no other task from being started.
+    // These may wait for a worker of their own, and keep no other task from being started.
     isolated.forEach((task) => this.#placeIsolated(batch, task, workers, round));
     return arePlaced;
   }
--- a/src/cells/isolation.ts
+++ b/src/cells/isolation.ts
@@ -1,8 +1,8 @@
 /**
  * Decides how far a task that was on a lost worker is kept apart when it starts again. It may crash
- * the next worker too, and the tasks beside it would lose another run; so it waits for a worker of
- * its own while its deadline permits that. Only a part of the workers is given away like this: after
- * the loss of half a cell there are more such tasks than idle workers, and few of them are harmful.
+ * the next worker too, and the tasks beside it would lose another run; so it waits a short time for
+ * an idle worker of its own. Only a part of the workers is given away like this: after the loss of
+ * half a cell there are more such tasks than idle workers, and few of them are harmful.
  */
 import type { Batch, TaskEntry } from './batch';
 import { Isolation } from './run';
