--- a/test/cells/crashes.test.ts
+++ b/test/cells/crashes.test.ts
@@ -110,6 +110,25 @@
   });
 });
 
+describe('a task whose owner was lost with the worker that ran it', () => {
+  // Guards against a first crash that is forgotten because the owner died before it was noticed.
+  it('is isolated by the new owner, which counts the worker that has not answered it', () => {
+    const workers = ['w0', 'w1', 'w2'].map((id) => CellSimulation.worker(id));
+    workers.slice(0, 1).forEach(({ faults }) => Object.assign(faults, { silent: true }));
+    const simulation = new CellSimulation(workers, 0, undefined, false);
+    simulation.crashingTasks.add(CRASHING);
+    const batch = batchOf({ jobId: 'crashing', mayRun: true, begun: true, ...LONG });
+    const record = simulation.offer(batch);
+    simulation.advance(2500);
+    const [placed] = simulation.decisions.filter(({ decision }) => decision === 'placed');
+    expect(placed?.fields.isolation).toEqual('exclusive');
+    simulation.cell.workerRestarted('w0', simulation.nowMs);
+    simulation.advance(4000);
+    expect(simulation.crashedWorkers.length).toEqual(1);
+    expect(record.outcome).toEqual({ type: 'failed', task: CRASHING });
+  });
+});
+
 describe('many tasks that crash their workers, among others', () => {
   // Guards against other tasks that are refused or given up because one kind of task crashes workers.
   it('leave the other tasks their service', () => {
