Start no task on a worker before the entry of the process that answers is known

Cause: the owner of a cell learns of a new process from the first list of its runs, within about 120 ms, but knows its labels, capacity and service from the worker's entry, which it reads every 500 ms. The adapter dropped the start of the process from the entry, so an entry of the process before could not be told from that of the one that answers.

The fix: the entry keeps the start of the process that wrote it, and a worker is available only while that is the process that answers, in either order. An entry that names no process is taken as before.

Reading the list at once at a restart would only shorten the gap.

--- a/src/cells/runDecisions.ts
+++ b/src/cells/runDecisions.ts
@@ -50,6 +50,19 @@
   };
 }
 
+/** A worker's process answers, and the entry that is known was written by another one. */
+export function outdatedEntryDecision({ entry, processStartMs }: CellWorker): Decision {
+  return {
+    type: 'decision',
+    decision: 'worker-entry-outdated',
+    fields: {
+      worker: entry.id,
+      answeringProcessStartMs: processStartMs,
+      entryProcessStartMs: entry.processStartMs,
+    },
+  };
+}
+
 /** An end that no batch of this owner waits for; `run` is undefined if it was not being tracked. */
 export function unclaimedEndDecision(
   worker: CellWorker,
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -14,7 +14,13 @@
 } from './actions';
 import type { TaskShape } from './job';
 import { createRun, Isolation, runKey, RunState, type Run } from './run';
-import { adoptionDecision, stopDecision, StopReason, unclaimedEndDecision } from './runDecisions';
+import {
+  adoptionDecision,
+  outdatedEntryDecision,
+  stopDecision,
+  StopReason,
+  unclaimedEndDecision,
+} from './runDecisions';
 import { TaskRuns } from './taskRuns';
 import { UnclaimedEnds, type UnclaimedEnd } from './unclaimedEnds';
 import { CellWorker, type WorkerEntry } from './worker';
@@ -168,7 +174,7 @@
     const worker = this.workers.get(workerId);
     if (!worker) return;
     worker.reachable = true;
-    worker.processStartMs = report.processStartMs;
+    this.#setProcess(worker, report.processStartMs);
     worker.isReplaced = false;
     report.ended.forEach((entry) => this.#recordEnd(worker, entry, nowMs));
     const listed = new Set(report.running.map(({ task, run }) => runKey(task, run)));
@@ -245,6 +251,14 @@
     }
   }
 
+  /** Records which process answers. None is used before its own entry has been read. */
+  #setProcess(worker: CellWorker, processStartMs: number): void {
+    const answering = worker;
+    const isFirstAnswer = worker.processStartMs !== processStartMs;
+    answering.processStartMs = processStartMs;
+    if (isFirstAnswer && !worker.hasCurrentEntry) this.#push(outdatedEntryDecision(worker));
+  }
+
   #confirmStart(run: Run, nowMs: number): void {
     const confirmed = run;
     confirmed.confirmedAtMs ??= nowMs;
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -18,6 +18,8 @@
   readonly memoryMb: number;
   readonly accelerators: number;
   readonly labels: readonly string[];
+  /** Start of the process that wrote the entry, in Unix milliseconds; null if it does not say. */
+  readonly processStartMs: number | null;
 }
 
 /** Consecutive failures after which a worker is avoided; low because a task has few attempts. */
@@ -141,10 +143,20 @@
     });
   }
 
+  /**
+   * True if the entry was written by the process that answers. A worker may restart under its id
+   * with other labels, another capacity or for another service, and its entry is read with a lag.
+   */
+  get hasCurrentEntry(): boolean {
+    const { processStartMs } = this.entry;
+    return processStartMs === null || processStartMs === this.processStartMs;
+  }
+
   /** True if tasks may be started on the worker now. */
   isAvailable(nowMs: number): boolean {
     const { entry, health } = this;
-    if (!this.reachable || entry.draining || this.removed) return false;
+    if (!this.reachable || !this.hasCurrentEntry) return false;
+    if (entry.draining || this.removed) return false;
     return nowMs >= this.backoffUntilMs && this.runs.size < health.limit(Infinity);
   }
 
--- a/test/cells/simulatedWorker.ts
+++ b/test/cells/simulatedWorker.ts
@@ -14,6 +14,7 @@
     memoryMb: 262_144,
     accelerators: 0,
     labels: ['a', 'r1-1'],
+    processStartMs: null,
   };
 }
 
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -28,6 +28,13 @@
     expect(worker({ state: 'draining' })?.draining).toEqual(true);
   });
 
+  // Guards against a restarted worker that is taken for the process that wrote its entry.
+  it('tell the process that wrote them, if they name it', () => {
+    expect(worker({})?.processStartMs).toEqual(12);
+    expect(worker({ born: undefined })?.processStartMs).toEqual(null);
+    expect(worker({ born: '12' })?.processStartMs).toEqual(null);
+  });
+
   it('are ignored if they are invalid', () => {
     const wrong = [
       { backend: 7 },
