--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -7,20 +7,20 @@
 import type { Server } from 'node:http';
 import { CrashHistory } from '../cells/crashHistory';
 import { splitAddress } from '../settings/address';
-import type { HostIdentity } from './cellRecord';
+import type { HostIdentity } from './ownership/cellRecord';
 import { Cluster, type ClusterOptions } from './cluster';
 import { Dispatcher } from './dispatcher';
 import type { DispatchJournal } from './journal';
-import { JobRunner } from './jobRunner';
+import { JobRunner } from './jobs/jobRunner';
 import type { DispatchMetrics } from './metrics';
-import { PeerClient } from './peerClient';
-import type { HostClock } from './peerClocks';
-import { PeerServer } from './peerServer';
-import { StepRunner } from './stepRunner';
+import { PeerClient } from './peers/peerClient';
+import type { HostClock } from './peers/peerClocks';
+import { PeerServer } from './peers/peerServer';
+import { StepRunner } from './jobs/stepRunner';
 import type { Platform } from './platform';
-import { QueueTable } from './queueTable';
+import { QueueTable } from './jobs/queueTable';
 import type { DispatcherSettings } from './settings';
-import { latestLeaseEndMs } from './workerSession';
+import { latestLeaseEndMs } from './ownership/workerSession';
 
 /** Dependencies of a `DispatchHost`. */
 export interface DispatchHostParts {
--- a/src/dispatcher/dispatcher.ts
+++ b/src/dispatcher/dispatcher.ts
@@ -1,10 +1,10 @@
 /** Protocol-independent entry point of the dispatcher for the interface to callers. */
-import { waitForPendingReads, type Caller } from './caller';
+import { waitForPendingReads, type Caller } from './jobs/caller';
 import type { DispatchJournal } from './journal';
 import type { DispatchMetrics } from './metrics';
-import type { JobRunner } from './jobRunner';
-import type { JobOutcome, JobRequest } from './runningJob';
-import type { QueueTable } from './queueTable';
+import type { JobRunner } from './jobs/jobRunner';
+import type { JobOutcome, JobRequest } from './jobs/runningJob';
+import type { QueueTable } from './jobs/queueTable';
 
 /** Accepts callers' requests. */
 export class Dispatcher {
--- a/src/dispatcher/batchSender.ts
+++ b/src/dispatcher/jobs/batchSender.ts
@@ -2,13 +2,18 @@
  * Builds the batches of a job and sends them to cells. All batches are sent here: none after the job
  * has ended, and its end withdraws those in progress.
  */
-import type { JobStep } from '../cells/job';
-import { BatchReason, type BatchOutcome, type BatchTask, type TaskBatch } from '../cells/messages';
-import type { Clock } from '../core/clock';
+import type { JobStep } from '../../cells/job';
+import {
+  BatchReason,
+  type BatchOutcome,
+  type BatchTask,
+  type TaskBatch,
+} from '../../cells/messages';
+import type { Clock } from '../../core/clock';
 import { waitForPendingReads } from './caller';
-import type { CellRecord } from './cellRecord';
-import type { Cluster } from './cluster';
-import type { DispatchJournal } from './journal';
+import type { CellRecord } from '../ownership/cellRecord';
+import type { Cluster } from '../cluster';
+import type { DispatchJournal } from '../journal';
 import type { RunningJob } from './runningJob';
 
 /** Dependencies of a batch sender. */
--- a/src/dispatcher/earlierRuns.ts
+++ b/src/dispatcher/jobs/earlierRuns.ts
@@ -4,9 +4,9 @@
  * runs on its workers, but the job may be sent to another cell, which does not know of them. So
  * while a cell has changed owners recently, its new owner is asked before a job starts anywhere.
  */
-import type { Clock } from '../core/clock';
+import type { Clock } from '../../core/clock';
 import { waitForPendingReads } from './caller';
-import type { DispatchJournal } from './journal';
+import type { DispatchJournal } from '../journal';
 import type { RunningJob } from './runningJob';
 
 /** The members of the cluster that are needed to find earlier runs. */
--- a/src/dispatcher/jobDivision.ts
+++ b/src/dispatcher/jobs/jobDivision.ts
@@ -4,8 +4,8 @@
  * while others find no room; these are queued late, the whole job is late, and its tasks have taken
  * room from jobs that could have ended in time.
  */
-import { BatchReason, type CellRoom, type CellSummary, type TaskBatch } from '../cells/messages';
-import type { DispatchJournal } from './journal';
+import { BatchReason, type CellRoom, type CellSummary, type TaskBatch } from '../../cells/messages';
+import type { DispatchJournal } from '../journal';
 import { assignByRoom, byLoad, type CellAssignment } from './router';
 
 /** The members of the cluster that a division uses. */
--- a/src/dispatcher/jobRunner.ts
+++ b/src/dispatcher/jobs/jobRunner.ts
@@ -2,11 +2,11 @@
  * The submitter: runs the jobs that callers send to this host, step by step, and answers when all
  * steps have ended. A job is refused only if nothing of it has started.
  */
-import type { JobStep } from '../cells/job';
-import type { Clock } from '../core/clock';
-import type { CrashHistory } from '../cells/crashHistory';
+import type { JobStep } from '../../cells/job';
+import type { Clock } from '../../core/clock';
+import type { CrashHistory } from '../../cells/crashHistory';
 import type { Caller } from './caller';
-import type { DispatchJournal } from './journal';
+import type { DispatchJournal } from '../journal';
 import type { StepRunner } from './stepRunner';
 import { combineOutcomes, RunningJob, type JobOutcome, type JobRequest } from './runningJob';
 
--- a/src/dispatcher/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -1,5 +1,5 @@
 /** Looks up the queue for a request in the configuration in force, by host name and path. */
-import type { QueuePolicy } from '../cells/job';
+import type { QueuePolicy } from '../../cells/job';
 
 /** A queue, with the host name and path prefix of its requests. */
 export interface QueueBinding {
--- a/src/dispatcher/router.ts
+++ b/src/dispatcher/jobs/router.ts
@@ -3,8 +3,8 @@
  * all tasks, else the least loaded other cell with room for all, else several cells, balanced by
  * load.
  */
-import type { CellSummary } from '../cells/messages';
-import type { RandomSource } from '../core/clock';
+import type { CellSummary } from '../../cells/messages';
+import type { RandomSource } from '../../core/clock';
 
 /** The tasks assigned to one cell, as indexes into the tasks of the step. */
 export interface CellAssignment {
--- a/src/dispatcher/runningJob.ts
+++ b/src/dispatcher/jobs/runningJob.ts
@@ -1,5 +1,5 @@
 /** A job in progress at the host that accepted it, and the outcomes of jobs. */
-import type { Job, QueuePolicy } from '../cells/job';
+import type { Job, QueuePolicy } from '../../cells/job';
 
 /** How a job ended. */
 export type JobOutcome =
--- a/src/dispatcher/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -3,8 +3,8 @@
  * further cells when one refuses, and resends a batch to the new owner when ownership of its cell
  * changes.
  */
-import { BatchReason, type BatchOutcome } from '../cells/messages';
-import type { Clock, RandomSource } from '../core/clock';
+import { BatchReason, type BatchOutcome } from '../../cells/messages';
+import type { Clock, RandomSource } from '../../core/clock';
 import {
   BatchSender,
   NOT_SENT,
@@ -13,11 +13,11 @@
   type TaskGroup,
 } from './batchSender';
 import { waitForPendingReads } from './caller';
-import { supersedes, type CellRecord } from './cellRecord';
-import type { Cluster } from './cluster';
+import { supersedes, type CellRecord } from '../ownership/cellRecord';
+import type { Cluster } from '../cluster';
 import { EarlierRuns, type EarlierRunsCluster } from './earlierRuns';
 import { JobDivision, type DivisionCluster } from './jobDivision';
-import type { DispatchJournal } from './journal';
+import type { DispatchJournal } from '../journal';
 import { spreadTasks, type CellAssignment } from './router';
 import { combineOutcomes, type JobOutcome, type RunningJob } from './runningJob';
 
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of one dispatcher process, and the HTTP server for scrapes. */
 import { createServer, type Server } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
-import type { CellOwner } from './cellOwner';
+import type { CellOwner } from './ownership/cellOwner';
 import type { DispatchJournal } from './journal';
 
 /** Upper bounds in seconds, from one network round trip to the longest time that callers wait. */
--- a/src/dispatcher/cellClaims.ts
+++ b/src/dispatcher/ownership/cellClaims.ts
@@ -2,12 +2,12 @@
  * Claims cells for this host, in the store or, while the store is unavailable, without it. Claims
  * made without the store are written to it later.
  */
-import type { Clock, RandomSource } from '../core/clock';
+import type { Clock, RandomSource } from '../../core/clock';
 import type { CellLayout } from './cellLayout';
 import type { HostIdentity } from './cellRecord';
-import type { DispatchJournal } from './journal';
+import type { DispatchJournal } from '../journal';
 import { ClaimPolicy, OwnerHealth } from './claimPolicy';
-import type { Platform } from './platform';
+import type { Platform } from '../platform';
 import type { CellRegistry } from './cellRegistry';
 import type { RenewRequest } from './workerClient';
 
--- a/src/dispatcher/cellLayout.ts
+++ b/src/dispatcher/ownership/cellLayout.ts
@@ -3,8 +3,8 @@
  * host could not serve them all. The assignment is deterministic, so that all hosts compute the
  * same one.
  */
-import type { WorkerEntry } from '../cells/worker';
-import { hashOf } from '../core/hash';
+import type { WorkerEntry } from '../../cells/worker';
+import { hashOf } from '../../core/hash';
 
 function cellNames(domain: string, count: number): readonly string[] {
   if (count === 1) return [domain];
--- a/src/dispatcher/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -2,22 +2,22 @@
  * Runs one cell while this host owns it: performs the cell's actions, keeps a session with each
  * worker, and returns the outcomes of batches to their submitters.
  */
-import { Cell } from '../cells/cell';
-import type { CrashHistory } from '../cells/crashHistory';
-import type { CellOptions } from '../cells/cellState';
-import type { CellAction, StartAnswer } from '../cells/actions';
+import { Cell } from '../../cells/cell';
+import type { CrashHistory } from '../../cells/crashHistory';
+import type { CellOptions } from '../../cells/cellState';
+import type { CellAction, StartAnswer } from '../../cells/actions';
 import type {
   BatchOutcome,
   BatchReason,
   CellRoom,
   CellSummary,
   TaskBatch,
-} from '../cells/messages';
-import type { SubmitterContact } from '../cells/submitterContact';
-import type { WorkerEntry } from '../cells/worker';
-import type { DispatchJournal } from './journal';
+} from '../../cells/messages';
+import type { SubmitterContact } from '../../cells/submitterContact';
+import type { WorkerEntry } from '../../cells/worker';
+import type { DispatchJournal } from '../journal';
 import { PauseDetector } from './pauseDetector';
-import type { HostClock } from './peerClocks';
+import type { HostClock } from '../peers/peerClocks';
 import type { WorkerClient } from './workerClient';
 import { StopAnswer } from './workerClient';
 import { latestLeaseEndMs, WorkerSession, type SessionOptions } from './workerSession';
--- a/src/dispatcher/cellRecord.ts
+++ b/src/dispatcher/ownership/cellRecord.ts
@@ -3,8 +3,8 @@
  * the number of cells per failure domain.
  */
 import { createHash } from 'node:crypto';
-import type { CrashRecord } from '../cells/crashRecord';
-import type { Entry } from '../store/store';
+import type { CrashRecord } from '../../cells/crashRecord';
+import type { Entry } from '../../store/store';
 
 /** Prefix of all keys of the dispatcher in the store. */
 export const RECORD_PREFIX = 'wasabiyoke/';
--- a/src/dispatcher/cellRegistry.ts
+++ b/src/dispatcher/ownership/cellRegistry.ts
@@ -7,7 +7,7 @@
  * resolved when they exchange their records. The claim is written once the store is available
  * again.
  */
-import type { Entry } from '../store/store';
+import type { Entry } from '../../store/store';
 import {
   cellKey,
   decodeEntry,
@@ -24,8 +24,8 @@
   type CellRecord,
   type HostIdentity,
 } from './cellRecord';
-import type { DispatchJournal } from './journal';
-import type { RecordStore } from './platform';
+import type { DispatchJournal } from '../journal';
+import type { RecordStore } from '../platform';
 
 /** Dependencies of the registry. */
 export interface CellRegistryParts {
--- a/src/dispatcher/claimPolicy.ts
+++ b/src/dispatcher/ownership/claimPolicy.ts
@@ -5,7 +5,7 @@
  * claim is harmless: the store lets only one claim win, and workers accept only the owner with the
  * highest fencing token.
  */
-import type { RandomSource } from '../core/clock';
+import type { RandomSource } from '../../core/clock';
 import { isSameProcess, type CellRecord, type HostIdentity } from './cellRecord';
 
 /** Health of a cell's owner as seen by this host. */
--- a/src/dispatcher/layoutSelector.ts
+++ b/src/dispatcher/ownership/layoutSelector.ts
@@ -2,7 +2,7 @@
  * Chooses the number of cells per failure domain when a deployment first starts, from the first
  * list of workers that is stable. The number is then kept in the store and not changed.
  */
-import type { WorkerEntry } from '../cells/worker';
+import type { WorkerEntry } from '../../cells/worker';
 
 /** Target number of workers per cell. More would need more processor time than one host has. */
 const WORKERS_PER_CELL = 40;
--- a/src/dispatcher/ownedCells.ts
+++ b/src/dispatcher/ownership/ownedCells.ts
@@ -2,13 +2,13 @@
  * The cells that this host owns. Starts an owner when a record names this host, and releases it
  * later.
  */
-import type { WorkerEntry } from '../cells/worker';
-import type { CellOptions } from '../cells/cellState';
-import type { CrashHistory } from '../cells/crashHistory';
+import type { WorkerEntry } from '../../cells/worker';
+import type { CellOptions } from '../../cells/cellState';
+import type { CrashHistory } from '../../cells/crashHistory';
 import { CellOwner } from './cellOwner';
 import type { CellRecord } from './cellRecord';
-import type { DispatchJournal } from './journal';
-import type { HostClock } from './peerClocks';
+import type { DispatchJournal } from '../journal';
+import type { HostClock } from '../peers/peerClocks';
 import type { WorkerClient } from './workerClient';
 import type { SessionOptions } from './workerSession';
 
--- a/src/dispatcher/pauseDetector.ts
+++ b/src/dispatcher/ownership/pauseDetector.ts
@@ -3,7 +3,7 @@
  * was suspended. After a pause, timers that became due run before the messages received meanwhile
  * are read.
  */
-import { readClocks, type ClockReading, type HostClock } from './peerClocks';
+import { readClocks, type ClockReading, type HostClock } from '../peers/peerClocks';
 
 /**
  * A longer time between two checks is a pause, in milliseconds. A silent submitter counts as lost
--- a/src/dispatcher/workerClient.ts
+++ b/src/dispatcher/ownership/workerClient.ts
@@ -2,7 +2,7 @@
  * Requests of a cell's owner to its workers. Every request carries the owner's fencing token; a
  * worker that has seen a higher token rejects it. Promises of the client never reject.
  */
-import type { EndedRun, RunningEntry, StartAnswer } from '../cells/actions';
+import type { EndedRun, RunningEntry, StartAnswer } from '../../cells/actions';
 
 /** A worker that requests are sent to. */
 export interface WorkerTarget {
--- a/src/dispatcher/workerLists.ts
+++ b/src/dispatcher/ownership/workerLists.ts
@@ -3,8 +3,8 @@
  * hosts of a domain receive its list from an owner, so that they can take cells over while the
  * directory is unavailable.
  */
-import type { WorkerEntry } from '../cells/worker';
-import type { WorkerDirectory } from './platform';
+import type { WorkerEntry } from '../../cells/worker';
+import type { WorkerDirectory } from '../platform';
 
 /** Workers of one domain. The version increases with each change. */
 export interface WorkerList {
--- a/src/dispatcher/workerSession.ts
+++ b/src/dispatcher/ownership/workerSession.ts
@@ -4,8 +4,8 @@
  * and ended runs and tell the worker's clock. A worker that does not answer is retried at short
  * intervals.
  */
-import { StartAnswer, type WorkerReport } from '../cells/actions';
-import type { Clock } from '../core/clock';
+import { StartAnswer, type WorkerReport } from '../../cells/actions';
+import type { Clock } from '../../core/clock';
 import { StopAnswer, type RenewAnswer, type WorkerClient, type WorkerTarget } from './workerClient';
 
 /** Timing parameters of a session, in milliseconds. */
--- a/src/dispatcher/batchCalls.ts
+++ b/src/dispatcher/peers/batchCalls.ts
@@ -8,7 +8,7 @@
  * In the other direction, the close of an abandoned call may not reach the owner. So each status
  * request lists the calls that this host still awaits, and the owner withdraws the others.
  */
-import type { CellRecord } from './cellRecord';
+import type { CellRecord } from '../ownership/cellRecord';
 import type { AwaitedCalls } from './peerMessages';
 
 /** Time allowed for a batch to reach the owner, or for its reply to come back. */
--- a/src/dispatcher/batchContact.ts
+++ b/src/dispatcher/peers/batchContact.ts
@@ -1,5 +1,5 @@
 /** Tracks when the submitter of a batch last confirmed that it awaits it, on the owner's clocks. */
-import type { SubmitterContact } from '../cells/submitterContact';
+import type { SubmitterContact } from '../../cells/submitterContact';
 import { readClocks, type ClockReading, type HostClock } from './peerClocks';
 
 /** The later of two readings, for each clock. */
--- a/src/dispatcher/crashExchange.ts
+++ b/src/dispatcher/peers/crashExchange.ts
@@ -3,12 +3,17 @@
  * host that made it. Each host keeps its own records under one key of the store, which the others
  * watch; status answers carry the changes too, for the time when the store is not available.
  */
-import type { CrashHistory } from '../cells/crashHistory';
-import type { CrashRecord } from '../cells/crashRecord';
-import type { Clock } from '../core/clock';
-import { crashesKey, decodeCrashes, encodeCrashes, type HostIdentity } from './cellRecord';
-import type { DispatchJournal } from './journal';
-import type { RecordStore } from './platform';
+import type { CrashHistory } from '../../cells/crashHistory';
+import type { CrashRecord } from '../../cells/crashRecord';
+import type { Clock } from '../../core/clock';
+import {
+  crashesKey,
+  decodeCrashes,
+  encodeCrashes,
+  type HostIdentity,
+} from '../ownership/cellRecord';
+import type { DispatchJournal } from '../journal';
+import type { RecordStore } from '../platform';
 
 /** Position in the history of one process. */
 export interface CrashPosition {
--- a/src/dispatcher/peerClient.ts
+++ b/src/dispatcher/peers/peerClient.ts
@@ -1,10 +1,10 @@
 /** HTTP client for calls to other hosts. */
-import { agedBatch, BatchReason, type BatchOutcome, type CellRoom } from '../cells/messages';
+import { agedBatch, BatchReason, type BatchOutcome, type CellRoom } from '../../cells/messages';
 import { BatchCalls, type BatchCallInProgress } from './batchCalls';
-import type { CellRecord } from './cellRecord';
-import type { DispatchJournal } from './journal';
-import { PoolSet } from './poolSet';
-import type { CallLimits } from './pooledCall';
+import type { CellRecord } from '../ownership/cellRecord';
+import type { DispatchJournal } from '../journal';
+import { PoolSet } from '../transport/poolSet';
+import type { CallLimits } from '../transport/pooledCall';
 import { laterSendTime, PeerClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
@@ -18,7 +18,7 @@
   type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
-import type { QueueConfiguration } from './queueTable';
+import type { QueueConfiguration } from '../jobs/queueTable';
 
 /** Why a status call failed. */
 export const StatusFailure = {
--- a/src/dispatcher/peerClocks.ts
+++ b/src/dispatcher/peers/peerClocks.ts
@@ -7,7 +7,7 @@
  * advance while a machine is suspended, and the time of day may be set back. The age of a message
  * is the larger of the ages on both clocks.
  */
-import type { Clock } from '../core/clock';
+import type { Clock } from '../../core/clock';
 
 /** Clocks of this machine; `nowMs` reads the steady clock. */
 export interface HostClock extends Clock {
--- a/src/dispatcher/peerMessages.ts
+++ b/src/dispatcher/peers/peerMessages.ts
@@ -1,9 +1,9 @@
 /** Message bodies of the peer interface, and validation of received ones. */
-import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../cells/messages';
-import type { CellRecord, HostIdentity } from './cellRecord';
+import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../../cells/messages';
+import type { CellRecord, HostIdentity } from '../ownership/cellRecord';
 import type { CrashPosition, CrashUpdate } from './crashExchange';
 import type { ClockReading, SendTime } from './peerClocks';
-import type { WorkerList } from './workerLists';
+import type { WorkerList } from '../ownership/workerLists';
 
 /** Paths of the peer interface. */
 export const PeerPath = {
--- a/src/dispatcher/peerMonitor.ts
+++ b/src/dispatcher/peers/peerMonitor.ts
@@ -4,8 +4,8 @@
  * batches are alive. Idle owners, which run nothing for this host, are polled less often the more
  * cells there are, so that the total cost does not grow with hosts times cells.
  */
-import type { HostIdentity } from './cellRecord';
-import { OwnerHealth } from './claimPolicy';
+import type { HostIdentity } from '../ownership/cellRecord';
+import { OwnerHealth } from '../ownership/claimPolicy';
 import type { PeerStatus } from './peerMessages';
 
 /** Poll period of busy owners, which run batches of this host. */
--- a/src/dispatcher/peerServer.ts
+++ b/src/dispatcher/peers/peerServer.ts
@@ -12,12 +12,12 @@
   type CellRoom,
   type CellSummary,
   type TaskBatch,
-} from '../cells/messages';
-import type { SubmitterContact } from '../cells/submitterContact';
-import type { LogFields } from '../observe/observer';
+} from '../../cells/messages';
+import type { SubmitterContact } from '../../cells/submitterContact';
+import type { LogFields } from '../../observe/observer';
 import { BatchContact, readingBefore } from './batchContact';
-import type { HostIdentity } from './cellRecord';
-import type { DispatchJournal } from './journal';
+import type { HostIdentity } from '../ownership/cellRecord';
+import type { DispatchJournal } from '../journal';
 import { ageMs, readClocks, type HostClock, type SendTime } from './peerClocks';
 import {
   parseBody,
@@ -30,7 +30,7 @@
   type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
-import type { QueueConfiguration } from './queueTable';
+import type { QueueConfiguration } from '../jobs/queueTable';
 import { SubmitterTracker } from './submitterTracker';
 
 /** Handles the calls that a peer server receives. */
--- a/src/dispatcher/statusExchange.ts
+++ b/src/dispatcher/peers/statusExchange.ts
@@ -3,18 +3,18 @@
  * cells, the ownership records, the workers of the requester's domain, and the version of the
  * configuration.
  */
-import type { CellSummary } from '../cells/messages';
-import type { Clock } from '../core/clock';
-import type { CellRecord, HostIdentity } from './cellRecord';
+import type { CellSummary } from '../../cells/messages';
+import type { Clock } from '../../core/clock';
+import type { CellRecord, HostIdentity } from '../ownership/cellRecord';
 import type { CrashExchange } from './crashExchange';
-import type { DispatchJournal } from './journal';
-import type { OwnerHealth } from './claimPolicy';
+import type { DispatchJournal } from '../journal';
+import type { OwnerHealth } from '../ownership/claimPolicy';
 import { StatusFailure, type PeerClient } from './peerClient';
 import type { HostStatus, PeerStatus, StatusRequest } from './peerMessages';
 import { PeerMonitor } from './peerMonitor';
-import type { QueueConfiguration, QueueTable } from './queueTable';
-import type { CellRegistry } from './cellRegistry';
-import type { WorkerLists } from './workerLists';
+import type { QueueConfiguration, QueueTable } from '../jobs/queueTable';
+import type { CellRegistry } from '../ownership/cellRegistry';
+import type { WorkerLists } from '../ownership/workerLists';
 
 /** Dependencies of the status exchange. */
 export interface StatusExchangeParts {
--- a/src/dispatcher/submitterTracker.ts
+++ b/src/dispatcher/peers/submitterTracker.ts
@@ -5,7 +5,7 @@
  * abandoned therefore holds for good, even if polls overtake each other in transit, and no clocks
  * need to be compared.
  */
-import type { HostIdentity } from './cellRecord';
+import type { HostIdentity } from '../ownership/cellRecord';
 import { laterReading } from './batchContact';
 import type { ClockReading } from './peerClocks';
 import type { AwaitedCalls, BatchCall } from './peerMessages';
--- a/src/dispatcher/platform.ts
+++ b/src/dispatcher/platform.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'ts-results';
 import type { WorkerEntry } from '../cells/worker';
 import type { Store, StoreError } from '../store/store';
-import type { QueueConfiguration } from './queueTable';
-import type { WorkerClient } from './workerClient';
+import type { QueueConfiguration } from './jobs/queueTable';
+import type { WorkerClient } from './ownership/workerClient';
 
 /** Store operations that coordination between hosts needs. */
 export type RecordStore = Pick<Store, 'list' | 'swap' | 'watch' | 'close'>;
--- a/src/dispatcher/httpConnection.ts
+++ b/src/dispatcher/transport/httpConnection.ts
@@ -6,7 +6,7 @@
  */
 import { connect, type Socket } from 'node:net';
 import { HTTPParser } from 'http-parser-js';
-import { splitAddress } from '../settings/address';
+import { splitAddress } from '../../settings/address';
 
 /** An HTTP request. */
 export interface HttpRequest {
--- a/test/cost/main.ts
+++ b/test/cost/main.ts
@@ -10,7 +10,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Command } from 'commander';
 import { Pool } from 'undici';
-import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/cellRecord';
+import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/ownership/cellRecord';
 import { PortBlock } from '../../src/standins/portBlock';
 import { configurationText } from '../platform/deployment';
 import { jobIdOf, jobRequest } from '../platform/jobRequest';
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -3,12 +3,12 @@
 import { setImmediate as settled } from 'node:timers/promises';
 import { expect } from 'earl';
 import { Ok } from 'ts-results';
-import { CellClaims } from '../../src/dispatcher/cellClaims';
-import { CellLayout } from '../../src/dispatcher/cellLayout';
-import type { HostIdentity } from '../../src/dispatcher/cellRecord';
-import { OwnerHealth } from '../../src/dispatcher/claimPolicy';
+import { CellClaims } from '../../src/dispatcher/ownership/cellClaims';
+import { CellLayout } from '../../src/dispatcher/ownership/cellLayout';
+import type { HostIdentity } from '../../src/dispatcher/ownership/cellRecord';
+import { OwnerHealth } from '../../src/dispatcher/ownership/claimPolicy';
 import type { Platform, RecordStore } from '../../src/dispatcher/platform';
-import { CellRegistry } from '../../src/dispatcher/cellRegistry';
+import { CellRegistry } from '../../src/dispatcher/ownership/cellRegistry';
 import { workerEntry } from '../cells/simulatedWorker';
 
 const JOURNAL = { logDecision: () => {} };
--- a/test/dispatcher/cellLayout.test.ts
+++ b/test/dispatcher/cellLayout.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { WorkerEntry } from '../../src/cells/worker';
-import { CellLayout } from '../../src/dispatcher/cellLayout';
-import { LayoutSelector } from '../../src/dispatcher/layoutSelector';
+import { CellLayout } from '../../src/dispatcher/ownership/cellLayout';
+import { LayoutSelector } from '../../src/dispatcher/ownership/layoutSelector';
 
 const DOMAINS = ['bole', 'piassa'];
 
--- a/test/dispatcher/cellRecord.test.ts
+++ b/test/dispatcher/cellRecord.test.ts
@@ -1,7 +1,7 @@
 /** Digests and ordering of the records that hosts exchange about cell owners. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { digestOf, supersedes, type HostIdentity } from '../../src/dispatcher/cellRecord';
+import { digestOf, supersedes, type HostIdentity } from '../../src/dispatcher/ownership/cellRecord';
 
 const OWNER = { hostId: 'a', incarnation: '1', domain: 'bole', address: '10.0.0.1:1', cores: 1 };
 
--- a/test/dispatcher/claimPolicy.test.ts
+++ b/test/dispatcher/claimPolicy.test.ts
@@ -1,8 +1,8 @@
 /** Conditions and delays of claims. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { CellRecord, HostIdentity } from '../../src/dispatcher/cellRecord';
-import { ClaimPolicy, OwnerHealth } from '../../src/dispatcher/claimPolicy';
+import type { CellRecord, HostIdentity } from '../../src/dispatcher/ownership/cellRecord';
+import { ClaimPolicy, OwnerHealth } from '../../src/dispatcher/ownership/claimPolicy';
 
 function host(hostId: string, domain: string, incarnation = '1', cores = 1): HostIdentity {
   return { hostId, incarnation, domain, address: `10.0.0.1:${hostId.length}`, cores };
--- a/test/dispatcher/crashExchange.test.ts
+++ b/test/dispatcher/crashExchange.test.ts
@@ -4,8 +4,8 @@
 import { expect } from 'earl';
 import { Err, Ok, type Result } from 'ts-results';
 import { CrashHistory, CrashVerdict } from '../../src/cells/crashHistory';
-import { decodeEntry, type HostIdentity } from '../../src/dispatcher/cellRecord';
-import { CrashExchange } from '../../src/dispatcher/crashExchange';
+import { decodeEntry, type HostIdentity } from '../../src/dispatcher/ownership/cellRecord';
+import { CrashExchange } from '../../src/dispatcher/peers/crashExchange';
 import { StoreErrorCode, type StoreError, type SwapOutcome } from '../../src/store/store';
 
 const TASK = 'job.0.0.0';
--- a/test/dispatcher/earlierRuns.test.ts
+++ b/test/dispatcher/earlierRuns.test.ts
@@ -4,10 +4,10 @@
  */
 import { describe, it, type TestContext } from 'node:test';
 import { expect } from 'earl';
-import { EarlierRuns } from '../../src/dispatcher/earlierRuns';
-import { PeerClient } from '../../src/dispatcher/peerClient';
-import { PeerServer } from '../../src/dispatcher/peerServer';
-import { RunningJob } from '../../src/dispatcher/runningJob';
+import { EarlierRuns } from '../../src/dispatcher/jobs/earlierRuns';
+import { PeerClient } from '../../src/dispatcher/peers/peerClient';
+import { PeerServer } from '../../src/dispatcher/peers/peerServer';
+import { RunningJob } from '../../src/dispatcher/jobs/runningJob';
 import { PortBlock } from '../../src/standins/portBlock';
 import { batchOf } from '../cells/cellSimulation';
 import { LeasedWorker } from './leasedWorker';
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -12,11 +12,11 @@
   TOKEN_STEP,
   type CellRecord,
   type HostIdentity,
-} from '../../src/dispatcher/cellRecord';
+} from '../../src/dispatcher/ownership/cellRecord';
 import { CrashHistory } from '../../src/cells/crashHistory';
-import { OwnedCells } from '../../src/dispatcher/ownedCells';
+import { OwnedCells } from '../../src/dispatcher/ownership/ownedCells';
 import type { RecordStore } from '../../src/dispatcher/platform';
-import { CellRegistry } from '../../src/dispatcher/cellRegistry';
+import { CellRegistry } from '../../src/dispatcher/ownership/cellRegistry';
 import { StoreErrorCode, type Change, type SwapOutcome } from '../../src/store/store';
 
 const CELL = 'bole-1';
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -1,9 +1,9 @@
 /** Fake cells without workers. A test answers each batch and sets the owners of the cells. */
 import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../../src/cells/messages';
-import type { Caller } from '../../src/dispatcher/caller';
-import type { CellRecord } from '../../src/dispatcher/cellRecord';
-import type { StepRunnerCluster } from '../../src/dispatcher/stepRunner';
-import { CellLoads } from '../../src/dispatcher/router';
+import type { Caller } from '../../src/dispatcher/jobs/caller';
+import type { CellRecord } from '../../src/dispatcher/ownership/cellRecord';
+import type { StepRunnerCluster } from '../../src/dispatcher/jobs/stepRunner';
+import { CellLoads } from '../../src/dispatcher/jobs/router';
 
 /** Processor requirement of one task; the room of a cell is a multiple of it. */
 export const TASK_CPU_MILLIS = 1000;
--- a/test/dispatcher/keepAlivePool.test.ts
+++ b/test/dispatcher/keepAlivePool.test.ts
@@ -5,7 +5,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
-import { KeepAlivePool } from '../../src/dispatcher/keepAlivePool';
+import { KeepAlivePool } from '../../src/dispatcher/transport/keepAlivePool';
 import { until } from '../platform/deployment';
 
 const OPTIONS = { connections: null, connectTimeoutMs: 500 };
--- a/test/dispatcher/leasedWorker.ts
+++ b/test/dispatcher/leasedWorker.ts
@@ -5,7 +5,7 @@
   RenewRequest,
   StartRequest,
   StopRequest,
-} from '../../src/dispatcher/workerClient';
+} from '../../src/dispatcher/ownership/workerClient';
 
 const MAX_LEASE_MS = 1000;
 const STOP_MS = 20;
--- a/test/dispatcher/machineClock.ts
+++ b/test/dispatcher/machineClock.ts
@@ -1,5 +1,5 @@
 /** Fake clocks of a machine, which a test advances, steps and suspends. */
-import type { HostClock } from '../../src/dispatcher/peerClocks';
+import type { HostClock } from '../../src/dispatcher/peers/peerClocks';
 
 /** Clocks that start at the given times and advance with `elapsedMs`. */
 export class FakeMachineClock implements HostClock {
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -6,7 +6,7 @@
 import type { TestContext } from 'node:test';
 import { StartAnswer } from '../../src/cells/actions';
 import { CrashHistory } from '../../src/cells/crashHistory';
-import { CellOwner } from '../../src/dispatcher/cellOwner';
+import { CellOwner } from '../../src/dispatcher/ownership/cellOwner';
 import type { DispatchJournal } from '../../src/dispatcher/journal';
 import {
   StopAnswer,
@@ -16,7 +16,7 @@
   type StopRequest,
   type WorkerClient,
   type WorkerTarget,
-} from '../../src/dispatcher/workerClient';
+} from '../../src/dispatcher/ownership/workerClient';
 import { workerEntry } from '../cells/simulatedWorker';
 import { sleep, type LeasedWorker } from './leasedWorker';
 import { FakeMachineClock } from './machineClock';
--- a/test/dispatcher/pauseDetector.test.ts
+++ b/test/dispatcher/pauseDetector.test.ts
@@ -1,7 +1,7 @@
 /** Guards against pauses that go undetected because one of the clocks does not show them. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { PauseDetector } from '../../src/dispatcher/pauseDetector';
+import { PauseDetector } from '../../src/dispatcher/ownership/pauseDetector';
 import { FakeMachineClock } from './machineClock';
 
 function setUp(): { clock: FakeMachineClock; detector: PauseDetector } {
--- a/test/dispatcher/peerClocks.test.ts
+++ b/test/dispatcher/peerClocks.test.ts
@@ -1,7 +1,12 @@
 /** Ages of messages between hosts that share no clock: no message may appear younger than it is. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { ageMs, laterSendTime, PeerClocks, readClocks } from '../../src/dispatcher/peerClocks';
+import {
+  ageMs,
+  laterSendTime,
+  PeerClocks,
+  readClocks,
+} from '../../src/dispatcher/peers/peerClocks';
 import { FakeMachineClock } from './machineClock';
 
 const ADDRESS = '10.0.0.2:1';
--- a/test/dispatcher/peerFixtures.ts
+++ b/test/dispatcher/peerFixtures.ts
@@ -1,6 +1,6 @@
 /** Fixtures for tests of the peer interface: a submitter `a`, and the status of an owner `b`. */
-import type { HostIdentity } from '../../src/dispatcher/cellRecord';
-import type { HostStatus, StatusRequest } from '../../src/dispatcher/peerMessages';
+import type { HostIdentity } from '../../src/dispatcher/ownership/cellRecord';
+import type { HostStatus, StatusRequest } from '../../src/dispatcher/peers/peerMessages';
 
 /** The submitter. */
 export const SUBMITTER: HostIdentity = {
--- a/test/dispatcher/peerMonitor.test.ts
+++ b/test/dispatcher/peerMonitor.test.ts
@@ -1,9 +1,9 @@
 /** Poll rates and the health of owners as observed by another host. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { OwnerHealth } from '../../src/dispatcher/claimPolicy';
-import type { PeerStatus } from '../../src/dispatcher/peerMessages';
-import { PeerMonitor } from '../../src/dispatcher/peerMonitor';
+import { OwnerHealth } from '../../src/dispatcher/ownership/claimPolicy';
+import type { PeerStatus } from '../../src/dispatcher/peers/peerMessages';
+import { PeerMonitor } from '../../src/dispatcher/peers/peerMonitor';
 
 const OWNER = {
   hostId: 'bole-2',
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -2,9 +2,9 @@
 import { request } from 'undici';
 import type { BatchOutcome, BatchReason } from '../../src/cells/messages';
 import type { SubmitterContact } from '../../src/cells/submitterContact';
-import { PeerClient } from '../../src/dispatcher/peerClient';
-import type { BatchCall } from '../../src/dispatcher/peerMessages';
-import { PeerServer } from '../../src/dispatcher/peerServer';
+import { PeerClient } from '../../src/dispatcher/peers/peerClient';
+import type { BatchCall } from '../../src/dispatcher/peers/peerMessages';
+import { PeerServer } from '../../src/dispatcher/peers/peerServer';
 import type { LogFields } from '../../src/observe/observer';
 import { PortBlock } from '../../src/standins/portBlock';
 import { batchOf } from '../cells/cellSimulation';
--- a/test/dispatcher/queueTable.test.ts
+++ b/test/dispatcher/queueTable.test.ts
@@ -5,7 +5,7 @@
   QueueTable,
   type QueueBinding,
   type QueueConfiguration,
-} from '../../src/dispatcher/queueTable';
+} from '../../src/dispatcher/jobs/queueTable';
 
 function binding(name: string, hostName: string, pathPrefix: string): QueueBinding {
   const policy = {
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -11,11 +11,11 @@
   encodeRecord,
   LAYOUT_KEY,
   type HostIdentity,
-} from '../../src/dispatcher/cellRecord';
+} from '../../src/dispatcher/ownership/cellRecord';
 import { Cluster } from '../../src/dispatcher/cluster';
-import type { PeerClient } from '../../src/dispatcher/peerClient';
+import type { PeerClient } from '../../src/dispatcher/peers/peerClient';
 import type { Platform, RecordStore } from '../../src/dispatcher/platform';
-import { QueueTable } from '../../src/dispatcher/queueTable';
+import { QueueTable } from '../../src/dispatcher/jobs/queueTable';
 import type { Change } from '../../src/store/store';
 import { batchOf } from '../cells/cellSimulation';
 import { until } from '../platform/deployment';
--- a/test/dispatcher/router.test.ts
+++ b/test/dispatcher/router.test.ts
@@ -2,7 +2,12 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { CellSummary } from '../../src/cells/messages';
-import { CellLoads, roomFor, spreadTasks, type CellAssignment } from '../../src/dispatcher/router';
+import {
+  CellLoads,
+  roomFor,
+  spreadTasks,
+  type CellAssignment,
+} from '../../src/dispatcher/jobs/router';
 
 const CPU = 27_000;
 
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -8,9 +8,9 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import type { JobStep } from '../../src/cells/job';
-import { JobRunner } from '../../src/dispatcher/jobRunner';
-import { StepRunner } from '../../src/dispatcher/stepRunner';
-import type { JobOutcome } from '../../src/dispatcher/runningJob';
+import { JobRunner } from '../../src/dispatcher/jobs/jobRunner';
+import { StepRunner } from '../../src/dispatcher/jobs/stepRunner';
+import type { JobOutcome } from '../../src/dispatcher/jobs/runningJob';
 import {
   fakeCell,
   FakeCells,
--- a/test/dispatcher/submitterTracker.test.ts
+++ b/test/dispatcher/submitterTracker.test.ts
@@ -1,7 +1,7 @@
 /** Detection of lost submitters and of abandoned calls by an owner. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { SubmitterTracker } from '../../src/dispatcher/submitterTracker';
+import { SubmitterTracker } from '../../src/dispatcher/peers/submitterTracker';
 import { batchOf } from '../cells/cellSimulation';
 import { SUBMITTER } from './peerFixtures';
 
--- a/test/dispatcher/withdrawnBatches.test.ts
+++ b/test/dispatcher/withdrawnBatches.test.ts
@@ -3,8 +3,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { BatchReason } from '../../src/cells/messages';
-import { BatchCalls } from '../../src/dispatcher/batchCalls';
-import { PeerPath, type AwaitedCalls, type PeerStatus } from '../../src/dispatcher/peerMessages';
+import { BatchCalls } from '../../src/dispatcher/peers/batchCalls';
+import {
+  PeerPath,
+  type AwaitedCalls,
+  type PeerStatus,
+} from '../../src/dispatcher/peers/peerMessages';
 import { until } from '../platform/deployment';
 import { STATUS_REQUEST, SUBMITTER } from './peerFixtures';
 import { callOf, PeerPair } from './peerPair';
--- a/test/dispatcher/workerSession.test.ts
+++ b/test/dispatcher/workerSession.test.ts
@@ -2,14 +2,14 @@
 import { describe, it, type TestContext } from 'node:test';
 import { setImmediate as settled } from 'node:timers/promises';
 import { expect } from 'earl';
-import { renewWaitMs, WorkerSession } from '../../src/dispatcher/workerSession';
+import { renewWaitMs, WorkerSession } from '../../src/dispatcher/ownership/workerSession';
 import { RunOutcome, StartAnswer, type WorkerReport } from '../../src/cells/actions';
 import {
   StopAnswer,
   type RenewAnswer,
   type RenewRequest,
   type WorkerClient,
-} from '../../src/dispatcher/workerClient';
+} from '../../src/dispatcher/ownership/workerClient';
 
 const OPTIONS = { leaseMs: 1000, renewWaitMs: 120 };
 
--- a/test/platform/deployment.ts
+++ b/test/platform/deployment.ts
@@ -1,7 +1,7 @@
 /** Dispatcher hosts in the test process, with simulated stores and workers on loopback. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { PortBlock } from '../../src/standins/portBlock';
-import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/cellRecord';
+import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/ownership/cellRecord';
 import { TestHost } from './testHost';
 import { KvStandin } from './kvStandin';
 import { WorkerStandin } from './workerStandin';
--- a/test/soak/soakSite.ts
+++ b/test/soak/soakSite.ts
@@ -1,6 +1,6 @@
 /** The processes and stand-ins of one soak. */
 import type { SeededRandom } from '../../src/bench/random';
-import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/cellRecord';
+import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/ownership/cellRecord';
 import { PortBlock } from '../../src/standins/portBlock';
 import { configurationText } from '../platform/deployment';
 import { KvStandin } from '../platform/kvStandin';
