Add dry-run: where a job of one step would go now, and why, without sending it

Operators could see the course of a job only afterwards. A host answers the question at its address for other hosts: it asks the owners of the cells as it does for a job to be divided, with the same batch, and decides by the same router, division and admission. JobDivision tells its answers and its decision apart for that.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -131,12 +131,16 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
-  /** How many tasks of a batch would be admitted now. The batch is neither queued nor refused. */
-  roomFor(offered: TaskBatch, nowMs: number): CellRoom {
+  /**
+   * How many tasks of a batch would be admitted now, and with `namesWorker` where the first would
+   * start. The batch is neither queued nor refused.
+   */
+  roomFor(offered: TaskBatch, nowMs: number, namesWorker = false): CellRoom {
     const spec = this.#firstArrivals.withTotalWait(offered, nowMs);
     const expectedMs = this.#state.runTimes.expectedMs(spec.queue, spec.estimateMs);
     const batch = new Batch(spec, LOCAL_SUBMITTER, expectedMs, nowMs, nowMs);
-    return this.#admission.roomFor(batch, nowMs);
+    const room = this.#admission.roomFor(batch, nowMs);
+    return namesWorker ? { ...room, workerId: this.#dispatch.workerFor(batch, nowMs) } : room;
   }
 
   /** Ends a batch whose outcome is no longer awaited, and stops its runs. */
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -79,6 +79,16 @@
     }
   }
 
+  /** Worker on which the first task of a batch could start now; null if there is none. */
+  workerFor(batch: Batch, nowMs: number): string | null {
+    const round = { order: this.#state.queueOrder(nowMs), reserved: new Map(), nowMs };
+    const [task] = batch.startableTasks(nowMs);
+    if (!task || !this.#mayStart(round.order, batch, nowMs)) return null;
+    const workers = this.#state.workersFor(batch.spec.service);
+    const query = this.#queryFor(batch, task, Isolation.none, round);
+    return chooseWorker(workers, query)?.entry.id ?? null;
+  }
+
   /** Starts tasks of a batch while there is room; false if one of them finds none. */
   #placeBatch(batch: Batch, round: Round): boolean {
     const workers = this.#state.workersFor(batch.spec.service);
--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -99,6 +99,8 @@
   readonly retryAfterMs: number;
   /** Why not all of them could; without meaning if they can. */
   readonly reason: BatchReason;
+  /** Worker on which the first of them would start at once; only in answers that name it. */
+  readonly workerId?: string | null;
 }
 
 /** Load of a cell; sent with each answer. */
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -246,16 +246,16 @@
   }
 
   /** How many tasks of a batch a cell could end in time; null if its owner does not answer. */
-  async roomIn(cell: string, batch: TaskBatch): Promise<CellRoom | null> {
-    if (this.#ownedCells.get(cell)) return this.roomInOwnCell(cell, batch);
+  async roomIn(cell: string, batch: TaskBatch, namesWorker = false): Promise<CellRoom | null> {
+    if (this.#ownedCells.get(cell)) return this.roomInOwnCell(cell, batch, namesWorker);
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return null;
-    return this.#parts.peers.roomIn(record.owner.address, { cell, batch });
+    return this.#parts.peers.roomIn(record.owner.address, { cell, batch, namesWorker });
   }
 
   /** The same for a cell of this host; null if this host does not own it. */
-  roomInOwnCell(cell: string, batch: TaskBatch): CellRoom | null {
-    return this.#ownedCells.get(cell)?.roomFor(batch) ?? null;
+  roomInOwnCell(cell: string, batch: TaskBatch, namesWorker = false): CellRoom | null {
+    return this.#ownedCells.get(cell)?.roomFor(batch, namesWorker) ?? null;
   }
 
   /** Runs a batch in a cell, locally or at the cell's owner. `abort` withdraws the batch. */
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -16,6 +16,7 @@
 import { PeerClient } from './peers/peerClient';
 import type { HostClock } from './peers/peerClocks';
 import { PeerServer } from './peers/peerServer';
+import { PlacementPreviewer } from './jobs/placementPreview';
 import { StepRunner } from './jobs/stepRunner';
 import type { Platform } from './platform';
 import { QueueTable } from './jobs/queueTable';
@@ -118,6 +119,13 @@
       journal,
     });
     const runner = new JobRunner({ stepRunner, crashes, clock, journal });
+    const previewer = new PlacementPreviewer({
+      cluster: this.#cluster,
+      queues,
+      random,
+      clock,
+      journal,
+    });
     const isServing = () => this.#cluster.serving().length > 0;
     this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
     this.#peerServer = new PeerServer(
@@ -132,7 +140,8 @@
         run: (call, contact) => this.#cluster.runForPeer(call, contact),
         withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
         summary: (cell) => this.#cluster.summary(cell),
-        roomIn: (cell, batch) => this.#cluster.roomInOwnCell(cell, batch),
+        roomIn: (cell, batch, namesWorker) => this.#cluster.roomInOwnCell(cell, batch, namesWorker),
+        preview: (request) => previewer.preview(request),
         mayRunJob: (cell, jobId) => this.#cluster.mayRunOwnJob(cell, jobId),
         configuration: () => queues.configuration,
       },
--- a/src/dispatcher/jobs/jobDivision.ts
+++ b/src/dispatcher/jobs/jobDivision.ts
@@ -13,7 +13,12 @@
   readonly ownDomainCells: ReadonlySet<string>;
   serving(): readonly CellSummary[];
   /** Number of tasks of the batch that the cell could end in time; null without an answer. */
-  roomIn(cell: string, batch: TaskBatch): Promise<CellRoom | null>;
+  roomIn(cell: string, batch: TaskBatch, namesWorker?: boolean): Promise<CellRoom | null>;
+}
+
+/** A cell that has answered how much room it has for a batch. */
+export interface AskedCell extends CellRoom {
+  readonly cell: string;
 }
 
 /** Outcome of a division. */
@@ -41,27 +46,41 @@
 
   /** Asks the cells for their room for `batch`, which holds all tasks of the step. */
   async divide(batch: TaskBatch): Promise<Division> {
+    const rooms = await this.ask(batch);
+    const division = this.decide(rooms, batch.tasks.length);
+    if (division.type === 'unknown') return division;
+    this.#journal.logDecision('job-divided', {
+      jobId: batch.jobId,
+      tasks: batch.tasks.length,
+      rooms: rooms.map(({ cell, startable, tasks }) => `${cell}:${startable}/${tasks}`),
+      parts: division.type === 'assigned' ? division.assignments.length : 0,
+    });
+    return division;
+  }
+
+  /** The answers of the least loaded cells; with `namesWorker` they tell a worker, too. */
+  async ask(batch: TaskBatch, namesWorker = false): Promise<readonly AskedCell[]> {
     const { ownDomainCells } = this.#cluster;
     const cells = byLoad(this.#cluster.serving(), ownDomainCells, batch.estimateMs)
       .slice(0, MAX_CELLS_ASKED)
       .map(({ cell }) => cell);
     const question = { ...batch, payload: '' };
-    const answers = await Promise.all(cells.map((cell) => this.#cluster.roomIn(cell, question)));
-    const rooms = cells.flatMap((cell, index) => {
+    const answers = await Promise.all(
+      cells.map((cell) => this.#cluster.roomIn(cell, question, namesWorker)),
+    );
+    return cells.flatMap((cell, index) => {
       const room = answers[index];
       return room ? [{ cell, ...room }] : [];
     });
+  }
+
+  /** Decides where the tasks of a step go by the rooms that the cells have told. */
+  // eslint-disable-next-line class-methods-use-this -- belongs to `ask`
+  decide(rooms: readonly AskedCell[], taskCount: number): Division {
     if (rooms.length === 0) return { type: 'unknown' };
     // Tasks that start at once in several cells end earlier than those that wait in one.
     const atOnce = rooms.map(({ cell, startable }) => ({ cell, tasks: startable }));
-    const taskCount = batch.tasks.length;
     const assignments = assignByRoom(atOnce, taskCount) ?? assignByRoom(rooms, taskCount);
-    this.#journal.logDecision('job-divided', {
-      jobId: batch.jobId,
-      tasks: batch.tasks.length,
-      rooms: rooms.map(({ cell, startable, tasks }) => `${cell}:${startable}/${tasks}`),
-      parts: assignments?.length ?? 0,
-    });
     if (assignments) return { type: 'assigned', assignments };
     const soonestMs = Math.min(...rooms.map(({ retryAfterMs }) => retryAfterMs));
     const isOverloaded = rooms.some(({ reason }) => reason === BatchReason.overloaded);
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -103,8 +103,8 @@
   }
 
   /** How many tasks of a batch the cell would admit now. */
-  roomFor(batch: TaskBatch): CellRoom {
-    return this.#cell.roomFor(batch, this.#now());
+  roomFor(batch: TaskBatch, namesWorker = false): CellRoom {
+    return this.#cell.roomFor(batch, this.#now(), namesWorker);
   }
 
   /** Runs a batch and resolves with its outcome. */
--- a/src/dispatcher/peers/peerMessages.ts
+++ b/src/dispatcher/peers/peerMessages.ts
@@ -11,6 +11,7 @@
   batches: '/v1/batches',
   runs: '/v1/runs',
   room: '/v1/room',
+  placement: '/v1/placement',
   configuration: '/v1/configuration',
 } as const;
 
@@ -117,6 +118,8 @@
 export interface RoomRequest {
   readonly cell: string;
   readonly batch: TaskBatch;
+  /** The answer is to name a worker; absent from hosts of earlier versions. */
+  readonly namesWorker?: boolean;
 }
 
 /** Answer to a `RoomRequest`; null if the receiver does not own the cell. */
--- a/src/dispatcher/peers/peerServer.ts
+++ b/src/dispatcher/peers/peerServer.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
+import type { Result } from 'ts-results';
 import {
   agedBatch,
   BatchReason,
@@ -30,6 +31,11 @@
   type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
+import {
+  readPreviewRequest,
+  type PlacementPreview,
+  type PreviewRequest,
+} from '../jobs/placementPreview';
 import type { QueueConfiguration } from '../jobs/queueTable';
 import { SubmitterTracker } from './submitterTracker';
 
@@ -45,7 +51,9 @@
   /** True if runs of the job may be in progress in a cell of this host. */
   mayRunJob(cell: string, jobId: string): boolean;
   /** How many tasks of a batch a cell of this host could end in time; null for other cells. */
-  roomIn(cell: string, batch: TaskBatch): CellRoom | null;
+  roomIn(cell: string, batch: TaskBatch, namesWorker: boolean): CellRoom | null;
+  /** Where a job would go now; the error says what is wrong with the request. */
+  preview(request: PreviewRequest): Promise<Result<PlacementPreview, string>>;
   configuration(): QueueConfiguration | null;
 }
 
@@ -156,6 +164,9 @@
       case PeerPath.room:
         this.#answerRoom(text, response);
         break;
+      case PeerPath.placement:
+        await this.#answerPlacement(text, response);
+        break;
       case PeerPath.configuration:
         sendJson(response, 200, this.#handler.configuration());
         break;
@@ -203,8 +214,16 @@
       sendJson(response, 400, { detail: 'expected cell and batch' });
       return;
     }
-    const { cell, batch } = roomRequest;
-    sendJson(response, 200, { room: this.#handler.roomIn(cell, batch) });
+    const { cell, batch, namesWorker = false } = roomRequest;
+    sendJson(response, 200, { room: this.#handler.roomIn(cell, batch, namesWorker) });
+  }
+
+  /** Answers an operator's question; the request is checked, because it is written by hand. */
+  async #answerPlacement(text: string, response: ServerResponse): Promise<void> {
+    const request = readPreviewRequest(parseBody(text, []));
+    const preview = request.ok ? await this.#handler.preview(request.val) : request;
+    if (preview.ok) sendJson(response, 200, preview.val);
+    else sendJson(response, 400, { detail: preview.val });
   }
 
   async #answerBatch(text: string, response: ServerResponse): Promise<void> {
--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -1,6 +1,7 @@
 /** Batch calls over connections that are lost without a reset. */
 import { after, before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Err } from 'ts-results';
 import { expect } from 'earl';
 import type { BatchOutcome } from '../../src/cells/messages';
 import { BatchCalls } from '../../src/dispatcher/peers/batchCalls';
@@ -56,6 +57,7 @@
       summary: () => null,
       mayRunJob: () => false,
       roomIn: () => null,
+      preview: async () => Err('not part of this test'),
       configuration: () => null,
     },
     CLOCK,
--- a/test/dispatcher/earlierRuns.test.ts
+++ b/test/dispatcher/earlierRuns.test.ts
@@ -3,6 +3,7 @@
  * together and the client has sent its job again: the new owner must tell what still runs.
  */
 import { describe, it, type TestContext } from 'node:test';
+import { Err } from 'ts-results';
 import { expect } from 'earl';
 import { EarlierRuns } from '../../src/dispatcher/jobs/earlierRuns';
 import { PeerClient } from '../../src/dispatcher/peers/peerClient';
@@ -85,6 +86,7 @@
           return found.has(jobId);
         },
         roomIn: () => null,
+        preview: async () => Err('not part of this test'),
         configuration: () => null,
       },
       clock,
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -1,4 +1,5 @@
 /** A submitter and an owner of a cell on loopback, with a fault proxy between them. */
+import { Err } from 'ts-results';
 import { request } from 'undici';
 import type { BatchOutcome, BatchReason } from '../../src/cells/messages';
 import type { SubmitterContact } from '../../src/cells/submitterContact';
@@ -77,6 +78,7 @@
       summary: () => null,
       mayRunJob: () => false,
       roomIn: () => null,
+      preview: async () => Err('not part of this test'),
       configuration: () => null,
     },
     CLOCK,
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -1,6 +1,7 @@
 /** Batches and status requests that reach a host long after they were sent. */
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Err } from 'ts-results';
 import { expect } from 'earl';
 import { request } from 'undici';
 import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
@@ -66,6 +67,7 @@
       summary: () => null,
       mayRunJob: () => false,
       roomIn: () => null,
+      preview: async () => Err('not part of this test'),
       configuration: () => null,
     },
     this.ownerClock,
--- a/test/platform/testHost.ts
+++ b/test/platform/testHost.ts
@@ -29,6 +29,8 @@
 
   readonly metricsAddress: string;
 
+  readonly peersAddress: string;
+
   readonly lines: LogLine[] = [];
 
   readonly #ingress: Ingress;
@@ -47,7 +49,7 @@
     const journal: DispatchJournal = {
       logDecision: (decision, fields) => this.lines.push({ decision, fields }),
     };
-    const peersAddress = address();
+    this.peersAddress = address();
     const store = new PlatformStore(storeAddress);
     this.host = new DispatchHost({
       settings: {
@@ -57,8 +59,8 @@
         domains,
         callersAddress: this.callersAddress,
         readinessAddress: this.readinessAddress,
-        peersAddress,
-        announcedAddress: peersAddress,
+        peersAddress: this.peersAddress,
+        announcedAddress: this.peersAddress,
         metricsAddress: this.metricsAddress,
         seeds: [],
         storeAddress,
