Drain a failure domain at the operators' request

What callers saw: nothing read the key by which operators ask that no more tasks start on the workers of a failure domain.

Cause: the platform adapter watched the configuration key only, and no part of the dispatcher knew that a domain can be closed to new tasks.

Now: the one watch of the operators' keys is widened to their prefix, and its first read serves both configuration and drains, which saves the second read that each new watch made. Each host keeps one fact per domain (drained or not, at a store revision); the highest revision wins. A complete read ends the drains that it does not list, so a lost removal is healed. Hosts tell each other with their status calls, so a host that can't reach the store learns of it too; a message from before the latest read drains nothing. A new process claims no cell for up to 1 s until it knows the state. Owners start nothing in a drained cell, refuse batches of which nothing has started, return the others once nothing of them is in progress (with their failed runs, so that no task gets more attempts than its queue allows), and let runs go on. Submitters leave drained cells out and send returned tasks to other cells; without any cell left a job is refused at once.

Ruled out: a second watch (each waiting watch is a call that the users price); a capacity of 0 in the load reports of drained cells (other domains would see the end of a drain only with the next poll of an idle owner, 1.35 s); stopping the runs in progress.

The property test of any course of a job has one more kind of event, an answer of a drained cell; its other kinds and its number of runs are as before.

--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -122,6 +122,12 @@
     return nowMs >= this.deadlineAtMs;
   }
 
+  /** Failed runs of the tasks that have not succeeded; empty if there is none. */
+  get failures(): Readonly<Record<string, number>> {
+    const failed = this.tasks.filter(({ done, failures }) => !done && failures > 0);
+    return Object.fromEntries(failed.map(({ name, failures }) => [name, failures]));
+  }
+
   /** Names of the tasks that may be in progress and of those that have succeeded. */
   progress(nowMs: number): {
     readonly started: readonly string[];
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -6,6 +6,7 @@
 import { RunOutcome, StartAnswer, type CellAction, type WorkerReport } from './actions';
 import { Batch } from './batch';
 import { BatchAdmission } from './batchAdmission';
+import { CellDrain, NO_ROOM_IN_DRAIN } from './cellDrain';
 import { CellState, describeBatch, type CellOptions } from './cellState';
 import type { CrashHistory } from './crashHistory';
 import { CrashMonitor } from './crashMonitor';
@@ -41,6 +42,8 @@
 
   readonly #crashMonitor: CrashMonitor;
 
+  readonly #drain: CellDrain;
+
   readonly #firstArrivals = new FirstArrivals();
 
   /** `crashes` is shared by all cells of the host. */
@@ -53,7 +56,8 @@
     });
     this.#admission = new BatchAdmission(this.#state);
     this.#crashMonitor = new CrashMonitor(this.#state);
-    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor);
+    this.#drain = new CellDrain(this.#state);
+    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor, this.#drain);
     this.#takeover = new Takeover(this.#state);
     this.#progressMonitor = new ProgressMonitor(this.#state);
   }
@@ -82,6 +86,11 @@
     return this.#state.batches.size;
   }
 
+  /** Number of runs that may be in progress. */
+  get runCount(): number {
+    return this.#state.runTracker.runCount;
+  }
+
   /** State of the workers, for metrics and operators. */
   get workers(): ReadonlyMap<string, CellWorker> {
     return this.#state.runTracker.workers;
@@ -108,7 +117,7 @@
     const expectedMs = runTimes.expectedMs(spec.queue, spec.estimateMs);
     const previousRunsOverAtMs = this.#takeover.previousRunsOverAtMs(nowMs);
     const batch = new Batch(spec, contact, expectedMs, previousRunsOverAtMs, nowMs);
-    const refusal = this.#admission.check(batch, nowMs);
+    const refusal = this.#drain.refusalFor(batch) ?? this.#admission.check(batch, nowMs);
     // A refused batch is sent to another cell, which would start its tasks without waiting for runs
     // of them that may be in progress here.
     if (refusal && !this.#takeover.holdsTasksOf(batch)) {
@@ -133,6 +142,7 @@
 
   /** How many tasks of a batch would be admitted now. The batch is neither queued nor refused. */
   roomFor(offered: TaskBatch, nowMs: number): CellRoom {
+    if (this.#drain.isActive) return NO_ROOM_IN_DRAIN;
     const spec = this.#firstArrivals.withTotalWait(offered, nowMs);
     const expectedMs = this.#state.runTimes.expectedMs(spec.queue, spec.estimateMs);
     const batch = new Batch(spec, LOCAL_SUBMITTER, expectedMs, nowMs, nowMs);
@@ -161,6 +171,18 @@
     });
   }
 
+  /** True while the operators have drained the cell's failure domain. */
+  get isDrained(): boolean {
+    return this.#drain.isActive;
+  }
+
+  /** Begins or ends the drain of the cell. */
+  setDrained(drained: boolean, nowMs: number): void {
+    if (drained) this.#drain.begin(nowMs);
+    else this.#drain.end(nowMs);
+    this.#dispatch.startWaitingTasks(nowMs);
+  }
+
   setWorkers(entries: readonly WorkerEntry[], nowMs: number): void {
     this.#state.runTracker.setWorkers(entries, nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
@@ -190,7 +212,8 @@
     this.#state.runTracker.report(workerId, report, nowMs);
     const worker = this.workers.get(workerId);
     if (worker) this.#crashMonitor.workerAnswered(worker, report.running);
-    this.#progressMonitor.check(workerId, nowMs);
+    // A run that is moved off a slow worker could not be started again in a drained cell.
+    if (!this.isDrained) this.#progressMonitor.check(workerId, nowMs);
     this.#takeover.finishCompletedBatches(nowMs);
     this.#crashMonitor.applyVerdicts(nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -1,5 +1,6 @@
 /** Starts waiting tasks on workers that have room for them, in queue order. */
 import type { Batch, TaskEntry } from './batch';
+import type { CellDrain } from './cellDrain';
 import type { CellState } from './cellState';
 import { CrashVerdict } from './crashHistory';
 import type { CrashMonitor } from './crashMonitor';
@@ -47,11 +48,14 @@
 
   readonly #crashMonitor: CrashMonitor;
 
+  readonly #drain: CellDrain;
+
   #startsHeldUntilMs = -Infinity;
 
-  constructor(state: CellState, crashMonitor: CrashMonitor) {
+  constructor(state: CellState, crashMonitor: CrashMonitor, drain: CellDrain) {
     this.#state = state;
     this.#crashMonitor = crashMonitor;
+    this.#drain = drain;
   }
 
   /** Holds all starts back after a pause of the owner's process; returns the end of that time. */
@@ -60,8 +64,12 @@
     return this.#startsHeldUntilMs;
   }
 
-  /** Starts the waiting tasks for which there is room now. */
+  /** Starts the waiting tasks for which there is room now; returns them from a drained cell. */
   startWaitingTasks(nowMs: number): void {
+    if (this.#drain.isActive) {
+      this.#drain.returnBatches(nowMs);
+      return;
+    }
     if (nowMs < this.#startsHeldUntilMs) return;
     const waiting = [...this.#state.batches.values()].filter((batch) => batch.waitingCount > 0);
     if (waiting.length === 0) return;
--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -67,6 +67,8 @@
   unreachable: 'unreachable',
   /** The batch arrived so late that its submitter may have given it up. */
   expired: 'expired',
+  /** The operators have drained the cell's failure domain. */
+  domainDrained: 'domain-drained',
 } as const;
 export type BatchReason = (typeof BatchReason)[keyof typeof BatchReason];
 
@@ -87,6 +89,8 @@
       readonly started: readonly string[] | null;
       /** Tasks that have succeeded. */
       readonly succeeded: readonly string[];
+      /** Failed runs by task, so that another cell counts them; absent if no task has failed. */
+      readonly failures?: Readonly<Record<string, number>>;
     };
 
 /** How much of a batch a cell could serve if it were offered now. */
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -119,6 +119,11 @@
     this.#taskRuns.add(run);
   }
 
+  /** Number of runs that may be in progress. */
+  get runCount(): number {
+    return [...this.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0);
+  }
+
   /** Runs of a task that may be in progress, including those being stopped. */
   runsOf(task: string): readonly Run[] {
     return this.#taskRuns.of(task);
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -19,6 +19,7 @@
 import type { CellOwner } from './ownership/cellOwner';
 import { isSameProcess, type CellRecord, type HostIdentity } from './ownership/cellRecord';
 import { CrashExchange } from './peers/crashExchange';
+import { DrainedDomains } from './drainedDomains';
 import type { DispatchJournal } from './journal';
 import { LayoutSelector } from './ownership/layoutSelector';
 import { OwnedCells } from './ownership/ownedCells';
@@ -61,6 +62,8 @@
 const TICK_MS = 25;
 /** A cell without an owner is usually taken over within this time. */
 const TYPICAL_TAKEOVER_MS = 1500;
+/** Time for which a new process claims no cell unless it knows which domains are drained. */
+const DRAINS_WAIT_MS = 1000;
 
 const NO_CELLS: ReadonlySet<string> = new Set();
 const NOT_OWNER: BatchOutcome = {
@@ -73,6 +76,9 @@
 export class Cluster {
   readonly loads = new CellLoads();
 
+  /** Failure domains that the operators have drained. */
+  readonly drains: DrainedDomains;
+
   readonly #parts: ClusterParts;
 
   readonly #registry: CellRegistry;
@@ -103,8 +109,11 @@
 
   readonly #pauseDetector: PauseDetector;
 
-  /** Last time at which some cell was being served; initially the time of the start. */
-  #lastServingAtMs: number;
+  /**
+   * Last time at which some cell of a domain was being served, by domain; initially the time of the
+   * start.
+   */
+  readonly #lastServingAtMs = new Map<string, number>();
 
   #leaving = false;
 
@@ -115,7 +124,11 @@
     const { self, platform, journal, clock, options } = parts;
     this.#pauseDetector = new PauseDetector(clock);
     this.#startedAtMs = clock.nowMs();
-    this.#lastServingAtMs = this.#startedAtMs;
+    parts.domains.forEach((domain) => this.#lastServingAtMs.set(domain, this.#startedAtMs));
+    this.drains = new DrainedDomains({
+      ...parts,
+      onChange: () => this.#ownedCells.updateDrains(),
+    });
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
@@ -131,7 +144,11 @@
       onList: () => this.#updateCellWorkers(),
       onDirectoryResult: (up, detail) => this.#registry.setStoreAvailable(up, detail),
     });
-    this.#ownedCells = new OwnedCells({ ...parts, workerClient: platform.workerClient });
+    this.#ownedCells = new OwnedCells({
+      ...parts,
+      workerClient: platform.workerClient,
+      isDrained: (cell) => this.#isDrained(cell),
+    });
     this.#claims = new CellClaims({
       ...parts,
       registry: this.#registry,
@@ -143,6 +160,7 @@
       records: this.#registry,
       lists: this.#workerLists,
       crashes: this.#crashExchange,
+      drains: this.drains,
       onSummaries: (summaries) => this.#updateLoads(summaries),
       onPolled: () => this.#refreshHealth(clock.nowMs()),
     });
@@ -197,17 +215,34 @@
     this.#ownedCells.close();
   }
 
-  /** Last known load of each cell whose owner is serving and has workers. */
+  /**
+   * Last known load of each cell that takes tasks: its owner is serving and has workers, and its
+   * domain is not drained.
+   */
   serving(): readonly CellSummary[] {
-    return (this.#layout?.cells ?? []).flatMap((cell) => {
-      const summary = this.isServing(cell) ? this.loads.get(cell) : undefined;
-      return summary && summary.capacityCpuMillis > 0 ? [summary] : [];
-    });
+    return this.#served().filter(({ cell }) => !this.#isDrained(cell));
+  }
+
+  /** True if some cell is served, also if its domain is drained. */
+  get hasServedCells(): boolean {
+    return this.#served().length > 0;
   }
 
-  /** True if cells were served until recently, so that a new owner can be expected soon. */
+  /**
+   * True if cells of a domain that is not drained were served until recently, so that a new owner
+   * can be expected soon.
+   */
   get expectsOwner(): boolean {
-    return this.#parts.clock.nowMs() - this.#lastServingAtMs < TYPICAL_TAKEOVER_MS;
+    const sinceMs = this.#parts.clock.nowMs() - TYPICAL_TAKEOVER_MS;
+    return [...this.#lastServingAtMs].some(
+      ([domain, atMs]) => atMs > sinceMs && !this.drains.isDrained(domain),
+    );
+  }
+
+  /** Number of runs in progress in the cells of a domain that this host owns. */
+  runsIn(domain: string): number {
+    const owners = this.owners.filter(({ cell }) => this.#layout?.domainOf(cell) === domain);
+    return owners.reduce((sum, { cellState }) => sum + cellState.runCount, 0);
   }
 
   ownerOf(cell: string): CellRecord | null {
@@ -302,9 +337,22 @@
     return outcome;
   }
 
+  #served(): readonly CellSummary[] {
+    return (this.#layout?.cells ?? []).flatMap((cell) => {
+      const summary = this.isServing(cell) ? this.loads.get(cell) : undefined;
+      return summary && summary.capacityCpuMillis > 0 ? [summary] : [];
+    });
+  }
+
+  /** Without a layout, a domain is one cell of the same name. */
+  #isDrained(cell: string): boolean {
+    return this.drains.isDrained(this.#layout?.domainOf(cell) ?? cell);
+  }
+
   #applyLayout(cellsPerDomain: number): void {
     this.#layout = new CellLayout(this.#parts.domains, cellsPerDomain);
     this.#statusExchange.setCellCount(this.#layout.cells.length);
+    this.#ownedCells.updateDrains();
     this.#updateCellWorkers();
   }
 
@@ -350,14 +398,23 @@
     this.#pollPeers(nowMs);
     this.#refreshHealth(nowMs);
     this.#chooseLayout(nowMs);
-    if (!this.#leaving && this.#layout) this.#claims.claimDueCells(this.#layout, nowMs);
+    if (!this.#leaving && this.#layout && this.#mayClaim(nowMs)) {
+      this.#claims.claimDueCells(this.#layout, nowMs);
+    }
     if (this.owners.length > 0) this.#workerLists.refresh(nowMs);
     this.#claims.writePendingClaims(
       this.owners.map(({ cell }) => cell),
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    if (this.serving().length > 0) this.#lastServingAtMs = nowMs;
+    this.#served().forEach(({ cell }) => {
+      this.#lastServingAtMs.set(this.#layout?.domainOf(cell) ?? cell, nowMs);
+    });
+  }
+
+  /** A new process learns first which domains are drained, so that it starts nothing there. */
+  #mayClaim(nowMs: number): boolean {
+    return this.drains.isKnown || nowMs - this.#startedAtMs >= DRAINS_WAIT_MS;
   }
 
   #resume(gapMs: number, nowMs: number): void {
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -118,7 +118,7 @@
       journal,
     });
     const runner = new JobRunner({ stepRunner, crashes, clock, journal });
-    const isServing = () => this.#cluster.serving().length > 0;
+    const isServing = () => this.#cluster.hasServedCells;
     this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
     this.#peerServer = new PeerServer(
       {
@@ -144,6 +144,9 @@
       pending: () => runner.pending,
       owners: () => this.#cluster.owners,
       configurationVersion: () => queues.configuration?.version ?? 0,
+      domains: settings.domains,
+      drainedSinceMs: (domain) => this.#cluster.drains.drainedSinceMs(domain),
+      runsIn: (domain) => this.#cluster.runsIn(domain),
       droppedLines: parts.droppedLines,
     });
   }
@@ -163,8 +166,11 @@
     const peers = splitAddress(settings.peersAddress);
     await this.#peerServer.listen(peers.host, peers.port);
     this.#cluster.open();
-    platform.configurations.subscribe((configuration) => {
-      this.#cluster.statusExchange.configure(configuration, 'store');
+    const { drains, statusExchange } = this.#cluster;
+    platform.configurations.subscribe({
+      configurationRead: (configuration) => statusExchange.configure(configuration, 'store'),
+      drainsRead: (listed, revision) => drains.applyRead(listed, revision),
+      drainChanged: (drain) => drains.applyChange(drain),
     });
     const { host, port } = splitAddress(settings.metricsAddress);
     this.#metricsServer = metrics.listen(host, port, this.#parts.journal);
--- a/src/dispatcher/jobs/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -47,13 +47,15 @@
 const REFUSAL_WAIT_MS = 8;
 const NO_CELL: JobOutcome = { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
 
-/** The tasks that have not succeeded, numbered for a new owner after the previous one was lost. */
+/** The tasks that have not succeeded, numbered for a new owner after the previous one is done. */
 function remainingGroup(group: TaskGroup, outcome: BatchOutcome): TaskGroup {
   const started = outcome.type === 'lost' ? outcome.started : null;
   const succeeded = outcome.type === 'lost' ? outcome.succeeded : [];
   const remaining = group.tasks.filter(({ name }) => !succeeded.includes(name));
+  const failures = outcome.type === 'lost' ? (outcome.failures ?? {}) : {};
   const tasks = remaining.map((task) => ({
     ...task,
+    failures: failures[task.name] ?? task.failures,
     lastRun: task.lastRun + RUN_NUMBER_GAP,
     mayRun: started === null || started.includes(task.name),
   }));
@@ -101,8 +103,12 @@
     if (group.step.after.length > 0) await waitForPendingReads();
     else await this.#earlierRuns.waitUntilOver(job);
     if (job.hasEnded) return NOT_SENT;
+    return this.#distribute(job, group);
+  }
+
+  #distribute(job: RunningJob, group: TaskGroup): Promise<JobOutcome> {
     const assignments = this.#spread(group);
-    if (assignments.length === 0) return NO_CELL;
+    if (assignments.length === 0) return Promise.resolve(NO_CELL);
     if (assignments.length > 1) return this.#runDivided(job, group, assignments);
     return this.#runAssignments(job, group, assignments, true);
   }
@@ -266,9 +272,20 @@
     if (outcome.type === 'lost' && ownerLost && !job.hasEnded) {
       return this.#recover(job, group, sent);
     }
+    if (outcome.reason === BatchReason.domainDrained && !job.hasEnded) {
+      return this.#runElsewhere(job, remainingGroup(group, outcome));
+    }
     return { type: 'lost', reason: outcome.reason };
   }
 
+  /** Runs the tasks that a drained cell has returned; none of them is in progress. */
+  async #runElsewhere(job: RunningJob, remaining: TaskGroup): Promise<JobOutcome> {
+    if (remaining.tasks.length === 0) return { type: 'completed' };
+    const outcome = await this.#distribute(job, remaining);
+    // The job has begun, so the answer must not say that nothing has run.
+    return outcome.type === 'refused' ? { type: 'lost', reason: outcome.reason } : outcome;
+  }
+
   /**
    * Handles the loss of the owner while runs of the group may be in progress. A new owner of the
    * cell adopts the runs; without one, the group starts in another cell once the leases have
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -55,12 +55,29 @@
     readonly pending: () => number;
     readonly owners: () => readonly CellOwner[];
     readonly configurationVersion: () => number;
+    readonly domains: readonly string[];
+    /** When this host learned of a drain, in Unix milliseconds; null if the domain has none. */
+    readonly drainedSinceMs: (domain: string) => number | null;
+    /** Runs in progress in the cells of a domain that this host owns. */
+    readonly runsIn: (domain: string) => number;
     readonly droppedLines: () => number;
   }): void {
     this.#gauge('wasabiyoke_jobs_pending', 'Jobs without an answer', state.pending);
     this.#gauge('wasabiyoke_cells_owned', 'Cells that this host owns', () => state.owners().length);
     this.#gauge('wasabiyoke_configuration_version', 'Version in force', state.configurationVersion);
     this.#gauge('wasabiyoke_log_lines_dropped', 'Log lines left out', state.droppedLines);
+    this.#domainGauge(
+      'wasabiyoke_domain_drained_since_seconds',
+      'Unix time at which this host learned of the drain of a domain; 0 without one',
+      state.domains,
+      (domain) => (state.drainedSinceMs(domain) ?? 0) / MS_PER_S,
+    );
+    this.#domainGauge(
+      'wasabiyoke_domain_drain_runs',
+      'Runs left in the cells owned of a drained domain',
+      state.domains,
+      (domain) => (state.drainedSinceMs(domain) === null ? 0 : state.runsIn(domain)),
+    );
     this.#gauge('wasabiyoke_batches_waiting', 'Batches in the cells owned', () =>
       state.owners().reduce((sum, owner) => sum + owner.cellState.pending, 0),
     );
@@ -71,10 +88,7 @@
       }, 0),
     );
     this.#gauge('wasabiyoke_runs', 'Runs in progress in the cells owned', () =>
-      state.owners().reduce((sum, owner) => {
-        const workers = [...owner.cellState.workers.values()];
-        return sum + workers.reduce((runs, worker) => runs + worker.runs.size, 0);
-      }, 0),
+      state.owners().reduce((sum, owner) => sum + owner.cellState.runCount, 0),
     );
   }
 
@@ -97,6 +111,22 @@
     return server.listen(port, ip);
   }
 
+  /** A gauge with one value for each failure domain. */
+  #domainGauge(
+    name: string,
+    help: string,
+    domains: readonly string[],
+    read: (domain: string) => number,
+  ): void {
+    const gauge: Gauge<'domain'> = new Gauge({
+      name,
+      help,
+      labelNames: ['domain'],
+      registers: [this.#registry],
+      collect: () => domains.forEach((domain) => gauge.set({ domain }, read(domain))),
+    });
+  }
+
   #gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
       name,
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -29,6 +29,8 @@
   readonly workerClient: WorkerClient;
   readonly options: CellOptions & SessionOptions;
   readonly crashes: CrashHistory;
+  /** True if the operators have drained the cell's failure domain. */
+  readonly drained: boolean;
   readonly clock: HostClock;
   readonly journal: DispatchJournal;
   /**
@@ -68,6 +70,7 @@
     this.#pauseDetector = new PauseDetector(parts.clock);
     const leaseMs = latestLeaseEndMs(parts.options.leaseMs, 0);
     this.#cell = new Cell(parts.cell, { ...parts.options, leaseMs }, parts.crashes);
+    if (parts.drained) this.setDrained(true);
     this.#timer = setInterval(() => {
       this.#cell.tick(this.#now());
       this.#performActions();
@@ -91,6 +94,12 @@
     return this.#cell;
   }
 
+  /** Begins or ends the drain of the cell. */
+  setDrained(drained: boolean): void {
+    this.#cell.setDrained(drained, this.#now());
+    this.#performActions();
+  }
+
   setWorkers(entries: readonly WorkerEntry[]): void {
     this.#cell.setWorkers(entries, this.#now());
     this.#performActions();
--- a/src/dispatcher/ownership/ownedCells.ts
+++ b/src/dispatcher/ownership/ownedCells.ts
@@ -17,6 +17,8 @@
   readonly workerClient: WorkerClient;
   readonly options: CellOptions & SessionOptions;
   readonly crashes: CrashHistory;
+  /** True if the operators have drained the failure domain of a cell. */
+  readonly isDrained: (cell: string) => boolean;
   readonly clock: HostClock;
   readonly journal: DispatchJournal;
 }
@@ -46,6 +48,7 @@
       ...this.#parts,
       cell,
       fencingToken: token,
+      drained: this.#parts.isDrained(cell),
       onFenced: (workerId) => {
         journal.logDecision('fenced', { cell, worker: workerId, fencingToken: token });
         if (this.#owners.get(cell) === owner) this.#release(owner, 'fenced');
@@ -56,6 +59,11 @@
     if (known.length > 0) owner.setWorkers(known);
   }
 
+  /** Tells all owners whether their cells are drained. */
+  updateDrains(): void {
+    this.#owners.forEach((owner, cell) => owner.setDrained(this.#parts.isDrained(cell)));
+  }
+
   /** Releases a cell if a new record has superseded this host's claim. */
   releaseSuperseded({ cell, token }: CellRecord): void {
     const owner = this.#owners.get(cell);
--- a/src/dispatcher/peers/peerMessages.ts
+++ b/src/dispatcher/peers/peerMessages.ts
@@ -2,6 +2,7 @@
 import type { BatchOutcome, CellRoom, CellSummary, TaskBatch } from '../../cells/messages';
 import type { CellRecord, HostIdentity } from '../ownership/cellRecord';
 import type { CrashPosition, CrashUpdate } from './crashExchange';
+import type { DomainDrain } from '../drainedDomains';
 import type { ClockReading, SendTime } from './peerClocks';
 import type { WorkerList } from '../ownership/workerLists';
 
@@ -36,6 +37,8 @@
    * it, and from hosts of earlier versions.
    */
   readonly crashPosition?: CrashPosition | undefined;
+  /** Drained failure domains as the sender knows them; absent if there is none. */
+  readonly drains?: readonly DomainDrain[] | undefined;
   /** Absent if no batch has been sent to the receiver, and from hosts of earlier versions. */
   readonly awaited?: AwaitedCalls | undefined;
   /**
@@ -63,6 +66,11 @@
   readonly workers: WorkerList | null;
   /** Lost workers that the requester does not know of; absent from hosts of earlier versions. */
   readonly crashes?: CrashUpdate;
+  /**
+   * Drained failure domains that the request lacked; absent if the host does not know the state of
+   * all domains, and from hosts of earlier versions.
+   */
+  readonly drains?: readonly DomainDrain[] | undefined;
 }
 
 /** Response to a status request. */
--- a/src/dispatcher/peers/statusExchange.ts
+++ b/src/dispatcher/peers/statusExchange.ts
@@ -1,12 +1,13 @@
 /**
  * The status exchange between hosts. Status calls carry the health of owners, the loads of their
- * cells, the ownership records, the workers of the requester's domain, and the version of the
- * configuration.
+ * cells, the ownership records, the workers of the requester's domain, the drained failure domains,
+ * and the version of the configuration.
  */
 import type { CellSummary } from '../../cells/messages';
 import type { Clock } from '../../core/clock';
 import type { CellRecord, HostIdentity } from '../ownership/cellRecord';
 import type { CrashExchange } from './crashExchange';
+import type { DrainedDomains } from '../drainedDomains';
 import type { DispatchJournal } from '../journal';
 import type { OwnerHealth } from '../ownership/claimPolicy';
 import { StatusFailure, type PeerClient } from './peerClient';
@@ -26,6 +27,7 @@
   readonly records: CellRegistry;
   readonly lists: WorkerLists;
   readonly crashes: Pick<CrashExchange, 'changesSince' | 'learn'>;
+  readonly drains: DrainedDomains;
   readonly clock: Clock;
   readonly journal: DispatchJournal;
   /** Called with the cell loads in each answer. */
@@ -117,13 +119,15 @@
       records,
       listVersion,
       crashPosition,
+      drains: sentDrains = [],
     }: StatusRequest,
     cells: readonly CellSummary[],
     leaving: boolean,
   ): HostStatus {
-    const { self, lists } = this.#parts;
+    const { self, lists, drains } = this.#parts;
     const known = this.#configurationVersion();
     if (configurationVersion > known) this.#pullConfiguration(from.address);
+    drains.merge(sentDrains, from.hostId);
     this.#learnRecords(records, from.hostId);
     return {
       hostId: self.hostId,
@@ -135,6 +139,7 @@
       ...this.#recordsFor(recordsDigest),
       workers: lists.newerThan(from.domain, listVersion),
       crashes: this.#parts.crashes.changesSince(crashPosition),
+      drains: drains.isKnown ? drains.newerThan(sentDrains) : undefined,
     };
   }
 
@@ -154,13 +159,15 @@
 
   /** Polls one host and merges the state in its answer. */
   async poll(address: string): Promise<void> {
-    const { self, peers, clock, lists, onPolled: onAsked } = this.#parts;
+    const { self, peers, clock, lists, drains, onPolled: onAsked } = this.#parts;
+    const knownDrains = drains.all();
     const status = await peers.status(address, {
       from: self,
       configurationVersion: this.#configurationVersion(),
       ...this.#recordsFor(this.#monitor.statusOf(address)?.recordsDigest ?? null),
       listVersion: lists.versionOf(self.domain),
       crashPosition: this.#monitor.statusOf(address)?.crashes?.position,
+      drains: knownDrains.length > 0 ? knownDrains : undefined,
     });
     if (this.#closed) return;
     if (status === StatusFailure.refused) {
@@ -173,7 +180,9 @@
   }
 
   #applyStatus(address: string, status: PeerStatus): void {
-    const { self, lists, onSummaries } = this.#parts;
+    const { self, lists, drains, onSummaries } = this.#parts;
+    // Before the records: a host that learns from them that it owns a cell may start tasks there.
+    if (status.drains) drains.mergeAll(status.drains, status.hostId);
     onSummaries(status.cells);
     // Hosts of earlier versions do not send it.
     if (status.cellsPerDomain) {
--- a/src/dispatcher/platform.ts
+++ b/src/dispatcher/platform.ts
@@ -2,16 +2,26 @@
 import type { Result } from 'ts-results';
 import type { WorkerEntry } from '../cells/worker';
 import type { Store, StoreError } from '../store/store';
+import type { DomainDrain } from './drainedDomains';
 import type { QueueConfiguration } from './jobs/queueTable';
 import type { WorkerClient } from './ownership/workerClient';
 
 /** Store operations that coordination between hosts needs. */
 export type RecordStore = Pick<Store, 'list' | 'swap' | 'watch' | 'close'>;
 
-/** Source of the operators' configurations. The platform keeps the newest one. */
+/** Receives what the operators have written. */
+export interface OperatorListener {
+  /** Called with the current configuration and each later one. */
+  configurationRead(configuration: QueueConfiguration): void;
+  /** Called with the drained domains at a revision of the store; the others are not drained. */
+  drainsRead(drains: readonly DomainDrain[], revision: number): void;
+  /** Called with each later beginning and end of a drain. */
+  drainChanged(drain: DomainDrain): void;
+}
+
+/** Source of the operators' configurations and drains. The platform keeps the newest ones. */
 export interface ConfigurationSource {
-  /** Calls `onChange` with the current configuration and each later one. */
-  subscribe(onChange: (configuration: QueueConfiguration) => void): void;
+  subscribe(listener: OperatorListener): void;
   close(): void;
 }
 
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -56,6 +56,7 @@
 
   constructor(self: HostIdentity, known: readonly HostIdentity[]) {
     this.owned = new OwnedCells({
+      isDrained: () => false,
       workerClient: { close: async () => {}, disconnect: () => {} } as never,
       options: OPTIONS,
       crashes: new CrashHistory(() => 0, 120_000),
--- a/test/dispatcher/fakeCells.ts
+++ b/test/dispatcher/fakeCells.ts
@@ -77,7 +77,7 @@
 
   readonly ownDomainCells: ReadonlySet<string> = new Set();
 
-  readonly expectsOwner = true;
+  expectsOwner = true;
 
   lacksOwner = false;
 
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -137,6 +137,7 @@
   #takeOver(): CellOwner {
     const journal: DispatchJournal = { logDecision: (decision) => this.decisions.push(decision) };
     const owner = new CellOwner({
+      drained: false,
       cell: 'sofia-a',
       fencingToken: 1000 + this.#nowMs,
       workerClient: this,
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -8,6 +8,7 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import type { JobStep } from '../../src/cells/job';
+import type { BatchOutcome } from '../../src/cells/messages';
 import { JobRunner } from '../../src/dispatcher/jobs/jobRunner';
 import { StepRunner } from '../../src/dispatcher/jobs/stepRunner';
 import type { JobOutcome } from '../../src/dispatcher/jobs/runningJob';
@@ -28,6 +29,13 @@
 /** Longer than the leases of any owner and all waits of a job. */
 const LONG_MS = 2 * DEADLINE_MS;
 const DONE = { type: 'done' } as const;
+/** Answer of a drained cell in which tasks have run, and none has succeeded. */
+const RETURNED: BatchOutcome = {
+  type: 'lost',
+  reason: 'domain-drained',
+  started: [],
+  succeeded: [],
+};
 
 /** `waitForPendingReads` takes two turns of the event loop in real time, several times in a row. */
 const TURNS = 12;
@@ -546,6 +554,7 @@
   'expired',
   'unreachable',
   'given-up',
+  'drained',
   'owner-goes',
   'owner-comes',
   'cancel',
@@ -576,6 +585,7 @@
   if (kind === 'failed') sent?.answer({ type: 'failed', task: '' });
   if (kind === 'refused') sent?.answer(refused('overloaded'));
   if (kind === 'not-owner') sent?.answer(refused('not-owner'));
+  if (kind === 'drained') sent?.answer(RETURNED);
   if (kind === 'expired') sent?.answer(refused('expired'));
   if (kind === 'unreachable') sent?.answer(UNREACHABLE);
   if (kind === 'given-up') sent?.answer(givenUp('deadline'));
@@ -636,6 +646,71 @@
   });
 });
 
+describe('tasks that a drained cell returns', () => {
+  let clock: FakeClock;
+  beforeEach(() => {
+    clock = install({ toFake: ['setTimeout', 'clearTimeout'] });
+  });
+  afterEach(() => clock.uninstall());
+
+  const DRAINED = { type: 'refused', reason: 'domain-drained', retryAfterMs: 1000 } as const;
+
+  // Guards against a job that waits for its deadline, or is refused, though other domains have room.
+  it('are sent to another cell at once, if nothing has run', async () => {
+    const simulation = new Simulation(clock, [fakeCell('a'), fakeCell('b')]);
+    await simulation.submit([step(1)]);
+    simulation.cells.sent[0]?.answer(DRAINED);
+    await simulation.pass(0);
+    expect([...simulation.sentTo].sort()).toEqual(['a', 'b']);
+    simulation.cells.sent[1]?.answer(DONE);
+    await simulation.pass(0);
+    expect(simulation.outcome).toEqual({ type: 'completed' });
+  });
+
+  // Guards against tasks that run a second time, or get more attempts than their queue allows.
+  it('go on in other cells without those that have succeeded, with their failures', async () => {
+    const cells = [fakeCell('a', { room: 3 }), fakeCell('b')];
+    const simulation = new Simulation(clock, cells);
+    await simulation.submit([step(3)]);
+    const [first] = simulation.cells.sent;
+    const [succeeded, failed, waiting] = (first?.batch.tasks ?? []).map(({ name }) => name);
+    Object.assign(simulation.cell('a'), { isServing: false });
+    first?.answer({
+      type: 'lost',
+      reason: 'domain-drained',
+      started: [],
+      succeeded: [succeeded ?? ''],
+      failures: { [failed ?? '']: 1 },
+    });
+    await simulation.pass(0);
+    const moved = simulation.cells.sent[1];
+    expect(moved?.cell).toEqual('b');
+    expect(moved?.batch.tasks).toEqual([
+      { name: failed ?? '', failures: 1, lastRun: 16, mayRun: false },
+      { name: waiting ?? '', failures: 0, lastRun: 16, mayRun: false },
+    ]);
+    moved?.answer(DONE);
+    await simulation.pass(0);
+    expect(simulation.outcome).toEqual({ type: 'completed' });
+  });
+
+  // Guards against "not run" as the answer to a job of which tasks have run.
+  it('end the job as lost if no other domain is left, and refuse it if nothing has run', async () => {
+    const simulation = new Simulation(clock, [fakeCell('a')]);
+    await simulation.submit([step(1)]);
+    Object.assign(simulation.cell('a'), { isServing: false });
+    simulation.cells.expectsOwner = false;
+    simulation.cells.sent[0]?.answer(RETURNED);
+    await simulation.pass(0);
+    expect(simulation.outcome).toEqual({ type: 'lost', reason: 'no-cell' });
+    const other = new Simulation(clock, [fakeCell('a', { isServing: false })]);
+    other.cells.expectsOwner = false;
+    await other.submit([step(1)]);
+    expect(other.outcome?.type).toEqual('refused');
+    expect(other.answeredAtMs).toEqual(clock.now);
+  });
+});
+
 describe('any course of a job', () => {
   // Guards against any state of a task group that misses the end of its job.
   it('leaves no batch running after its answer, and is refused only if no cell accepted it', async () => {
