Show how far the drain of a failure domain is with the command drains

Operators could read it from the metrics of each host only. The command reads the metrics of the hosts that it is given, and tells for each domain since when it is drained, how many hosts know, and how many runs are left; it exits with 3 if a host does not answer. The view commands were ruled out: they ask the operator interface of the product's own hosts, which the processes on the users' platform don't have.

--- a/src/cli/httpClient.ts
+++ b/src/cli/httpClient.ts
@@ -7,6 +7,7 @@
 import { Agent, request } from 'undici';
 
 const CONNECT_TIMEOUT_MS = 3000;
+const HTTP_OK = 200;
 
 /** Largest answer read: a configuration of 1 MB as JSON, or a job's results. */
 const ANSWER_LIMIT_BYTES = 64 * 1024 * 1024;
@@ -83,6 +84,20 @@
     }
   }
 
+  /** Reads a text; an answer other than 200 is a failure. */
+  async readText(path: string): Promise<Result<string, HttpFailure>> {
+    try {
+      const url = `http://${this.#address}${path}`;
+      const response = await request(url, { dispatcher: this.#agent });
+      const text = await response.body.text();
+      if (response.statusCode === HTTP_OK) return Ok(text);
+      const message = `${this.#address}: status ${response.statusCode}`;
+      return Err({ reached: true, message });
+    } catch (thrown) {
+      return Err(failureOf(this.#address, thrown));
+    }
+  }
+
   close(): Promise<void> {
     return this.#agent.destroy();
   }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -3,6 +3,7 @@
 import { addConfigCommands } from './configCommands';
 import type { ProgramContext } from './context';
 import { ExitCode } from './exitCode';
+import { addDrainsCommand } from './drainsCommand';
 import { addExplainCommand } from './explainCommand';
 import { addHostCommands } from './hostCommands';
 import { UNREADABLE_FILE } from './inputFile';
@@ -28,6 +29,7 @@
   addViewCommands(program, context);
   addJobCommands(program, context);
   addExplainCommand(program, context);
+  addDrainsCommand(program, context);
   return program;
 }
 
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -8,6 +8,12 @@
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.4, 0.6, 0.9, 1.5, 3];
 const MS_PER_S = 1000;
 
+/** Metrics of the drains of failure domains, which the command line reads too. */
+export const DrainMetric = {
+  sinceSeconds: 'wasabiyoke_domain_drained_since_seconds',
+  runs: 'wasabiyoke_domain_drain_runs',
+} as const;
+
 /** Metrics of one process. */
 export class DispatchMetrics {
   readonly #registry = new Registry();
@@ -67,13 +73,13 @@
     this.#gauge('wasabiyoke_configuration_version', 'Version in force', state.configurationVersion);
     this.#gauge('wasabiyoke_log_lines_dropped', 'Log lines left out', state.droppedLines);
     this.#domainGauge(
-      'wasabiyoke_domain_drained_since_seconds',
+      DrainMetric.sinceSeconds,
       'Unix time at which this host learned of the drain of a domain; 0 without one',
       state.domains,
       (domain) => (state.drainedSinceMs(domain) ?? 0) / MS_PER_S,
     );
     this.#domainGauge(
-      'wasabiyoke_domain_drain_runs',
+      DrainMetric.runs,
       'Runs left in the cells owned of a drained domain',
       state.domains,
       (domain) => (state.drainedSinceMs(domain) === null ? 0 : state.runsIn(domain)),
--- a/test/platform/drain.test.ts
+++ b/test/platform/drain.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { request } from 'undici';
+import { runCli } from '../cli/runCli';
 import { TestDeployment, until } from './deployment';
 
 const DRAINED = 'sofia-a';
@@ -71,9 +72,24 @@
     });
     const lines = deployment.hosts.flatMap((host) => host.lines);
     expect(lines.some(({ decision }) => decision === 'drain-completed')).toEqual(true);
+    const addresses = deployment.hosts.map(({ metricsAddress }) => metricsAddress);
+    const { code, out } = await runCli(['drains', ...addresses, '--json']);
+    expect(code).toEqual(0);
+    const { drains } = JSON.parse(out) as { drains: Record<string, unknown>[] };
+    expect(drains).toLooseEqual([
+      { domain: DRAINED, drainedSince: drains[0]?.drainedSince, hosts: 4, runsLeft: 0 },
+      { domain: OTHER, drainedSince: null, hosts: 0, runsLeft: 0 },
+    ]);
     await restore();
   });
 
+  // Guards against a command that shows a drain as complete though a host has not answered.
+  it('is not shown as complete by the command if a host can not be reached', async () => {
+    const { code, progress } = await runCli(['drains', '127.0.0.1:1']);
+    expect(code).toEqual(3);
+    expect(progress).toMatchRegex(/^error: 127\.0\.0\.1:1/);
+  });
+
   // Guards against a domain that stays drained because the store has dropped the change.
   it('is restored if the end of the drain is not reported by the watch', async () => {
     await drain();
