--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -4,6 +4,7 @@
 import type { ProgramContext } from './context';
 import { ExitCode } from './exitCode';
 import { addDryRunCommand } from './dryRunCommand';
+import { addDrainsCommand } from './drainsCommand';
 import { addExplainCommand } from './explainCommand';
 import { addHostCommands } from './hostCommands';
 import { UNREADABLE_FILE } from './inputFile';
@@ -30,6 +31,7 @@
   addJobCommands(program, context);
   addExplainCommand(program, context);
   addDryRunCommand(program, context);
+  addDrainsCommand(program, context);
   return program;
 }
 
