--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,6 +1,7 @@
 /** Bundles an entry point and its libraries into one CommonJS file. */
 import { join, resolve } from 'node:path';
 import { build } from 'esbuild';
+import { lazyBuiltins } from './lazyBuiltins';
 
 /** Root of the repository. */
 export const ROOT = resolve(__dirname, '..');
@@ -18,6 +19,7 @@
     target: 'node20',
     mainFields: ['module', 'main'],
     legalComments: 'eof',
+    plugins: [lazyBuiltins],
     logLevel: 'warning',
     minify,
     keepNames: minify,
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -3,9 +3,9 @@
  * of other hosts and the metrics, and drains them on shutdown. The interface for callers is part of
  * the platform.
  */
-import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import { CrashHistory } from '../cells/crashHistory';
+import type { RandomSource } from '../core/clock';
 import { splitAddress } from '../settings/address';
 import type { HostIdentity } from './ownership/cellRecord';
 import { Cluster, type ClusterOptions } from './cluster';
@@ -33,7 +33,8 @@
   readonly droppedLines: () => number;
 }
 
-const INCARNATION_BYTES = 6;
+const INCARNATION_DIGITS = 12;
+const HEX_RADIX = 16;
 const RENEW_WAIT_MS = 120;
 const WORKER_LIST_PERIOD_MS = 500;
 /**
@@ -57,6 +58,17 @@
   });
 }
 
+/**
+ * Distinguishes the processes of one host. It needs to be unique, not secret, and `node:crypto`
+ * would lengthen the start.
+ */
+function drawIncarnation(random: RandomSource): string {
+  const digits = Array.from({ length: INCARNATION_DIGITS }, () =>
+    Math.floor(random.next() * HEX_RADIX).toString(HEX_RADIX),
+  );
+  return digits.join('');
+}
+
 /** A dispatcher process. */
 export class DispatchHost {
   readonly dispatcher: Dispatcher;
@@ -82,7 +94,7 @@
     const random = { next: Math.random };
     const self: HostIdentity = {
       hostId: settings.hostId,
-      incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+      incarnation: drawIncarnation(random),
       domain: settings.domain,
       address: settings.announcedAddress,
       cores: settings.cores,
--- a/src/dispatcher/ownership/cellRecord.ts
+++ b/src/dispatcher/ownership/cellRecord.ts
@@ -2,8 +2,8 @@
  * Records that the hosts keep in the store: the owner of each cell, the address of each host, and
  * the number of cells per failure domain.
  */
-import { createHash } from 'node:crypto';
 import type { CrashRecord } from '../../cells/crashRecord';
+import { checksumOf } from '../../core/checksum';
 import type { Entry } from '../../store/store';
 
 /** Prefix of all keys of the dispatcher in the store. */
@@ -20,8 +20,6 @@
  */
 export const TOKEN_STEP = 1000;
 
-const DIGEST_LENGTH = 16;
-
 /** Identity of one dispatcher process. */
 export interface HostIdentity {
   readonly hostId: string;
@@ -122,7 +120,7 @@
     ({ cell, owner, token }) => `${cell}=${token}/${owner.hostId}/${owner.incarnation}`,
   );
   owners.sort();
-  return createHash('sha256').update(owners.join()).digest('base64').slice(0, DIGEST_LENGTH);
+  return checksumOf(owners.join());
 }
 
 function parseObject(text: string): Partial<Record<string, unknown>> | null {
