Claim the cells of the host's earlier process at once

Callers saw: after a loss of all hosts, jobs waited 0.3 to 0.65 s for owners of cells, and were then refused because the time that they could spare had passed.

Until the last cell has an owner, all jobs wait for it.

Changed: such a cell is claimed at the first tick after the records are read, and cells of an earlier process are no load. "Earlier process" means the same host id at the same address, so that a host that is replaced while its predecessor still runs claims nothing at once.

--- a/src/dispatcher/ownership/cellClaims.ts
+++ b/src/dispatcher/ownership/cellClaims.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, RandomSource } from '../../core/clock';
 import type { CellLayout } from './cellLayout';
-import type { HostIdentity } from './cellRecord';
+import { isEarlierProcess, type HostIdentity } from './cellRecord';
 import type { DispatchJournal } from '../journal';
 import { ClaimPolicy, OwnerHealth } from './claimPolicy';
 import type { Platform } from '../platform';
@@ -105,7 +105,8 @@
   }
 
   /**
-   * Number of cells in this host's domain by address of their owner. Pending claims count as won.
+   * Number of cells in this host's domain by address of their owner. Cells of an earlier process of
+   * this host do not count, as they are no load for this one. Pending claims count as won.
    * Otherwise two hosts could each claim all cells of a third one, and then keep taking cells from
    * each other.
    */
@@ -114,7 +115,9 @@
     const counts = new Map<string, number>();
     registry.all().forEach(({ cell, owner }) => {
       if (layout.domainOf(cell) !== self.domain) return;
-      const { address } = this.#pendingClaims.has(cell) ? self : owner;
+      const isPending = this.#pendingClaims.has(cell);
+      if (!isPending && isEarlierProcess(owner, self)) return;
+      const { address } = isPending ? self : owner;
       counts.set(address, (counts.get(address) ?? 0) + 1);
     });
     return counts;
--- a/src/dispatcher/ownership/cellRecord.ts
+++ b/src/dispatcher/ownership/cellRecord.ts
@@ -37,6 +37,12 @@
   return one.hostId === other.hostId && one.incarnation === other.incarnation;
 }
 
+/** True if `earlier` is a process that ran before `current` on the same host, and so has ended. */
+export function isEarlierProcess(earlier: HostIdentity, current: HostIdentity): boolean {
+  const isSameHost = earlier.hostId === current.hostId && earlier.address === current.address;
+  return isSameHost && earlier.incarnation !== current.incarnation;
+}
+
 /** Owner of a cell. The fencing token increases with each change of owner. */
 export interface CellRecord {
   readonly cell: string;
--- a/src/dispatcher/ownership/claimPolicy.ts
+++ b/src/dispatcher/ownership/claimPolicy.ts
@@ -1,12 +1,13 @@
 /**
  * Decides when this host claims a cell. A cell is vacant when its owner does not answer, is
- * leaving, or has restarted. Hosts of the cell's own domain claim first, in the order of their
- * spare processor capacity; hosts of other domains claim only if none of those does. An unnecessary
+ * leaving, or has restarted. A host claims the cells of its own earlier process at once. Other hosts
+ * of the cell's domain follow in the order of their spare processor capacity; hosts of other domains
+ * claim only if none of those does. An unnecessary
  * claim is harmless: the store lets only one claim win, and workers accept only the owner with the
  * highest fencing token.
  */
 import type { RandomSource } from '../../core/clock';
-import { isSameProcess, type CellRecord, type HostIdentity } from './cellRecord';
+import { isEarlierProcess, isSameProcess, type CellRecord, type HostIdentity } from './cellRecord';
 
 /** Health of a cell's owner as seen by this host. */
 export const OwnerHealth = {
@@ -87,6 +88,7 @@
   shouldClaim(view: CellView, room: ClaimantLoad, nowMs: number): boolean {
     const { cell, record, health } = view;
     if (record && isSameProcess(record.owner, this.#self)) return this.#cancelClaim(cell);
+    if (record && isEarlierProcess(record.owner, this.#self)) return this.#isDue(cell, nowMs, 0);
     const isVacant = health === OwnerHealth.gone || health === OwnerHealth.leaving;
     if (!record || isVacant) return this.#isDue(cell, nowMs, this.#delayMs(view, room));
     const isWarmedUp = nowMs - this.#startedAtMs >= REBALANCE_DELAY_MS;
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -22,7 +22,10 @@
 /**
  * Keys that a host claims in a domain whose cells all belong to another host; no claim is answered.
  */
-function claimedKeys(cells: number): readonly string[] {
+function claimedKeys(
+  cells: number,
+  { owner = host('bole-2'), health = OwnerHealth.serving as OwnerHealth, forMs = OBSERVED_MS } = {},
+): readonly string[] {
   const keys: string[] = [];
   const store: RecordStore = {
     list: async () => Ok([]),
@@ -44,7 +47,7 @@
   });
   const layout = new CellLayout(['bole'], cells);
   layout.cells.forEach((cell) => {
-    records.merge({ cell, owner: host('bole-2'), token: 1000 }, 'test');
+    records.merge({ cell, owner, token: 1000 }, 'test');
   });
   const claims = new CellClaims({
     self,
@@ -53,13 +56,21 @@
     random: { next: () => 0.5 },
     clock: { nowMs: () => 0 },
     journal: JOURNAL,
-    healthOf: () => OwnerHealth.serving,
+    healthOf: () => health,
     poll: () => {},
   });
-  for (let nowMs = 0; nowMs < OBSERVED_MS; nowMs += TICK_MS) claims.claimDueCells(layout, nowMs);
+  for (let nowMs = 0; nowMs < forMs; nowMs += TICK_MS) claims.claimDueCells(layout, nowMs);
   return keys;
 }
 
+describe('claims of the cells of an earlier process of the host', () => {
+  // Guards against claims one after the other when a host returns that owned several cells.
+  it('are all made at once', () => {
+    const owner = { ...host('bole-1'), incarnation: '0' };
+    expect(claimedKeys(3, { owner, health: OwnerHealth.gone, forMs: TICK_MS }).length).toEqual(3);
+  });
+});
+
 describe('claims of cells from an owner that is serving', () => {
   it('claims one of two cells, so that the hosts do not keep taking them from each other', () => {
     expect(claimedKeys(2).length).toEqual(1);
--- a/test/dispatcher/claimPolicy.test.ts
+++ b/test/dispatcher/claimPolicy.test.ts
@@ -84,9 +84,12 @@
     });
   });
 
-  it('claims a cell that an earlier process of the same host owned', () => {
+  // Guards against cells that stay without an owner for the delays of a takeover after all hosts were
+  // lost together: the host that owned a cell knows at its start that the owner is gone.
+  it('claims a cell that an earlier process of the same host owned at once', () => {
     const earlier = record(host('bole-1', 'bole', '0'));
-    expect(claimAfterMs(SELF, earlier, OwnerHealth.gone)).not.toEqual(null);
+    const weakAndLoaded = { maxCores: 4, ownCells: 2 };
+    expect(claimAfterMs(SELF, earlier, OwnerHealth.gone, weakAndLoaded)).toEqual(0);
   });
 
   it('does not claim a cell that it owns', () => {
