Poll a new owner until it has reached workers of its cell

Callers saw: jobs that wait for a cell, or are sent to the few cells known to have workers, after a change of owner.

Cause (read): a host polls an owner at once when it hears of its claim, and the owner lists the cell before any worker has answered it. Such a cell has no capacity, and `serving` leaves it out. The owner counted as heard, so the next poll was that of an idle owner: 50 ms times the number of cells, three times that for other domains (0.3 and 0.9 s with six cells).

Changed: the poll rate stays raised, at 50 ms, until the cell is listed with capacity, for the same second at most.

--- a/src/dispatcher/peers/peerMonitor.ts
+++ b/src/dispatcher/peers/peerMonitor.ts
@@ -4,6 +4,7 @@
  * batches are alive. Idle owners, which run nothing for this host, are polled less often the more
  * cells there are, so that the total cost does not grow with hosts times cells.
  */
+import type { CellSummary } from '../../cells/messages';
 import type { HostIdentity } from '../ownership/cellRecord';
 import { OwnerHealth } from '../ownership/claimPolicy';
 import type { PeerStatus } from './peerMessages';
@@ -17,6 +18,8 @@
  * same domain are the first to claim the cells of a lost owner, and the store announces the claim.
  */
 const OTHER_DOMAIN_POLL_PERIOD_PER_CELL_MS = 3 * IDLE_POLL_PERIOD_PER_CELL_MS;
+/** Poll period of an owner that lists a new cell, but has not reached the workers of it yet. */
+const REACHING_WORKERS_POLL_PERIOD_MS = 50;
 /**
  * Time after which an owner that does not list its new cell is polled at the usual period again.
  */
@@ -34,13 +37,19 @@
   busySinceMs: number | null;
   answeredAtMs: number | null;
   status: PeerStatus | null;
-  /** Cells that the owner has acquired but does not list yet. */
+  /** Cells that the owner has acquired but does not list with reachable workers yet. */
   readonly expectedCells: Set<string>;
+  /** True if the owner lists some of these, but has reached none of their workers. */
+  isReachingWorkers: boolean;
   /** When the expected cells stop increasing the poll rate. */
   expectedUntilMs: number;
   refused: boolean;
 }
 
+function hasWorkers(summary: CellSummary, cell: string): boolean {
+  return summary.cell === cell && summary.capacityCpuMillis > 0;
+}
+
 /** Health of cell owners as observed by this host. */
 export class PeerMonitor {
   readonly #domain: string;
@@ -81,6 +90,7 @@
         answeredAtMs: null,
         status: null,
         expectedCells: new Set(),
+        isReachingWorkers: false,
         expectedUntilMs: -Infinity,
         refused: false,
       });
@@ -89,13 +99,13 @@
 
   /**
    * Notes that an owner has acquired a cell. The owner is polled at once and then at the busy rate
-   * until it lists the cell, for at most a second, so that batches need not wait for the next idle
-   * poll.
+   * until it lists the cell with workers that it has reached, for at most a second, so that batches
+   * need not wait for the next idle poll.
    */
   expectCell(address: string, cell: string, nowMs: number): void {
     this.#peers.forEach(({ expectedCells }) => expectedCells.delete(cell));
     const peer = this.#peers.get(address);
-    if (!peer || peer.status?.cells.some((summary) => summary.cell === cell)) return;
+    if (!peer || peer.status?.cells.some((summary) => hasWorkers(summary, cell))) return;
     peer.expectedCells.add(cell);
     peer.expectedUntilMs = nowMs + EXPECTED_CELL_TIMEOUT_MS;
     peer.lastPolledAtMs = -Infinity;
@@ -109,7 +119,9 @@
       polled.busySinceMs = isBusy(address) ? (peer.busySinceMs ?? nowMs) : null;
       const lacksCell = peer.expectedCells.size > 0 && nowMs < peer.expectedUntilMs;
       const isIdle = peer.busySinceMs === null && !lacksCell;
-      const periodMs = isIdle ? this.#idlePeriodMs(peer) : BUSY_POLL_PERIOD_MS;
+      const isReachingWorkers = lacksCell && peer.isReachingWorkers;
+      const usualMs = isIdle ? this.#idlePeriodMs(peer) : BUSY_POLL_PERIOD_MS;
+      const periodMs = isReachingWorkers ? REACHING_WORKERS_POLL_PERIOD_MS : usualMs;
       if (nowMs - peer.lastPolledAtMs < periodMs) return;
       polled.lastPolledAtMs = nowMs;
       due.push(address);
@@ -122,7 +134,10 @@
     if (!peer) return;
     peer.answeredAtMs = nowMs;
     peer.status = status;
-    status.cells.forEach(({ cell }) => peer.expectedCells.delete(cell));
+    status.cells.forEach((summary) => {
+      if (summary.capacityCpuMillis > 0) peer.expectedCells.delete(summary.cell);
+    });
+    peer.isReachingWorkers = status.cells.some(({ cell }) => peer.expectedCells.has(cell));
     peer.refused = false;
   }
 
