--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -60,14 +60,14 @@
 }
 
 /**
- * Distinguishes the processes of one host. It needs to be unique, not secret, and `node:crypto`
- * would lengthen the start.
+ * Distinguishes the processes of one host, by the time of their start and random digits. It needs
+ * to be unique, not secret, and `node:crypto` would lengthen the start.
  */
-function drawIncarnation(random: RandomSource): string {
+function drawIncarnation({ timeOfDayMs }: HostClock, random: RandomSource): string {
   const digits = Array.from({ length: INCARNATION_DIGITS }, () =>
     Math.floor(random.next() * HEX_RADIX).toString(HEX_RADIX),
   );
-  return digits.join('');
+  return `${Math.floor(timeOfDayMs()).toString(HEX_RADIX)}${digits.join('')}`;
 }
 
 /** A dispatcher process. */
@@ -95,7 +95,7 @@
     const random = { next: Math.random };
     const self: HostIdentity = {
       hostId: settings.hostId,
-      incarnation: drawIncarnation(random),
+      incarnation: drawIncarnation(clock, random),
       domain: settings.domain,
       address: settings.announcedAddress,
       cores: settings.cores,
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -24,7 +24,7 @@
  */
 function claimedKeys(
   cells: number,
-  { owner = host('bole-2'), health = OwnerHealth.serving as OwnerHealth, forMs = OBSERVED_MS } = {},
+  { owner = host('bole-2'), health = OwnerHealth.serving, forMs = OBSERVED_MS } = {},
 ): readonly string[] {
   const keys: string[] = [];
   const store: RecordStore = {
