Prefer owners that have answered since a drain began

Cause: a host polls idle owners in other domains every 1.35 s (nine cells) and takes one for lost after 3.4 s, as it seldom sends them work. A drain makes it send all its work there at once. Now a host polls all owners when it learns of a drain, and during the drain prefers those that have answered since. Without any of these it tries the others, so nothing is refused that could be served.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -103,6 +103,9 @@
   /** When this process learned of the present owner of each cell. */
   readonly #ownerSinceMs = new Map<string, number>();
 
+  /** When this process learned of the latest drain; null while no domain is drained. */
+  #drainLearnedAtMs: number | null = null;
+
   readonly #startedAtMs: number;
 
   #timer: NodeJS.Timeout | null = null;
@@ -127,7 +130,7 @@
     parts.domains.forEach((domain) => this.#lastServingAtMs.set(domain, this.#startedAtMs));
     this.drains = new DrainedDomains({
       ...parts,
-      onChange: () => this.#ownedCells.updateDrains(),
+      onChange: (domain) => this.#drainChanged(domain),
     });
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
@@ -217,10 +220,12 @@
 
   /**
    * Last known load of each cell that takes tasks: its owner is serving and has workers, and its
-   * domain is not drained.
+   * domain is not drained. During a drain, owners that have been heard since it began are preferred.
    */
   serving(): readonly CellSummary[] {
-    return this.#served().filter(({ cell }) => !this.#isDrained(cell));
+    const open = this.#served().filter(({ cell }) => !this.#isDrained(cell));
+    const heard = open.filter(({ cell }) => this.#isHeardInDrain(cell));
+    return heard.length > 0 ? heard : open;
   }
 
   /** True if some cell is served, also if its domain is drained. */
@@ -349,6 +354,30 @@
     return this.drains.isDrained(this.#layout?.domainOf(cell) ?? cell);
   }
 
+  /**
+   * A drain sends the tasks of the domain to owners elsewhere at once, also to those that this host
+   * has used little and polls seldom. They are polled now, because one may have been cut off since.
+   */
+  #drainChanged(domain: string): void {
+    this.#ownedCells.updateDrains();
+    if (this.drains.isDrained(domain)) {
+      this.#drainLearnedAtMs = this.#parts.clock.nowMs();
+      this.#statusExchange.expediteAll();
+      this.#pollPeers(this.#drainLearnedAtMs);
+    } else if (!this.#parts.domains.some((other) => this.drains.isDrained(other))) {
+      this.#drainLearnedAtMs = null;
+    }
+  }
+
+  /** True if the owner of a cell has answered since the latest drain began, or if there is none. */
+  #isHeardInDrain(cell: string): boolean {
+    if (this.#drainLearnedAtMs === null || this.#ownedCells.get(cell)) return true;
+    const record = this.#registry.get(cell);
+    return (
+      record !== null && this.#statusExchange.hasAnsweredSince(record.owner, this.#drainLearnedAtMs)
+    );
+  }
+
   #applyLayout(cellsPerDomain: number): void {
     this.#layout = new CellLayout(this.#parts.domains, cellsPerDomain);
     this.#statusExchange.setCellCount(this.#layout.cells.length);
--- a/src/dispatcher/peers/peerMonitor.ts
+++ b/src/dispatcher/peers/peerMonitor.ts
@@ -117,6 +117,19 @@
     return due;
   }
 
+  /** Makes all owners due for a poll. */
+  expediteAll(): void {
+    this.#peers.forEach((peer) => {
+      const expedited = peer;
+      expedited.lastPolledAtMs = -Infinity;
+    });
+  }
+
+  /** True if the owner has answered a poll since then. */
+  hasAnsweredSince({ address }: HostIdentity, sinceMs: number): boolean {
+    return (this.#peers.get(address)?.answeredAtMs ?? -Infinity) >= sinceMs;
+  }
+
   recordStatus(address: string, status: PeerStatus, nowMs: number): void {
     const peer = this.#peers.get(address);
     if (!peer) return;
--- a/src/dispatcher/peers/statusExchange.ts
+++ b/src/dispatcher/peers/statusExchange.ts
@@ -70,6 +70,16 @@
     return this.#monitor.health(owner, cell, nowMs);
   }
 
+  /** True if the owner has answered a poll of this host since then. */
+  hasAnsweredSince(owner: HostIdentity, sinceMs: number): boolean {
+    return this.#monitor.hasAnsweredSince(owner, sinceMs);
+  }
+
+  /** Makes all owners due for a poll. */
+  expediteAll(): void {
+    this.#monitor.expediteAll();
+  }
+
   /** Sets the number of cells in the cluster. */
   setCellCount(cells: number): void {
     this.#monitor.setCellCount(cells);
