--- a/test/dispatcher/drainedCluster.test.ts
+++ b/test/dispatcher/drainedCluster.test.ts
@@ -58,12 +58,18 @@
   /** Domains whose owners do not answer. */
   readonly cutOff = new Set<string>();
 
+  /** Keys that the host has tried to write. */
+  readonly claims: string[] = [];
+
   #onChange: ((change: Change) => void) | null = null;
 
   constructor() {
     const store: RecordStore = {
       list: async () => Ok([]),
-      swap: () => new Promise(() => {}),
+      swap: (key) => {
+        this.claims.push(key);
+        return new Promise(() => {});
+      },
       watch: (_, onChange) => {
         this.#onChange = onChange;
         return { close: () => {} };
@@ -91,9 +97,13 @@
     });
   }
 
-  async open(): Promise<void> {
+  openWithoutOwners(): void {
     this.cluster.open();
     this.#put(LAYOUT_KEY, encodeLayout(1));
+  }
+
+  async open(): Promise<void> {
+    this.openWithoutOwners();
     DOMAINS.forEach((domain) => {
       const owner = { ...SUBMITTER, hostId: domain, domain, address: domain };
       this.#put(cellKey(domain), encodeRecord({ cell: domain, owner, token: 1000 }));
@@ -145,4 +155,20 @@
     expect(cluster.hasServedCells).toEqual(true);
     cluster.close();
   });
+
+  // Guards against a new process that starts tasks in a domain of which it does not know yet that it
+  // is drained, and against one that never serves because nobody can tell it.
+  it('claims no cell as a new process before it knows the drains, for a second at most', async () => {
+    const informed = new Fixture();
+    informed.openWithoutOwners();
+    informed.cluster.drains.applyRead([], 5);
+    await until('a cell is claimed', () => informed.claims.length > 0);
+    informed.cluster.close();
+    const uninformed = new Fixture();
+    uninformed.openWithoutOwners();
+    const openedAtMs = performance.now();
+    await until('a cell is claimed', () => uninformed.claims.length > 0);
+    expect(performance.now() - openedAtMs).toBeGreaterThan(900);
+    uninformed.cluster.close();
+  });
 });
