Let jobs wait for the configuration and for a first owner instead of refusing them

Cause: a host that listens but has not read the configuration refused at once ("no-configuration"); a job that found no cell with an owner was refused after 300 ms, whatever time its caller had left.

Changed: until one second after its start a host holds requests for its first configuration, and their deadlines count from their arrival. A job waits for a first cell while an owner can be expected (1.5 s after the start or since a cell was last served) and while its step could still end in time. Nothing has been sent then, so the refusal after that is true.

--- a/src/dispatcher/dispatcher.ts
+++ b/src/dispatcher/dispatcher.ts
@@ -6,6 +6,12 @@
 import type { JobOutcome, JobRequest } from './jobs/runningJob';
 import type { QueueTable } from './jobs/queueTable';
 
+/**
+ * A host that has just started reads the configuration within this time, if there is one and the
+ * store or another host answers.
+ */
+const FIRST_CONFIGURATION_MS = 1000;
+
 /** Accepts callers' requests. */
 export class Dispatcher {
   readonly queues: QueueTable;
@@ -18,6 +24,8 @@
 
   readonly #isServing: () => boolean;
 
+  readonly #startedAtMs = performance.now();
+
   #draining = false;
 
   #refusesNewJobs = false;
@@ -65,6 +73,15 @@
     this.#runner.abandonAll();
   }
 
+  /**
+   * Waits for the first configuration of a host that has just started, so that requests are not
+   * refused that it can serve a moment later.
+   */
+  awaitConfiguration(): Promise<void> {
+    const sinceStartMs = performance.now() - this.#startedAtMs;
+    return this.queues.whenConfigured(FIRST_CONFIGURATION_MS - sinceStartMs);
+  }
+
   /** Runs a job for a caller. Returns null if the caller disconnected before the job started. */
   async submit(request: JobRequest, caller: Caller): Promise<JobOutcome | null> {
     // A request may be read long after it was sent, for example after a pause of the process. If
--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -36,6 +36,8 @@
 
   #byHost = new Map<string, readonly QueueBinding[]>();
 
+  readonly #firstListeners = new Set<() => void>();
+
   get configuration(): QueueConfiguration | null {
     return this.#configuration;
   }
@@ -51,9 +53,27 @@
     byHost.forEach((bindings) => bindings.sort(byLongestPrefix));
     this.#byHost = byHost;
     this.#configuration = configuration;
+    this.#firstListeners.forEach((listener) => listener());
+    this.#firstListeners.clear();
     return true;
   }
 
+  /** Resolves when there is a configuration, or after `limitMs`. */
+  whenConfigured(limitMs: number): Promise<void> {
+    if (this.#configuration || limitMs <= 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.#firstListeners.delete(listener);
+        resolve();
+      }, limitMs);
+      const listener = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      this.#firstListeners.add(listener);
+    });
+  }
+
   /** The queue with the longest matching path prefix, or null. */
   match(hostHeader: string, path: string): QueueMatch | null {
     const hostName = (hostHeader.split(':')[0] ?? '').toLowerCase();
--- a/src/dispatcher/jobs/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -41,8 +41,6 @@
 const OWNER_POLL_MS = 20;
 /** Added to run numbers for a new owner, so that they exceed any that the previous owner used. */
 const RUN_NUMBER_GAP = 16;
-/** Maximum time that a job waits for a cell without an owner to get one. */
-const CELL_WAIT_MS = 300;
 /** A cell that refuses a batch does so within this time. */
 const REFUSAL_WAIT_MS = 8;
 const NO_CELL: JobOutcome = { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
@@ -97,7 +95,7 @@
    * Runs all tasks of a step, distributed over the cells. Refused only if no cell accepted a batch.
    */
   async run(job: RunningJob, group: TaskGroup): Promise<JobOutcome> {
-    await this.#awaitCell(job);
+    await this.#awaitCell(job, group);
     if (group.step.after.length > 0) await waitForPendingReads();
     else await this.#earlierRuns.waitUntilOver(job);
     if (job.hasEnded) return NOT_SENT;
@@ -132,12 +130,15 @@
     return this.#runAssignments(job, group, fallback, false);
   }
 
-  /** Waits up to `CELL_WAIT_MS` for a cell to be served, after a start or a change of owner. */
-  async #awaitCell(job: RunningJob): Promise<void> {
+  /**
+   * Waits for a cell to be served, after a start or a change of owner. The job is not refused while
+   * an owner can be expected and the step could still end in time.
+   */
+  async #awaitCell(job: RunningJob, { step, otherStepsMs }: TaskGroup): Promise<void> {
     const { cluster, clock } = this.#parts;
-    const untilMs = clock.nowMs() + CELL_WAIT_MS;
+    const latestStartMs = job.deadlineAtMs - step.estimateMs - otherStepsMs;
     while (cluster.serving().length === 0 && cluster.expectsOwner && !job.hasEnded) {
-      if (clock.nowMs() >= untilMs) return;
+      if (clock.nowMs() >= latestStartMs) return;
       // eslint-disable-next-line no-await-in-loop -- polls until there is an owner
       await waitAndRead(job, OWNER_POLL_MS);
     }
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -214,6 +214,22 @@
     expect(simulation.sentTo).toEqual([]);
   });
 
+  // Guards against refusals while all hosts return: their callers do not come back.
+  it('waits for a cell while it could still end in time, and is refused after that', async () => {
+    const cell = fakeCell('a', { isServing: false });
+    const simulation = new Simulation(clock, [cell]);
+    await simulation.submit([step(1)], 1500);
+    await simulation.pass(1300);
+    expect(simulation.outcome).toEqual(null);
+    cell.isServing = true;
+    await simulation.pass(50);
+    expect(simulation.sentTo).toEqual(['a']);
+    const late = new Simulation(clock, [fakeCell('a', { isServing: false })]);
+    await late.submit([step(1)], 1500);
+    await late.pass(1450);
+    expect(late.outcome).toEqual({ type: 'refused', reason: 'no-cell', retryAfterMs: 300 });
+  });
+
   // Guards against a step that starts because its predecessor succeeds just as the job ends.
   it('does not start a step whose predecessors end with it', async () => {
     const simulation = new Simulation(clock, [fakeCell('a', { room: 2 })]);
--- a/test/platform/deployment.ts
+++ b/test/platform/deployment.ts
@@ -57,6 +57,8 @@
 
   #portBlock: PortBlock | null = null;
 
+  readonly #newHosts: (() => TestHost)[] = [];
+
   constructor(domains: readonly string[], cellsPerDomain: number | null = 1) {
     this.#domains = domains;
     this.#cellsPerDomain = cellsPerDomain;
@@ -79,8 +81,12 @@
     await Promise.all(workerPlacements.map(({ id, domain }) => this.#openWorker(id, domain)));
     const hosts = this.#domains.flatMap((domain) =>
       Array.from({ length: hostsPerDomain }, (_, index) => {
-        const addresses = ports.splice(0, PORTS_PER_HOST);
-        return new TestHost(`${domain}-${index}`, domain, this.#domains, storeAddress, addresses);
+        const hostPorts = ports.splice(0, PORTS_PER_HOST);
+        const id = `${domain}-${index}`;
+        this.#newHosts.push(
+          () => new TestHost(id, domain, this.#domains, storeAddress, [...hostPorts]),
+        );
+        return new TestHost(id, domain, this.#domains, storeAddress, [...hostPorts]);
       }),
     );
     this.hosts.push(...hosts);
@@ -93,6 +99,13 @@
     );
   }
 
+  /** Ends all hosts, and starts new processes of them at the same addresses. */
+  async loseAllHosts(): Promise<void> {
+    await Promise.all(this.hosts.map((host) => host.close()));
+    this.hosts.splice(0, Infinity, ...this.#newHosts.map((create) => create()));
+    await Promise.all(this.hosts.map((host) => host.open()));
+  }
+
   async #openWorker(id: string, domain: string): Promise<void> {
     const worker = new WorkerStandin(id, domain);
     await worker.open();
