Read the records and the configuration once at a start, not twice

Cause (read): a watch reads all entries of its prefix to learn from which revision to go on, then tells its user, who read the same entries again. So each host reads the records and the configuration twice at its start, and all hosts do so each time the store has dropped its history.

Changed: the watch passes the entries that it has read.

Test: one call of the store for the entries and the watch's position (two before). Seen once beside load above 20, not since (three of three alone): test/platform/deployment.test.ts, "spreads a job over cells, each of which has its own workers", the job went to one cell of the two. Not traced; rooms are asked for 30 ms.

--- a/src/dispatcher/ownership/cellRegistry.ts
+++ b/src/dispatcher/ownership/cellRegistry.ts
@@ -214,21 +214,16 @@
         this.setStoreAvailable(false, 'the watch of the records ended');
         setTimeout(() => this.#watch(), WATCH_RETRY_MS);
       },
-      () => this.#read(),
+      (entries) => this.#readAll(entries),
     );
   }
 
-  async #read(): Promise<void> {
-    const listed = await this.#parts.store.list(RECORD_PREFIX);
+  #readAll(entries: readonly Entry[]): void {
     if (this.#closed) return;
-    if (listed.err) {
-      this.setStoreAvailable(false, listed.val.message);
-      return;
-    }
     this.setStoreAvailable(true, 'the records were read');
-    listed.val.forEach((entry) => this.#applyEntry(entry));
-    this.#lacksLayout = !listed.val.some(({ key }) => key === LAYOUT_KEY);
-    await this.#register(listed.val);
+    entries.forEach((entry) => this.#applyEntry(entry));
+    this.#lacksLayout = !entries.some(({ key }) => key === LAYOUT_KEY);
+    this.#register(entries);
   }
 
   /** Writes this host's entry, which tells the other hosts its address. */
--- a/src/dispatcher/platform.ts
+++ b/src/dispatcher/platform.ts
@@ -1,12 +1,23 @@
 /** Interfaces of the platform that the dispatcher runs on. An adapter implements them. */
 import type { Result } from 'ts-results';
 import type { WorkerEntry } from '../cells/worker';
-import type { Store, StoreError } from '../store/store';
+import type { Change, Entry, Store, StoreError, Watch } from '../store/store';
 import type { QueueConfiguration } from './jobs/queueTable';
 import type { WorkerClient } from './ownership/workerClient';
 
 /** Store operations that coordination between hosts needs. */
-export type RecordStore = Pick<Store, 'list' | 'swap' | 'watch' | 'close'>;
+export interface RecordStore extends Pick<Store, 'list' | 'swap' | 'close'> {
+  /**
+   * Reads the entries with a prefix, passes them to `onOpen`, and reports each change after that.
+   * Calls `onEnd` once the watch has failed, also if the entries could not be read.
+   */
+  watch(
+    prefix: string,
+    onChange: (change: Change) => void,
+    onEnd: () => void,
+    onOpen: (entries: readonly Entry[]) => void,
+  ): Watch;
+}
 
 /** Source of the operators' configurations. The platform keeps the newest one. */
 export interface ConfigurationSource {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -2,7 +2,7 @@
 import { after, before, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { PlatformStore } from '../../platform/store';
-import { StoreErrorCode } from '../../src/store/store';
+import { StoreErrorCode, type Entry } from '../../src/store/store';
 import { until } from './deployment';
 import { KvStandin } from './kvStandin';
 
@@ -47,6 +47,23 @@
     expect((await store.list('k/2')).unwrap().length).toEqual(1);
   });
 
+  // Guards against a second read of the same entries by each host that starts, and by all hosts each
+  // time the store has dropped its history.
+  it('passes the present entries to the watch that has read them', async () => {
+    standin.put('o/1', 'a');
+    const callsBefore = standin.calls;
+    const entries = await new Promise<readonly Entry[]>((resolve) => {
+      store.watch(
+        'o/',
+        () => {},
+        () => {},
+        resolve,
+      );
+    });
+    expect(entries.map(({ key, value }) => `${key}=${value}`)).toEqual(['o/1=a']);
+    expect(standin.calls - callsBefore).toEqual(1);
+  });
+
   it('reports changes, and ends the watch if the store no longer has the history', async () => {
     const seen: string[] = [];
     let ended = 0;
