Log and measure the first service of a host; do not ask owners that have not answered

Callers saw: after a loss of all hosts, jobs wait beyond the 300 ms for cells without an owner.

Changed: an owner that has not answered its first status call within 150 ms is not asked. A host that has just started still waits for its cell as one without an owner.

Also: `first-service` (once a process: time since its start, cells served, owned and lacking), `cell-awaited` (a job that waited for a first cell), and the metric wasabiyoke_first_service_seconds.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -62,6 +62,8 @@
 const TICK_MS = 25;
 /** Cells whose owners were lost together with this host have new ones so long after its start. */
 const OWNERS_AFTER_START_MS = 300;
+/** An owner that is alive answers its first status call within this time. */
+const FIRST_ANSWER_MS = 150;
 /** A cell without an owner is usually taken over within this time. */
 const TYPICAL_TAKEOVER_MS = 1500;
 
@@ -108,6 +110,8 @@
 
   readonly #pauseDetector: PauseDetector;
 
+  #firstServiceMs: number | null = null;
+
   /** Last time at which some cell was being served; initially the time of the start. */
   #lastServingAtMs: number;
 
@@ -218,6 +222,11 @@
     return this.#parts.clock.nowMs() - this.#lastServingAtMs < TYPICAL_TAKEOVER_MS;
   }
 
+  /** Time from the start of this process until it knew of a served cell; null before that. */
+  get firstServiceMs(): number | null {
+    return this.#firstServiceMs;
+  }
+
   ownerOf(cell: string): CellRecord | null {
     return this.#registry.get(cell);
   }
@@ -244,11 +253,19 @@
     if (this.#ownedCells.get(cell)) return this.runsInOwnCell(cell, jobId).mayRun;
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return false;
-    if (this.#ownerHealth.get(cell) === OwnerHealth.gone) return false;
+    if (!this.#mayAnswer(cell)) return false;
     const { address, incarnation } = record.owner;
     return this.#foundRuns.mayRunJob({ address, incarnation, cell, jobId });
   }
 
+  /** False if the owner is gone, or has not answered a status call for too long. */
+  #mayAnswer(cell: string): boolean {
+    if (this.isServing(cell)) return true;
+    if (this.#ownerHealth.get(cell) === OwnerHealth.gone) return false;
+    const sinceMs = this.#ownerSinceMs.get(cell) ?? -Infinity;
+    return this.#parts.clock.nowMs() - sinceMs <= FIRST_ANSWER_MS;
+  }
+
   /** Whether runs of the job may be in progress in a cell of this host; not in other cells. */
   runsInOwnCell(cell: string, jobId: string): RunsReply {
     return this.#ownedCells.get(cell)?.runsOf(jobId) ?? { mayRun: false };
@@ -366,7 +383,20 @@
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    if (this.serving().length > 0) this.#lastServingAtMs = nowMs;
+    this.#noteService(nowMs);
+  }
+
+  /** Records that cells are served, and logs the first time of this process. */
+  #noteService(nowMs: number): void {
+    const cells = this.serving().map(({ cell }) => cell);
+    if (cells.length === 0) return;
+    this.#lastServingAtMs = nowMs;
+    if (this.#firstServiceMs !== null) return;
+    this.#firstServiceMs = Math.round(nowMs - this.#startedAtMs);
+    const owned = this.owners.map(({ cell }) => cell);
+    const lacking = (this.#layout?.cells ?? []).filter((cell) => !cells.includes(cell));
+    const sinceStartMs = this.#firstServiceMs;
+    this.#parts.journal.logDecision('first-service', { sinceStartMs, cells, owned, lacking });
   }
 
   #resume(gapMs: number, nowMs: number): void {
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -155,6 +155,7 @@
     metrics.observeState({
       pending: () => runner.pending,
       owners: () => this.#cluster.owners,
+      firstServiceMs: () => this.#cluster.firstServiceMs,
       configurationVersion: () => queues.configuration?.version ?? 0,
       droppedLines: parts.droppedLines,
     });
--- a/src/dispatcher/jobs/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -135,13 +135,21 @@
    * an owner can be expected and the step could still end in time.
    */
   async #awaitCell(job: RunningJob, { step, otherStepsMs }: TaskGroup): Promise<void> {
-    const { cluster, clock } = this.#parts;
+    const { cluster, clock, journal } = this.#parts;
+    if (cluster.serving().length > 0) return;
+    const waitedFromMs = clock.nowMs();
     const latestStartMs = job.deadlineAtMs - step.estimateMs - otherStepsMs;
     while (cluster.serving().length === 0 && cluster.expectsOwner && !job.hasEnded) {
-      if (clock.nowMs() >= latestStartMs) return;
+      if (clock.nowMs() >= latestStartMs) break;
       // eslint-disable-next-line no-await-in-loop -- polls until there is an owner
       await waitAndRead(job, OWNER_POLL_MS);
     }
+    journal.logDecision('cell-awaited', {
+      jobId: job.request.job.id,
+      waitedMs: Math.round(clock.nowMs() - waitedFromMs),
+      cells: cluster.serving().length,
+      hasEnded: job.hasEnded,
+    });
   }
 
   #spread({ step, tasks }: TaskGroup): readonly CellAssignment[] {
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -54,9 +54,18 @@
   observeState(state: {
     readonly pending: () => number;
     readonly owners: () => readonly CellOwner[];
+    readonly firstServiceMs: () => number | null;
     readonly configurationVersion: () => number;
     readonly droppedLines: () => number;
   }): void {
+    this.#gauge(
+      'wasabiyoke_first_service_seconds',
+      'Time from the start of the process until it knew of a served cell; -1 before that',
+      () => {
+        const firstServiceMs = state.firstServiceMs();
+        return firstServiceMs === null ? -1 : firstServiceMs / MS_PER_S;
+      },
+    );
     this.#gauge('wasabiyoke_jobs_pending', 'Jobs without an answer', state.pending);
     this.#gauge('wasabiyoke_cells_owned', 'Cells that this host owns', () => state.owners().length);
     this.#gauge('wasabiyoke_configuration_version', 'Version in force', state.configurationVersion);
