--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -27,9 +27,10 @@
 import { PauseDetector } from './ownership/pauseDetector';
 import type { PeerClient } from './peers/peerClient';
 import type { HostClock } from './peers/peerClocks';
-import type { BatchCall } from './peers/peerMessages';
+import type { BatchCall, RunsReply } from './peers/peerMessages';
 import { StatusExchange } from './peers/statusExchange';
 import type { Platform } from './platform';
+import { FoundRuns } from './jobs/foundRuns';
 import type { QueueTable } from './jobs/queueTable';
 import { CellRegistry } from './ownership/cellRegistry';
 import { CellLoads } from './jobs/router';
@@ -60,6 +61,10 @@
 }
 
 const TICK_MS = 25;
+/** Cells whose owners were lost together with this host have new ones so long after its start. */
+const OWNERS_AFTER_START_MS = 300;
+/** An owner that is alive answers its first status call within this time. */
+const FIRST_ANSWER_MS = 150;
 /** A cell without an owner is usually taken over within this time. */
 const TYPICAL_TAKEOVER_MS = 1500;
 /** Time for which a new process claims no cell unless it knows which domains are drained. */
@@ -98,6 +103,8 @@
   /** Null until the layout is known; no cell can be served before that. */
   #layout: CellLayout | null = null;
 
+  readonly #foundRuns: FoundRuns;
+
   readonly #ownerHealth = new Map<string, OwnerHealth>();
 
   /** When this process learned of the present owner of each cell. */
@@ -118,6 +125,8 @@
    */
   readonly #lastServingAtMs = new Map<string, number>();
 
+  #firstServiceMs: number | null = null;
+
   #leaving = false;
 
   #resumeListener: (() => void) | null = null;
@@ -132,6 +141,9 @@
       ...parts,
       onChange: (domain) => this.#drainChanged(domain),
     });
+    this.#foundRuns = new FoundRuns((address, request) => {
+      return parts.peers.runsOf(address, request);
+    }, clock);
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
@@ -250,6 +262,11 @@
     return owners.reduce((sum, { cellState }) => sum + cellState.runCount, 0);
   }
 
+  /** Time from the start of this process until it knew of a served cell; null before that. */
+  get firstServiceMs(): number | null {
+    return this.#firstServiceMs;
+  }
+
   ownerOf(cell: string): CellRecord | null {
     return this.#registry.get(cell);
   }
@@ -267,22 +284,31 @@
 
   /** See `EarlierRunsCluster`. */
   get lacksOwner(): boolean {
-    const { clock, options } = this.#parts;
-    if (clock.nowMs() - this.#startedAtMs > options.submitterTimeoutMs) return false;
+    if (this.#parts.clock.nowMs() - this.#startedAtMs > OWNERS_AFTER_START_MS) return false;
     return (this.#layout?.cells ?? []).some((cell) => !this.isServing(cell));
   }
 
   /** See `EarlierRunsCluster`. */
   async mayRunJob(cell: string, jobId: string): Promise<boolean> {
-    if (this.#ownedCells.get(cell)) return this.mayRunOwnJob(cell, jobId);
+    if (this.#ownedCells.get(cell)) return this.runsInOwnCell(cell, jobId).mayRun;
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return false;
-    return this.#parts.peers.mayRunJob(record.owner.address, { cell, jobId });
+    if (!this.#mayAnswer(cell)) return false;
+    const { address, incarnation } = record.owner;
+    return this.#foundRuns.mayRunJob({ address, incarnation, cell, jobId });
+  }
+
+  /** False if the owner is gone, or has not answered a status call for too long. */
+  #mayAnswer(cell: string): boolean {
+    if (this.isServing(cell)) return true;
+    if (this.#ownerHealth.get(cell) === OwnerHealth.gone) return false;
+    const sinceMs = this.#ownerSinceMs.get(cell) ?? -Infinity;
+    return this.#parts.clock.nowMs() - sinceMs <= FIRST_ANSWER_MS;
   }
 
-  /** True if runs of the job may be in progress in a cell of this host. */
-  mayRunOwnJob(cell: string, jobId: string): boolean {
-    return this.#ownedCells.get(cell)?.mayRunJob(jobId) ?? false;
+  /** Whether runs of the job may be in progress in a cell of this host; not in other cells. */
+  runsInOwnCell(cell: string, jobId: string): RunsReply {
+    return this.#ownedCells.get(cell)?.runsOf(jobId) ?? { mayRun: false };
   }
 
   /** How many tasks of a batch a cell could end in time; null if its owner does not answer. */
@@ -436,9 +462,7 @@
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    this.#served().forEach(({ cell }) => {
-      this.#lastServingAtMs.set(this.#layout?.domainOf(cell) ?? cell, nowMs);
-    });
+    this.#noteService(nowMs);
   }
 
   /** A new process learns first which domains are drained, so that it starts nothing there. */
@@ -446,6 +470,20 @@
     return this.drains.isKnown || nowMs - this.#startedAtMs >= DRAINS_WAIT_MS;
   }
 
+  /** Records that cells are served, and logs the first time of this process. */
+  #noteService(nowMs: number): void {
+    const cells = this.#served().map(({ cell }) => cell);
+    cells.forEach((cell) => {
+      this.#lastServingAtMs.set(this.#layout?.domainOf(cell) ?? cell, nowMs);
+    });
+    if (cells.length === 0 || this.#firstServiceMs !== null) return;
+    this.#firstServiceMs = Math.round(nowMs - this.#startedAtMs);
+    const owned = this.owners.map(({ cell }) => cell);
+    const lacking = (this.#layout?.cells ?? []).filter((cell) => !cells.includes(cell));
+    const sinceStartMs = this.#firstServiceMs;
+    this.#parts.journal.logDecision('first-service', { sinceStartMs, cells, owned, lacking });
+  }
+
   #resume(gapMs: number, nowMs: number): void {
     this.#parts.journal.logDecision('pause-detected', { gapMs: Math.round(gapMs) });
     this.#statusExchange.resume(nowMs);
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -154,7 +154,7 @@
         summary: (cell) => this.#cluster.summary(cell),
         roomIn: (cell, batch, namesWorker) => this.#cluster.roomInOwnCell(cell, batch, namesWorker),
         preview: (request) => previewer.preview(request),
-        mayRunJob: (cell, jobId) => this.#cluster.mayRunOwnJob(cell, jobId),
+        runsOf: (cell, jobId) => this.#cluster.runsInOwnCell(cell, jobId),
         configuration: () => queues.configuration,
       },
       clock,
@@ -164,6 +164,7 @@
     metrics.observeState({
       pending: () => runner.pending,
       owners: () => this.#cluster.owners,
+      firstServiceMs: () => this.#cluster.firstServiceMs,
       configurationVersion: () => queues.configuration?.version ?? 0,
       domains: settings.domains,
       drainedSinceMs: (domain) => this.#cluster.drains.drainedSinceMs(domain),
--- a/test/dispatcher/batchCalls.test.ts
+++ b/test/dispatcher/batchCalls.test.ts
@@ -55,7 +55,7 @@
       },
       withdraw: (_, batchId) => withdrawn.push(batchId),
       summary: () => null,
-      mayRunJob: () => false,
+      runsOf: () => ({ mayRun: false }),
       roomIn: () => null,
       preview: async () => Err('not part of this test'),
       configuration: () => null,
--- a/test/dispatcher/peerPair.ts
+++ b/test/dispatcher/peerPair.ts
@@ -76,7 +76,7 @@
         this.end(batchId, { type: 'lost', reason, started: null, succeeded: [] });
       },
       summary: () => null,
-      mayRunJob: () => false,
+      runsOf: () => ({ mayRun: false }),
       roomIn: () => null,
       preview: async () => Err('not part of this test'),
       configuration: () => null,
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -65,7 +65,7 @@
       },
       withdraw: (_, batchId) => this.withdrawn.push(batchId),
       summary: () => null,
-      mayRunJob: () => false,
+      runsOf: () => ({ mayRun: false }),
       roomIn: () => null,
       preview: async () => Err('not part of this test'),
       configuration: () => null,
