--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -125,9 +125,10 @@
     this.#pauseDetector = new PauseDetector(clock);
     this.#startedAtMs = clock.nowMs();
     this.#lastServingAtMs = this.#startedAtMs;
-    this.#foundRuns = new FoundRuns((address, request) => {
-      return parts.peers.runsOf(address, request);
-    }, clock);
+    this.#foundRuns = new FoundRuns(
+      (address, request) => parts.peers.runsOf(address, request),
+      clock,
+    );
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -54,7 +54,6 @@
     this.#byHost = byHost;
     this.#configuration = configuration;
     this.#firstListeners.forEach((listener) => listener());
-    this.#firstListeners.clear();
     return true;
   }
 
@@ -62,15 +61,14 @@
   whenConfigured(limitMs: number): Promise<void> {
     if (this.#configuration || limitMs <= 0) return Promise.resolve();
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.#firstListeners.delete(listener);
-        resolve();
-      }, limitMs);
-      const listener = () => {
-        clearTimeout(timer);
+      let timer: NodeJS.Timeout | null = null;
+      const end = () => {
+        if (timer) clearTimeout(timer);
+        this.#firstListeners.delete(end);
         resolve();
       };
-      this.#firstListeners.add(listener);
+      timer = setTimeout(end, limitMs);
+      this.#firstListeners.add(end);
     });
   }
 
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -19,12 +19,18 @@
   return { hostId, incarnation: '1', domain, address: `${hostId}:1`, cores: 1 };
 }
 
+interface ClaimCase {
+  readonly owner?: HostIdentity;
+  readonly health?: OwnerHealth;
+  readonly forMs?: number;
+}
+
 /**
  * Keys that a host claims in a domain whose cells all belong to another host; no claim is answered.
  */
 function claimedKeys(
   cells: number,
-  { owner = host('bole-2'), health = OwnerHealth.serving as OwnerHealth, forMs = OBSERVED_MS } = {},
+  { owner = host('bole-2'), health = OwnerHealth.serving, forMs = OBSERVED_MS }: ClaimCase = {},
 ): readonly string[] {
   const keys: string[] = [];
   const store: RecordStore = {
--- a/test/dispatcher/earlierRuns.test.ts
+++ b/test/dispatcher/earlierRuns.test.ts
@@ -107,9 +107,7 @@
       cluster: {
         recentlyTakenOver: () => ['a'],
         lacksOwner: false,
-        mayRunJob: (cell, jobId) => {
-          return foundRuns.mayRunJob({ address, incarnation: '1', cell, jobId });
-        },
+        mayRunJob: (cell, jobId) => foundRuns.mayRunJob({ address, incarnation: '1', cell, jobId }),
       },
       clock,
       journal,
