--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -141,9 +141,10 @@
       ...parts,
       onChange: (domain) => this.#drainChanged(domain),
     });
-    this.#foundRuns = new FoundRuns((address, request) => {
-      return parts.peers.runsOf(address, request);
-    }, clock);
+    this.#foundRuns = new FoundRuns(
+      (address, request) => parts.peers.runsOf(address, request),
+      clock,
+    );
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
