Stop and return tasks that make no progress in a drained cell too

A job with a hanging task in a drained domain waited for its deadline: moves off slow workers were switched off there, because the task can't start on another worker of the cell. It can start in another domain, once its run has been stopped. Test: fails before (the outcome is still open after 2 s).

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -171,11 +171,6 @@
     });
   }
 
-  /** True while the operators have drained the cell's failure domain. */
-  get isDrained(): boolean {
-    return this.#drain.isActive;
-  }
-
   /** Begins or ends the drain of the cell. */
   setDrained(drained: boolean, nowMs: number): void {
     if (drained) this.#drain.begin(nowMs);
@@ -212,8 +207,7 @@
     this.#state.runTracker.report(workerId, report, nowMs);
     const worker = this.workers.get(workerId);
     if (worker) this.#crashMonitor.workerAnswered(worker, report.running);
-    // A run that is moved off a slow worker could not be started again in a drained cell.
-    if (!this.isDrained) this.#progressMonitor.check(workerId, nowMs);
+    this.#progressMonitor.check(workerId, nowMs);
     this.#takeover.finishCompletedBatches(nowMs);
     this.#crashMonitor.applyVerdicts(nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
--- a/test/cells/cellDrain.test.ts
+++ b/test/cells/cellDrain.test.ts
@@ -79,6 +79,25 @@
     });
   });
 
+  // Guards against a task that hangs on its worker until the deadline, because it can't be moved to
+  // another one of the cell.
+  it('returns a task that makes no progress, as soon as its run has been stopped', () => {
+    const simulation = CellSimulation.withWorkers(2);
+    Object.assign(simulation.workers[1]?.faults ?? {}, { hangs: true });
+    const batch = batchOf({ ...PATIENT, taskCount: 2, estimateMs: 300 });
+    const record = simulation.offer({ ...batch, shape: { ...batch.shape, cpuMillis: 40_000 } });
+    simulation.advance(5);
+    drain(simulation);
+    simulation.advance(2000);
+    expect(record.outcome).toEqual({
+      type: 'lost',
+      reason: 'domain-drained',
+      started: [],
+      succeeded: [`${batch.jobId}.0.0.0`],
+      failures: {},
+    });
+  });
+
   // Guards against runs that are stopped because the cell has changed its owner during the drain.
   it('lets submitters claim runs of the previous owner', () => {
     const worker = CellSimulation.worker('w0');
