Request a worker's list as soon as a stop of an unanswered start is confirmed

In the logs 83 runs of these seconds ended as stopped 600 to 800 ms after their start, for tasks of 20 to 170 ms.

Cause: a start without an answer is stopped after 120 ms, and its task starts elsewhere once a list that was requested after the confirmation of the stop lacks the run. No list was requested then: the pending renewal, which had been sent before, waited its 350 ms (600 ms on an idle worker) first.

Ruled out: slow workers and long tasks, which cost 2 late of 4,511 jobs in the first 6 s; another second run before the list, which could overlap.

A confirmed stop of a run that the worker has never listed or confirmed is now followed by a list within 2 ms; stops confirmed together share it. The new test (46 workers, a start that is never answered) fails before and passes now: the task starts elsewhere 135 ms after the first start.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -182,6 +182,12 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
+  /** True if only a list of the worker can show whether a stopped run was ever started there. */
+  awaitsList(task: string, run: number, workerId: string): boolean {
+    const stopped = this.workers.get(workerId)?.runs.get(runKey(task, run));
+    return stopped !== undefined && !stopped.listed && stopped.confirmedAtMs === null;
+  }
+
   stopUnanswered(task: string, run: number, workerId: string): void {
     this.#state.runTracker.stopUnanswered(runKey(task, run), workerId);
   }
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -198,6 +198,7 @@
       if (answer === StopAnswer.unclear) this.#cell.stopUnanswered(task, run, workerId);
       if (answer !== StopAnswer.confirmed) return;
       this.#cell.stopConfirmed(task, run, workerId, this.#now());
+      if (this.#cell.awaitsList(task, run, workerId)) session.requestList();
       this.#performActions();
     });
   }
--- a/src/dispatcher/ownership/workerSession.ts
+++ b/src/dispatcher/ownership/workerSession.ts
@@ -74,6 +74,9 @@
  */
 const WITHHELD_WAIT_FRACTION = 0.2;
 
+/** Stops that are confirmed within this time of each other share one list of the worker's runs. */
+const LIST_DELAY_MS = 2;
+
 /** Latest end, on this host's clock, of a lease of `leaseMs` given at `nowMs`. */
 export function latestLeaseEndMs(leaseMs: number, nowMs: number): number {
   return nowMs + leaseMs * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS;
@@ -125,6 +128,8 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  #listTimer: NodeJS.Timeout | null = null;
+
   constructor(
     target: WorkerTarget,
     workerClient: WorkerClient,
@@ -173,10 +178,24 @@
     return this.#workerClient.stop(this.#target, { task, run, fencingToken });
   }
 
+  /**
+   * Requests a list of the worker's runs, instead of waiting for the pending renewal. After a
+   * confirmed stop only a list that was requested later shows that a start without an answer has
+   * not been carried out.
+   */
+  requestList(): void {
+    if (this.#closed) return;
+    this.#listTimer ??= setTimeout(() => {
+      this.#listTimer = null;
+      this.#renew(0);
+    }, LIST_DELAY_MS);
+  }
+
   /** Ends the session. Leases that it gave expire. */
   close(): void {
     this.#closed = true;
     this.#cancelTimer();
+    if (this.#listTimer) clearTimeout(this.#listTimer);
   }
 
   #busyWaitMs(): number {
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -293,6 +293,20 @@
     expect(simulation.workers.flatMap(({ starts }) => starts).length).toEqual(1);
   });
 
+  // Guards against waiting for the pending renewal, which waits longer the more workers a cell has.
+  it('starts elsewhere as soon as the stop is confirmed, in a large cell too', async (t) => {
+    const workers = Array.from({ length: 46 }, (_, index) => new LeasedWorker(`w${index}`));
+    const simulation = simulationOf(t, ...workers);
+    Object.assign(workers[0] ?? {}, { startDelaysMs: [5000] });
+    await simulation.advance(5);
+    run(simulation, batchOf(LONG));
+    // The start times out after 120 ms; a stop and two lists follow.
+    await simulation.advance(135);
+    expect(workers.flatMap(({ starts }) => starts).length).toEqual(1);
+    await simulation.advance(7000);
+    expect(workers.flatMap(({ starts }) => starts).length).toEqual(1);
+  });
+
   // Guards against leases under which the worker executes the start when it answers again.
   it('does not overlap with a second run if its worker was silent beyond its leases', async (t) => {
     const simulation = simulationWithLateStart(t, 1900, 0);
