--- a/src/dispatcher/transport/pooledCall.ts
+++ b/src/dispatcher/transport/pooledCall.ts
@@ -35,7 +35,8 @@
     this.#handlers = handlers;
     signal?.addEventListener('abort', this.#abort, { once: true });
     if (timeoutMs === undefined) return;
-    const onTimeout = () => this.fail(new Error(`no answer within ${timeoutMs} ms`));
+    // After a pause of the process, timers fire before the answers that have arrived are read.
+    const onTimeout = () => setImmediate(() => this.#timeOut(timeoutMs));
     this.#timer = setTimeout(onTimeout, timeoutMs);
   }
 
@@ -55,6 +56,10 @@
     this.#fail(error);
   }
 
+  #timeOut(timeoutMs: number): void {
+    if (!this.#ended) this.fail(new Error(`no answer within ${timeoutMs} ms`));
+  }
+
   readonly #abort = (): void => this.fail(new Error('the call was aborted'));
 
   #fail(error: Error): void {
--- a/test/dispatcher/keepAlivePool.test.ts
+++ b/test/dispatcher/keepAlivePool.test.ts
@@ -172,6 +172,19 @@
     expect([server.sockets.length, server.requests.length]).toEqual([1, 2]);
   });
 
+  // Guards against starts that count as unanswered because this process was paused meanwhile.
+  it('uses an answer that arrived in time but is read after a pause of the process', async () => {
+    const server = await serverOf((socket) => {
+      socket.write(OK);
+      const untilMs = performance.now() + 80;
+      while (performance.now() < untilMs);
+    });
+    const pool = poolOf(server);
+    expect((await pool.call(REQUEST, { timeoutMs: 40 })).status).toEqual(200);
+    expect((await pool.call(REQUEST, { timeoutMs: 40 })).status).toEqual(200);
+    expect(server.sockets.length).toEqual(1);
+  });
+
   // Guards against a call on a connection that its server is about to close.
   it('opens a new connection when the idle limit of the server is short', async () => {
     const brief = 'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\ncontent-length: 2\r\n\r\n{}';
