Request a worker's list when a run is overdue

Cause: workers leave renewals unanswered too, not only starts. The end of a run is then learned when that renewal times out, after up to 438 ms in a cell of 41 workers and 700 ms on a worker that was idle before.

A run that has not ended after 1.5 times its expected time and 20 ms while a renewal is pending is looked up by a list, once (log line run-overdue). Ruled out: shorter renewals, which cost calls for all runs.

Tests: both new ones fail without the timer. LeasedWorker gets lostRenewals.

--- a/src/cells/run.ts
+++ b/src/cells/run.ts
@@ -96,6 +96,15 @@
   };
 }
 
+/** A run is overdue after this many times its expected run time plus a margin. */
+const OVERDUE_RATIO = 1.5;
+const OVERDUE_MARGIN_MS = 20;
+
+/** Time from which a run should have ended. */
+export function overdueAtMs({ startedAtMs, expectedMs }: Run): number {
+  return startedAtMs + OVERDUE_RATIO * expectedMs + OVERDUE_MARGIN_MS;
+}
+
 /** Key of a run in a map. */
 export function runKey(task: string, run: number): string {
   return `${task}#${run}`;
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -5,7 +5,7 @@
  */
 import { WorkerHealth } from '../core/health';
 import type { TaskShape } from './job';
-import { Isolation, runKey, RunState, type Run } from './run';
+import { Isolation, overdueAtMs, runKey, RunState, type Run } from './run';
 
 /** A worker in the platform's list. */
 export interface WorkerEntry {
@@ -125,6 +125,15 @@
     );
   }
 
+  /** Time after `nowMs` at which the next run is overdue; Infinity if none will be. */
+  nextOverdueAtMs(nowMs: number): number {
+    return [...this.runs.values()].reduce((earliestMs, run) => {
+      const isAwaited = run.awaited && run.state !== RunState.stopping;
+      const atMs = overdueAtMs(run);
+      return isAwaited && atMs > nowMs ? Math.min(earliestMs, atMs) : earliestMs;
+    }, Infinity);
+  }
+
   /** Keeps a run that no batch waits for any more and whose stop is not confirmed. */
   retainReleased(run: Run): void {
     this.runs.set(runKey(run.task, run.run), {
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -219,6 +219,8 @@
       {
         workerCount: () => this.#sessions.size,
         isIdle: () => this.#cell.workers.get(workerId)?.runs.size === 0,
+        nextOverdueAtMs: () =>
+          this.#cell.workers.get(workerId)?.nextOverdueAtMs(clock.nowMs()) ?? Infinity,
         leaseLimitMs: () => this.#cell.leaseLimitMs(workerId),
       },
       {
@@ -235,6 +237,13 @@
           this.#cell.workerRestarted(id, this.#now());
           performActions();
         },
+        overdue: (id, renewalAgeMs) =>
+          journal.logDecision('run-overdue', {
+            cell,
+            worker: id,
+            runs: this.#cell.workers.get(id)?.runs.size ?? 0,
+            renewalAgeMs: Math.round(renewalAgeMs),
+          }),
         fenced: (id) => this.#reportFenced(id),
         renewed: (id, leasesEndMs) => this.#cell.renewed(id, leasesEndMs),
       },
--- a/src/dispatcher/ownership/workerSession.ts
+++ b/src/dispatcher/ownership/workerSession.ts
@@ -38,6 +38,8 @@
   workerCount(): number;
   /** True while nothing runs on the worker. */
   isIdle(): boolean;
+  /** Time from now on at which the next run on the worker is overdue; Infinity if none will be. */
+  nextOverdueAtMs(): number;
   /** Longest permitted duration of a lease given now; 0 or less if none may be given. */
   leaseLimitMs(): number;
 }
@@ -47,6 +49,8 @@
   reported(workerId: string, report: WorkerReport): void;
   silent(workerId: string, error: string): void;
   restarted(workerId: string): void;
+  /** A run should have ended, and the renewal sent `renewalAgeMs` ago has not been answered. */
+  overdue(workerId: string, renewalAgeMs: number): void;
   fenced(workerId: string): void;
   /** All leases given so far end by `leasesEndMs` on this host's clock. */
   renewed(workerId: string, leasesEndMs: number): void;
@@ -123,6 +127,8 @@
   /** Number of the last renewal sent. Only the answer to this one triggers the next renewal. */
   #latestRenewal = 0;
 
+  #renewedAtMs = 0;
+
   /** Time until which the last renewal may wait at the worker. */
   #pendingUntilMs = 0;
 
@@ -130,6 +136,8 @@
 
   #listTimer: NodeJS.Timeout | null = null;
 
+  #overdueTimer: NodeJS.Timeout | null = null;
+
   constructor(
     target: WorkerTarget,
     workerClient: WorkerClient,
@@ -161,6 +169,7 @@
     const leaseMs = this.#leaseMs();
     const leaseEndClockMs = this.#leaseEndClockMs(leaseMs) ?? 0;
     this.#reportLease(leaseMs);
+    this.#awaitOverdueRun();
     const answer = await this.#workerClient.start(this.#target, {
       task,
       run,
@@ -196,6 +205,22 @@
     this.#closed = true;
     this.#cancelTimer();
     if (this.#listTimer) clearTimeout(this.#listTimer);
+    if (this.#overdueTimer) clearTimeout(this.#overdueTimer);
+  }
+
+  /**
+   * Requests a list when a run should have ended for some time and the pending renewal may wait
+   * longer, in case its answer is lost.
+   */
+  #awaitOverdueRun(): void {
+    if (this.#overdueTimer) clearTimeout(this.#overdueTimer);
+    this.#overdueTimer = null;
+    const atMs = this.#context.nextOverdueAtMs();
+    if (this.#closed || atMs >= this.#pendingUntilMs) return;
+    this.#overdueTimer = setTimeout(() => {
+      this.#events.overdue(this.#target.id, this.#clock.nowMs() - this.#renewedAtMs);
+      this.requestList();
+    }, atMs - this.#clock.nowMs());
   }
 
   #busyWaitMs(): number {
@@ -227,7 +252,9 @@
     const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs(leaseMs) : null;
     const waitMs = Math.round(longestWaitMs * (mayExtend ? 1 : WITHHELD_WAIT_FRACTION));
     if (leaseEndClockMs !== null) this.#reportLease(leaseMs);
+    this.#renewedAtMs = sentAtMs;
     this.#pendingUntilMs = sentAtMs + waitMs;
+    this.#awaitOverdueRun();
     const acknowledged = this.#acknowledged;
     const request = { fencingToken: this.#fencingToken, acknowledged, leaseEndClockMs, waitMs };
     this.#workerClient.renew(this.#target, request).then((answer) => {
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -340,6 +340,21 @@
   });
 });
 
+describe('a run whose end is not reported', () => {
+  // Guards against a short task whose end is learned only when the renewal that waits for it times
+  // out, in a cell with so many workers that renewals wait long.
+  it('is looked up when it is overdue', async (t) => {
+    const workers = Array.from({ length: 46 }, (_, index) => new LeasedWorker(`w${index}`));
+    const simulation = simulationOf(t, ...workers);
+    await simulation.advance(5);
+    workers.forEach((worker) => Object.assign(worker, { lostRenewals: 1 }));
+    await simulation.advance(600);
+    const record = run(simulation, batchOf({ payload: '60', estimateMs: 60, goalMs: 900 }));
+    await simulation.advance(130);
+    expect(record.outcome).toEqual({ type: 'done' });
+  });
+});
+
 describe('a job that is resubmitted while a run of it is in the cell', () => {
   const FIRST = { jobId: 'twice', estimateMs: 900, goalMs: 9000, deadlineInMs: 12_000 } as const;
 
--- a/test/dispatcher/leasedWorker.ts
+++ b/test/dispatcher/leasedWorker.ts
@@ -30,6 +30,9 @@
 
   silent = false;
 
+  /** Number of renewals whose answers are lost, beginning with the next one. */
+  lostRenewals = 0;
+
   /**
    * Delays of starts that are not answered, beginning with the next one; each is executed after its
    * delay.
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -120,7 +120,9 @@
 
   async renew(target: WorkerTarget, request: RenewRequest): Promise<RenewAnswer> {
     const worker = this.#worker(target);
-    if (!worker.silent) return worker.renew(request);
+    const isLost = worker.silent || worker.lostRenewals > 0;
+    worker.lostRenewals = Math.max(0, worker.lostRenewals - 1);
+    if (!isLost) return worker.renew(request);
     await sleep(request.waitMs + REQUEST_TIMEOUT_MS);
     return { type: 'silent', error: 'timed out' };
   }
--- a/test/dispatcher/workerSession.test.ts
+++ b/test/dispatcher/workerSession.test.ts
@@ -48,6 +48,8 @@
 
   isIdle = true;
 
+  nextOverdueAtMs = Infinity;
+
   startAnswer: StartAnswer = StartAnswer.accepted;
 
   nowMs = 0;
@@ -74,13 +76,19 @@
       workerClient,
       1000,
       OPTIONS,
-      { workerCount: () => 1, isIdle: () => this.isIdle, leaseLimitMs: () => Infinity },
+      {
+        workerCount: () => 1,
+        isIdle: () => this.isIdle,
+        nextOverdueAtMs: () => this.nextOverdueAtMs,
+        leaseLimitMs: () => Infinity,
+      },
       {
         reported: (_, report) => this.reports.push(report),
         silent: (_, error) => this.silences.push(error),
         restarted: () => {
           this.restarts += 1;
         },
+        overdue: () => {},
         fenced: () => {},
         renewed: () => {},
       },
@@ -184,6 +192,25 @@
   });
 });
 
+describe('the renewals of a worker with a run that should have ended', () => {
+  // Guards against an end that is learned only when a renewal whose answer is lost times out.
+  it('are followed by a list once the run is overdue, and by none before', async (t) => {
+    const simulation = new SessionSimulation(t);
+    await simulation.settle();
+    simulation.isIdle = false;
+    simulation.nextOverdueAtMs = 70;
+    await simulation.session.start('a.0.0.0', 1, '');
+    await simulation.pass(69);
+    expect(simulation.waitsMs).toEqual([0, 0, 600]);
+    simulation.nextOverdueAtMs = Infinity;
+    await simulation.pass(1);
+    await simulation.pass(2);
+    expect(simulation.waitsMs).toEqual([0, 0, 600, 0]);
+    await simulation.answer(3, { ...LISTED, ended: [{ ...END, sequence: 1 }] });
+    expect(simulation.reports.at(-1)?.ended.length).toEqual(1);
+  });
+});
+
 describe('a worker with more ended runs than it lists at a time', () => {
   // Guards against waiting for a whole renewal before the next part of the list.
   it('is renewed at once to get the next part', async (t) => {
