Place tasks last on workers that have recently stopped answering

Cause: a worker that answers again was used at once as if nothing had happened, and often first, as it was empty, until it fell silent again.

For 5 s after it stopped answering, a worker costs as much in placement as a run that takes twice as long: others with room are preferred, and it is used as before where none has any. Ruled out: shorter leases (renewals of all runs; a new owner needs what is left of them) and keeping such workers free (a cut silences all).

Without a silent worker no cost changes. `placed` logs isUnstable where such a worker was used all the same.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -205,7 +205,7 @@
   workerSilent(workerId: string, nowMs: number): void {
     const worker = this.#state.runTracker.workers.get(workerId);
     if (!worker?.reachable) return;
-    this.#state.runTracker.workerSilent(workerId);
+    this.#state.runTracker.workerSilent(workerId, nowMs);
     this.#state.logDecision('worker-silent', { worker: workerId, runs: worker.runs.size });
     this.#crashMonitor.workerLost(worker);
     this.#giveUpLateBatches(nowMs);
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -200,6 +200,7 @@
       freeCpuMillis: worker.freeCpuMillis,
       slowness: Number(worker.slowness.toFixed(2)),
       expectedMs: Math.round(run.expectedMs),
+      ...(worker.isUnstable(nowMs) ? { isUnstable: true } : {}),
       ...(isolation === Isolation.none ? {} : { isolation, neighbours: worker.runs.size - 1 }),
     });
   }
--- a/src/cells/placement.ts
+++ b/src/cells/placement.ts
@@ -14,6 +14,8 @@
 const OTHER_RACK_COST = 0.5;
 /** Cost of running beside a task that may crash the worker. */
 const ISOLATED_NEIGHBOUR_COST = 1;
+/** Cost of a worker that has recently stopped answering; its runs would be lost for a lease. */
+const UNSTABLE_COST = 1;
 
 /** Input of a placement decision besides the workers. */
 export interface PlacementQuery {
@@ -38,7 +40,7 @@
   return count;
 }
 
-function costOf(worker: CellWorker, shape: TaskShape): number {
+function costOf(worker: CellWorker, { shape, nowMs }: PlacementQuery): number {
   const { cpuMillis, labels } = worker.entry;
   const unusedFraction = (worker.freeCpuMillis - shape.cpuMillis) / Math.max(1, cpuMillis);
   const isOtherRack = shape.preferredRack !== null && !labels.includes(shape.preferredRack);
@@ -46,13 +48,14 @@
     worker.slowness +
     UNUSED_CPU_WEIGHT * unusedFraction +
     (isOtherRack ? OTHER_RACK_COST : 0) +
-    (worker.isolation === Isolation.none ? 0 : ISOLATED_NEIGHBOUR_COST)
+    (worker.isolation === Isolation.none ? 0 : ISOLATED_NEIGHBOUR_COST) +
+    (worker.isUnstable(nowMs) ? UNSTABLE_COST : 0)
   );
 }
 
 /** Cost of an isolated task, which is to share its worker with as few runs as possible. */
-function isolatedCostOf(worker: CellWorker, shape: TaskShape): number {
-  return worker.runs.size * ISOLATED_NEIGHBOUR_COST + costOf(worker, shape);
+function isolatedCostOf(worker: CellWorker, query: PlacementQuery): number {
+  return worker.runs.size * ISOLATED_NEIGHBOUR_COST + costOf(worker, query);
 }
 
 /** True if the runs on the worker permit this isolation of another one. */
@@ -85,7 +88,7 @@
   const placementCost = query.isolation === Isolation.none ? costOf : isolatedCostOf;
   Array.from(workers).forEach((worker) => {
     if (!isAllowed(worker, query)) return;
-    const cost = placementCost(worker, query.shape);
+    const cost = placementCost(worker, query);
     if (cost >= bestCost) return;
     best = worker;
     bestCost = cost;
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -184,9 +184,11 @@
   }
 
   /** The worker does not answer. Its runs may continue until its leases expire. */
-  workerSilent(workerId: string): void {
+  workerSilent(workerId: string, nowMs: number): void {
     const worker = this.workers.get(workerId);
-    if (worker) worker.reachable = false;
+    if (!worker) return;
+    worker.reachable = false;
+    worker.silentAtMs = nowMs;
   }
 
   /**
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -34,6 +34,9 @@
  */
 const MAX_START_DELAY_MS = 30_000;
 
+/** A worker that has not answered counts as unstable for this long, in milliseconds. */
+const UNSTABLE_MS = 5000;
+
 /** State of one worker in its cell. */
 export class CellWorker {
   entry: WorkerEntry;
@@ -45,6 +48,9 @@
   /** True while the worker answers. No task is started on a worker that has not answered yet. */
   reachable = false;
 
+  /** Time at which the worker last stopped answering. */
+  silentAtMs = -Infinity;
+
   /** Time at which the worker went missing from the list; null while it is listed. */
   missingSinceMs: number | null = null;
 
@@ -196,6 +202,11 @@
     );
   }
 
+  /** True for some time after the worker has stopped answering, because it may do so again. */
+  isUnstable(nowMs: number): boolean {
+    return nowMs - this.silentAtMs < UNSTABLE_MS;
+  }
+
   /** Updates the slowness with the ratio of a run time to the expected one. */
   learnSlowness(ratio: number): void {
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
