--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -203,6 +203,12 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
+  /** True if only a list of the worker can show whether a stopped run was ever started there. */
+  awaitsList(task: string, run: number, workerId: string): boolean {
+    const stopped = this.workers.get(workerId)?.runs.get(runKey(task, run));
+    return stopped !== undefined && !stopped.listed && stopped.confirmedAtMs === null;
+  }
+
   stopUnanswered(task: string, run: number, workerId: string): void {
     this.#state.runTracker.stopUnanswered(runKey(task, run), workerId);
   }
@@ -220,7 +226,7 @@
   workerSilent(workerId: string, nowMs: number): void {
     const worker = this.#state.runTracker.workers.get(workerId);
     if (!worker?.reachable) return;
-    this.#state.runTracker.workerSilent(workerId);
+    this.#state.runTracker.workerSilent(workerId, nowMs);
     this.#state.logDecision('worker-silent', { worker: workerId, runs: worker.runs.size });
     this.#crashMonitor.workerLost(worker);
     this.#giveUpLateBatches(nowMs);
