--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -148,7 +148,10 @@
 
   /** Number of tasks that are neither done, nor running, nor held. */
   get waitingCount(): number {
-    return this.tasks.filter(({ done, workerId, isHeld }) => !done && workerId === null && !isHeld)
-      .length;
+    let count = 0;
+    this.tasks.forEach(({ done, workerId, isHeld }) => {
+      if (!done && workerId === null && !isHeld) count += 1;
+    });
+    return count;
   }
 }
--- a/src/cells/crashHistory.ts
+++ b/src/cells/crashHistory.ts
@@ -112,6 +112,7 @@
 
   /** How the task may be started now. */
   verdict(task: string): CrashVerdict {
+    if (!this.#tasks.has(task)) return CrashVerdict.none;
     const nowMs = this.#timeOfDayMs();
     const records = this.#live(task, nowMs);
     if (records.length === 0) return CrashVerdict.none;
--- a/src/cells/progressMonitor.ts
+++ b/src/cells/progressMonitor.ts
@@ -2,7 +2,7 @@
  * Acts on reported progress: moves runs off a worker that slows them down, and gives up batches
  * that cannot meet their deadline.
  */
-import type { TaskEntry } from './batch';
+import type { Batch, TaskEntry } from './batch';
 import type { CellState } from './cellState';
 import { BatchReason } from './messages';
 import { isSlowedByWorker, willMissDeadline, isWorthMoving, type Comparison } from './progress';
@@ -29,7 +29,7 @@
       const found = this.#state.taskOf(run);
       if (!found || run.state !== RunState.running) return;
       const { batch, task } = found;
-      const slowed = isSlowedByWorker(run, this.#comparisonOf(run, worker));
+      const slowed = isSlowedByWorker(run, this.#comparisonOf(run, batch, worker));
       if (slowed && isWorthMoving(run, batch.expectedMs, nowMs)) {
         this.#move(run, task, worker, nowMs);
       } else if (!slowed && willMissDeadline(run, batch.deadlineAtMs)) {
@@ -38,14 +38,10 @@
     });
   }
 
-  #comparisonOf(run: Run, worker: CellWorker): Comparison {
-    const siblings: Run[] = [];
-    this.#state.runTracker.workers.forEach((other) => {
-      if (other === worker) return;
-      other.runs.forEach((sibling) => {
-        if (sibling.batchId === run.batchId) siblings.push(sibling);
-      });
-    });
+  #comparisonOf(run: Run, batch: Batch, worker: CellWorker): Comparison {
+    const siblings = batch.tasks
+      .flatMap(({ name }) => this.#state.runTracker.runsOf(name))
+      .filter(({ batchId, workerId }) => batchId === batch.id && workerId !== run.workerId);
     const neighbours = [...worker.runs.values()].filter(({ jobId }) => jobId !== run.jobId);
     return { siblings, neighbours };
   }
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -205,6 +205,13 @@
     });
   }
 
+  #isAnyServing(): boolean {
+    const cells = this.#layout?.cells ?? [];
+    return cells.some(
+      (cell) => this.isServing(cell) && (this.loads.get(cell)?.capacityCpuMillis ?? 0) > 0,
+    );
+  }
+
   /** True if cells were served until recently, so that a new owner can be expected soon. */
   get expectsOwner(): boolean {
     return this.#parts.clock.nowMs() - this.#lastServingAtMs < TYPICAL_TAKEOVER_MS;
@@ -357,7 +364,7 @@
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    if (this.serving().length > 0) this.#lastServingAtMs = nowMs;
+    if (this.#isAnyServing()) this.#lastServingAtMs = nowMs;
   }
 
   #resume(gapMs: number, nowMs: number): void {
--- a/src/dispatcher/ownership/cellRegistry.ts
+++ b/src/dispatcher/ownership/cellRegistry.ts
@@ -53,6 +53,9 @@
 
   readonly #hosts = new Map<string, HostIdentity>();
 
+  /** Cached list of the other hosts of this domain; null if the hosts have changed since. */
+  #domainPeers: readonly HostIdentity[] | null = null;
+
   /** Cached digest; null if the records have changed since it was computed. */
   #digest: string | null = null;
 
@@ -125,9 +128,10 @@
   /** Other registered hosts of this host's failure domain. */
   domainPeers(): readonly HostIdentity[] {
     const { self } = this.#parts;
-    return [...this.#hosts.values()].filter(
+    this.#domainPeers ??= [...this.#hosts.values()].filter(
       ({ hostId, domain }) => domain === self.domain && hostId !== self.hostId,
     );
+    return this.#domainPeers;
   }
 
   /** True if the record supersedes the one last read from the store. */
@@ -249,6 +253,7 @@
       this.#parts.journal.logDecision('record-unreadable', { key: entry.key });
     } else if (decoded.type === 'host') {
       this.#hosts.set(decoded.host.hostId, decoded.host);
+      this.#domainPeers = null;
     } else if (decoded.type === 'crashes') {
       this.#parts.onCrashes(decoded.hostId, decoded.records);
     } else if (decoded.type === 'layout') {
