Move the choice of cells that take tasks out of the cluster

What decides which of the served cells take tasks, and whether an owner is still expected, stands in openCells.ts now; nothing else changes.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -29,6 +29,7 @@
 import type { HostClock } from './peers/peerClocks';
 import type { BatchCall } from './peers/peerMessages';
 import { StatusExchange } from './peers/statusExchange';
+import { OpenCells } from './openCells';
 import type { Platform } from './platform';
 import type { QueueTable } from './jobs/queueTable';
 import { CellRegistry } from './ownership/cellRegistry';
@@ -60,8 +61,6 @@
 }
 
 const TICK_MS = 25;
-/** A cell without an owner is usually taken over within this time. */
-const TYPICAL_TAKEOVER_MS = 1500;
 /** Time for which a new process claims no cell unless it knows which domains are drained. */
 const DRAINS_WAIT_MS = 1000;
 
@@ -103,8 +102,7 @@
   /** When this process learned of the present owner of each cell. */
   readonly #ownerSinceMs = new Map<string, number>();
 
-  /** When this process learned of the latest drain; null while no domain is drained. */
-  #drainLearnedAtMs: number | null = null;
+  readonly #openCells: OpenCells;
 
   readonly #startedAtMs: number;
 
@@ -112,12 +110,6 @@
 
   readonly #pauseDetector: PauseDetector;
 
-  /**
-   * Last time at which some cell of a domain was being served, by domain; initially the time of the
-   * start.
-   */
-  readonly #lastServingAtMs = new Map<string, number>();
-
   #leaving = false;
 
   #resumeListener: (() => void) | null = null;
@@ -127,11 +119,16 @@
     const { self, platform, journal, clock, options } = parts;
     this.#pauseDetector = new PauseDetector(clock);
     this.#startedAtMs = clock.nowMs();
-    parts.domains.forEach((domain) => this.#lastServingAtMs.set(domain, this.#startedAtMs));
     this.drains = new DrainedDomains({
       ...parts,
       onChange: (domain) => this.#drainChanged(domain),
     });
+    this.#openCells = new OpenCells({
+      ...parts,
+      drains: this.drains,
+      domainOf: (cell) => this.#domainOf(cell),
+      hasAnsweredSince: (cell, sinceMs) => this.#hasAnsweredSince(cell, sinceMs),
+    });
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
@@ -150,7 +147,7 @@
     this.#ownedCells = new OwnedCells({
       ...parts,
       workerClient: platform.workerClient,
-      isDrained: (cell) => this.#isDrained(cell),
+      isDrained: (cell) => this.#openCells.isDrained(cell),
     });
     this.#claims = new CellClaims({
       ...parts,
@@ -223,9 +220,7 @@
    * domain is not drained. During a drain, owners that have been heard since it began are preferred.
    */
   serving(): readonly CellSummary[] {
-    const open = this.#served().filter(({ cell }) => !this.#isDrained(cell));
-    const heard = open.filter(({ cell }) => this.#isHeardInDrain(cell));
-    return heard.length > 0 ? heard : open;
+    return this.#openCells.among(this.#served());
   }
 
   /** True if some cell is served, also if its domain is drained. */
@@ -233,20 +228,14 @@
     return this.#served().length > 0;
   }
 
-  /**
-   * True if cells of a domain that is not drained were served until recently, so that a new owner
-   * can be expected soon.
-   */
+  /** True if a new owner of a cell that takes tasks can be expected soon. */
   get expectsOwner(): boolean {
-    const sinceMs = this.#parts.clock.nowMs() - TYPICAL_TAKEOVER_MS;
-    return [...this.#lastServingAtMs].some(
-      ([domain, atMs]) => atMs > sinceMs && !this.drains.isDrained(domain),
-    );
+    return this.#openCells.expectsOwner;
   }
 
   /** Number of runs in progress in the cells of a domain that this host owns. */
   runsIn(domain: string): number {
-    const owners = this.owners.filter(({ cell }) => this.#layout?.domainOf(cell) === domain);
+    const owners = this.owners.filter(({ cell }) => this.#domainOf(cell) === domain);
     return owners.reduce((sum, { cellState }) => sum + cellState.runCount, 0);
   }
 
@@ -349,33 +338,24 @@
     });
   }
 
-  /** Without a layout, a domain is one cell of the same name. */
-  #isDrained(cell: string): boolean {
-    return this.drains.isDrained(this.#layout?.domainOf(cell) ?? cell);
-  }
-
-  /**
-   * A drain sends the tasks of the domain to owners elsewhere at once, also to those that this host
-   * has used little and polls seldom. They are polled now, because one may have been cut off since.
-   */
+  /** Polls all owners at the beginning of a drain, as some may have been cut off since. */
   #drainChanged(domain: string): void {
+    this.#openCells.drainChanged(domain);
     this.#ownedCells.updateDrains();
-    if (this.drains.isDrained(domain)) {
-      this.#drainLearnedAtMs = this.#parts.clock.nowMs();
-      this.#statusExchange.expediteAll();
-      this.#pollPeers(this.#drainLearnedAtMs);
-    } else if (!this.#parts.domains.some((other) => this.drains.isDrained(other))) {
-      this.#drainLearnedAtMs = null;
-    }
+    if (!this.drains.isDrained(domain)) return;
+    this.#statusExchange.expediteAll();
+    this.#pollPeers(this.#parts.clock.nowMs());
   }
 
-  /** True if the owner of a cell has answered since the latest drain began, or if there is none. */
-  #isHeardInDrain(cell: string): boolean {
-    if (this.#drainLearnedAtMs === null || this.#ownedCells.get(cell)) return true;
+  #hasAnsweredSince(cell: string, sinceMs: number): boolean {
+    if (this.#ownedCells.get(cell)) return true;
     const record = this.#registry.get(cell);
-    return (
-      record !== null && this.#statusExchange.hasAnsweredSince(record.owner, this.#drainLearnedAtMs)
-    );
+    return record !== null && this.#statusExchange.hasAnsweredSince(record.owner, sinceMs);
+  }
+
+  /** Without a layout, a domain is one cell of the same name. */
+  #domainOf(cell: string): string {
+    return this.#layout?.domainOf(cell) ?? cell;
   }
 
   #applyLayout(cellsPerDomain: number): void {
@@ -436,9 +416,7 @@
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    this.#served().forEach(({ cell }) => {
-      this.#lastServingAtMs.set(this.#layout?.domainOf(cell) ?? cell, nowMs);
-    });
+    this.#openCells.recordServed(this.#served());
   }
 
   /** A new process learns first which domains are drained, so that it starts nothing there. */
