--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -29,6 +29,7 @@
 import type { HostClock } from './peers/peerClocks';
 import type { BatchCall, RunsReply } from './peers/peerMessages';
 import { StatusExchange } from './peers/statusExchange';
+import { OpenCells } from './openCells';
 import type { Platform } from './platform';
 import { FoundRuns } from './jobs/foundRuns';
 import type { QueueTable } from './jobs/queueTable';
@@ -65,8 +66,6 @@
 const OWNERS_AFTER_START_MS = 300;
 /** An owner that is alive answers its first status call within this time. */
 const FIRST_ANSWER_MS = 150;
-/** A cell without an owner is usually taken over within this time. */
-const TYPICAL_TAKEOVER_MS = 1500;
 /** Time for which a new process claims no cell unless it knows which domains are drained. */
 const DRAINS_WAIT_MS = 1000;
 
@@ -110,8 +109,7 @@
   /** When this process learned of the present owner of each cell. */
   readonly #ownerSinceMs = new Map<string, number>();
 
-  /** When this process learned of the latest drain; null while no domain is drained. */
-  #drainLearnedAtMs: number | null = null;
+  readonly #openCells: OpenCells;
 
   readonly #startedAtMs: number;
 
@@ -119,12 +117,6 @@
 
   readonly #pauseDetector: PauseDetector;
 
-  /**
-   * Last time at which some cell of a domain was being served, by domain; initially the time of the
-   * start.
-   */
-  readonly #lastServingAtMs = new Map<string, number>();
-
   #firstServiceMs: number | null = null;
 
   #leaving = false;
@@ -136,7 +128,6 @@
     const { self, platform, journal, clock, options } = parts;
     this.#pauseDetector = new PauseDetector(clock);
     this.#startedAtMs = clock.nowMs();
-    parts.domains.forEach((domain) => this.#lastServingAtMs.set(domain, this.#startedAtMs));
     this.drains = new DrainedDomains({
       ...parts,
       onChange: (domain) => this.#drainChanged(domain),
@@ -145,6 +136,12 @@
       (address, request) => parts.peers.runsOf(address, request),
       clock,
     );
+    this.#openCells = new OpenCells({
+      ...parts,
+      drains: this.drains,
+      domainOf: (cell) => this.#domainOf(cell),
+      hasAnsweredSince: (cell, sinceMs) => this.#hasAnsweredSince(cell, sinceMs),
+    });
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
@@ -163,7 +160,7 @@
     this.#ownedCells = new OwnedCells({
       ...parts,
       workerClient: platform.workerClient,
-      isDrained: (cell) => this.#isDrained(cell),
+      isDrained: (cell) => this.#openCells.isDrained(cell),
     });
     this.#claims = new CellClaims({
       ...parts,
@@ -236,9 +233,7 @@
    * domain is not drained. During a drain, owners that have been heard since it began are preferred.
    */
   serving(): readonly CellSummary[] {
-    const open = this.#served().filter(({ cell }) => !this.#isDrained(cell));
-    const heard = open.filter(({ cell }) => this.#isHeardInDrain(cell));
-    return heard.length > 0 ? heard : open;
+    return this.#openCells.among(this.#served());
   }
 
   /** True if some cell is served, also if its domain is drained. */
@@ -246,20 +241,14 @@
     return this.#served().length > 0;
   }
 
-  /**
-   * True if cells of a domain that is not drained were served until recently, so that a new owner
-   * can be expected soon.
-   */
+  /** True if a new owner of a cell that takes tasks can be expected soon. */
   get expectsOwner(): boolean {
-    const sinceMs = this.#parts.clock.nowMs() - TYPICAL_TAKEOVER_MS;
-    return [...this.#lastServingAtMs].some(
-      ([domain, atMs]) => atMs > sinceMs && !this.drains.isDrained(domain),
-    );
+    return this.#openCells.expectsOwner;
   }
 
   /** Number of runs in progress in the cells of a domain that this host owns. */
   runsIn(domain: string): number {
-    const owners = this.owners.filter(({ cell }) => this.#layout?.domainOf(cell) === domain);
+    const owners = this.owners.filter(({ cell }) => this.#domainOf(cell) === domain);
     return owners.reduce((sum, { cellState }) => sum + cellState.runCount, 0);
   }
 
@@ -376,33 +365,24 @@
     });
   }
 
-  /** Without a layout, a domain is one cell of the same name. */
-  #isDrained(cell: string): boolean {
-    return this.drains.isDrained(this.#layout?.domainOf(cell) ?? cell);
-  }
-
-  /**
-   * A drain sends the tasks of the domain to owners elsewhere at once, also to those that this host
-   * has used little and polls seldom. They are polled now, because one may have been cut off since.
-   */
+  /** Polls all owners at the beginning of a drain, as some may have been cut off since. */
   #drainChanged(domain: string): void {
+    this.#openCells.drainChanged(domain);
     this.#ownedCells.updateDrains();
-    if (this.drains.isDrained(domain)) {
-      this.#drainLearnedAtMs = this.#parts.clock.nowMs();
-      this.#statusExchange.expediteAll();
-      this.#pollPeers(this.#drainLearnedAtMs);
-    } else if (!this.#parts.domains.some((other) => this.drains.isDrained(other))) {
-      this.#drainLearnedAtMs = null;
-    }
+    if (!this.drains.isDrained(domain)) return;
+    this.#statusExchange.expediteAll();
+    this.#pollPeers(this.#parts.clock.nowMs());
   }
 
-  /** True if the owner of a cell has answered since the latest drain began, or if there is none. */
-  #isHeardInDrain(cell: string): boolean {
-    if (this.#drainLearnedAtMs === null || this.#ownedCells.get(cell)) return true;
+  #hasAnsweredSince(cell: string, sinceMs: number): boolean {
+    if (this.#ownedCells.get(cell)) return true;
     const record = this.#registry.get(cell);
-    return (
-      record !== null && this.#statusExchange.hasAnsweredSince(record.owner, this.#drainLearnedAtMs)
-    );
+    return record !== null && this.#statusExchange.hasAnsweredSince(record.owner, sinceMs);
+  }
+
+  /** Without a layout, a domain is one cell of the same name. */
+  #domainOf(cell: string): string {
+    return this.#layout?.domainOf(cell) ?? cell;
   }
 
   #applyLayout(cellsPerDomain: number): void {
@@ -463,7 +443,7 @@
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    this.#noteService(nowMs);
+    this.#recordServed(nowMs);
   }
 
   /** A new process learns first which domains are drained, so that it starts nothing there. */
@@ -471,12 +451,11 @@
     return this.drains.isKnown || nowMs - this.#startedAtMs >= DRAINS_WAIT_MS;
   }
 
-  /** Records that cells are served, and logs the first time of this process. */
-  #noteService(nowMs: number): void {
-    const cells = this.#served().map(({ cell }) => cell);
-    cells.forEach((cell) => {
-      this.#lastServingAtMs.set(this.#layout?.domainOf(cell) ?? cell, nowMs);
-    });
+  /** Records which cells are served, and logs the first time of this process. */
+  #recordServed(nowMs: number): void {
+    const served = this.#served();
+    this.#openCells.recordServed(served);
+    const cells = served.map(({ cell }) => cell);
     if (cells.length === 0 || this.#firstServiceMs !== null) return;
     this.#firstServiceMs = Math.round(nowMs - this.#startedAtMs);
     const owned = this.owners.map(({ cell }) => cell);
