Let workers of different speeds be played in the model of a cell

The model had no uneven workers, so it showed neither what two speeds cost nor what a change of placement or estimates is worth.

--- a/test/model/cellModel.ts
+++ b/test/model/cellModel.ts
@@ -60,10 +60,12 @@
   constructor(shape: LoadShape, seed: number) {
     this.#shape = shape;
     this.#random = new SeededRandom(seed, 'model');
-    const sizes = shape.cell.workerCpuMillis;
-    const workers = Array.from({ length: shape.cell.workers }, (_, index) =>
-      CellSimulation.worker(`w${index}`, sizes[index % sizes.length]),
-    );
+    const { workerCpuMillis: sizes, workerSlowness: slowness } = shape.cell;
+    const workers = Array.from({ length: shape.cell.workers }, (_, index) => {
+      const worker = CellSimulation.worker(`w${index}`, sizes[index % sizes.length]);
+      worker.faults.slowness = slowness[index % slowness.length] ?? 1;
+      return worker;
+    });
     this.#simulation = new CellSimulation(
       workers,
       0,
--- a/test/model/loadShape.ts
+++ b/test/model/loadShape.ts
@@ -9,6 +9,11 @@
   workers: z.coerce.number().int().positive(),
   /** Sizes of the workers, taken in turn, in thousandths of a core. */
   workerCpuMillis: z.string().transform((text) => text.split(',').map(Number)),
+  /** Factors on the run times of the workers, taken in turn. */
+  workerSlowness: z
+    .string()
+    .default('1')
+    .transform((text) => text.split(',').map(Number)),
   seconds: z.coerce.number().positive(),
   wavePeriodMs: z.coerce.number().positive(),
   /** The rate swings between 1 - this and 1 + this times its mean. */
