--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -321,8 +321,7 @@
     if (run.queue === '') return;
     if (outcome === RunOutcome.succeeded) {
       const baselineMs = run.expectedMs / worker.slowness;
-      const declaredMs = this.#state.taskOf(run)?.batch.spec.estimateMs ?? baselineMs;
-      this.#state.runTimes.learn(run.queue, runTimeMs / worker.slowness, declaredMs);
+      this.#state.runTimes.learn(run.queue, runTimeMs / worker.slowness);
       worker.learnSlowness(runTimeMs / baselineMs);
       worker.health.observe('succeeded', false, run.startedAtMs, nowMs);
     }
