Tell only room that a cell admits, on workers of unequal speed

Cause: roomFor counted all forecast ends that are in time. On workers of unequal speed a later task on a fast worker may end in time after an earlier one on a slow worker that is late, so the count is not that of the first tasks, and check asks for all of the offered ones. Both counts now stop at the first late end.

Test: 'is admitted by workers of unequal speed' (test/cells/mixedLoad.test.ts) failed before with a refusal as overloaded and passes now; the other tests of test/cells pass.

--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -32,6 +32,16 @@
   return batch.objectiveAtMs - batch.expectedMs * MARGIN_FRACTION;
 }
 
+/**
+ * Number of tasks, from the first on, that end by `latestMs`. On workers of unequal speed a later
+ * task may end before one that is late, but the cell admits a batch only if all of its tasks end in
+ * time.
+ */
+function endsInTime(endsMs: readonly number[], latestMs: number): number {
+  const firstLate = endsMs.findIndex((endMs) => endMs > latestMs);
+  return firstLate < 0 ? endsMs.length : firstLate;
+}
+
 /** Workers on which a queue above its share may be forecast: all but the reserve. */
 function withoutReserve(workers: readonly CellWorker[]): readonly CellWorker[] {
   return workers.slice(Math.ceil(workers.length * RESERVE_FRACTION));
@@ -78,7 +88,7 @@
     }
     this.#priorities.set(batch.spec.queue, batch.spec.priority);
     const endsMs = this.#forecastEndsMs(batch, available, nowMs);
-    const inTime = endsMs.filter((endMs) => endMs <= latestEndMs(batch)).length;
+    const inTime = endsInTime(endsMs, latestEndMs(batch));
     const startable = this.#startableAtOnce(batch, available, nowMs);
     const lateMs = Math.max(...endsMs) - latestEndMs(batch);
     const retryAfterMs = Math.ceil(Math.min(IMPOSSIBLE_RETRY_MS, Math.max(0, lateMs)));
@@ -118,7 +128,7 @@
     if (isLate && [...batches.values()].some(({ waitingCount }) => waitingCount > 0)) return 0;
     const demand = demandOf(batch, batch.spec.tasks.length);
     const latestMs = nowMs + batch.expectedMs * maxSlowness(available);
-    return forecastEndsMs(available, [], demand, nowMs).filter((endMs) => endMs <= latestMs).length;
+    return endsInTime(forecastEndsMs(available, [], demand, nowMs), latestMs);
   }
 
   /** Waiting work that would be served before the batch. */
--- a/test/cells/mixedLoad.test.ts
+++ b/test/cells/mixedLoad.test.ts
@@ -47,6 +47,35 @@
       expect(record.endedAtMs).toBeLessThanOrEqual(record.objectiveAtMs);
     });
   });
+
+  // Guards against tasks on fast workers that are counted in place of earlier ones that end late on
+  // slow workers: a cell then says that it takes a part of a job, and refuses that part.
+  it('is admitted by workers of unequal speed', () => {
+    const SLOWNESS = [0.6, 0.8, 1, 1.5, 2, 3];
+    const unequalCell = (busy: number): CellSimulation => {
+      const simulation = CellSimulation.withWorkers(SLOWNESS.length);
+      SLOWNESS.forEach((slowness, index) => {
+        const worker = simulation.workers[index];
+        if (worker) worker.faults.slowness = slowness;
+      });
+      for (let round = 0; round < 30; round += 1) {
+        simulation.offer(batchOf({ estimateMs: 50, goalMs: 900, taskCount: 12 }));
+        simulation.advance(400);
+      }
+      simulation.offer(batchOf({ queue: 'settle', priority: 2, estimateMs: 300, taskCount: busy }));
+      return simulation;
+    };
+    [0, 1, 2, 3, 5].forEach((busy) =>
+      [100, 150, 200, 300].forEach((goalMs) => {
+        const simulation = unequalCell(busy);
+        const wide = batchOf({ taskCount: 24, goalMs });
+        const { tasks } = simulation.cell.roomFor(wide, simulation.nowMs);
+        expect(tasks).toBeGreaterThan(0);
+        const record = simulation.offer(batchOf({ taskCount: tasks, goalMs }));
+        expect(record.outcome).toEqual(null);
+      }),
+    );
+  });
 });
 
 describe('a cell under a load of one kind', () => {
