--- a/src/cells/batch.ts
+++ b/src/cells/batch.ts
@@ -26,9 +26,13 @@
   mayHaveRun: boolean;
 }
 
-function objectiveInMs(spec: TaskBatch, expectedMs: number): number {
+/** An answer after this many times the objective is of no use to the caller. */
+const USEFUL_OBJECTIVES = 3;
+
+/** The objective, counted from the job's arrival. */
+function totalObjectiveMs(spec: TaskBatch, expectedMs: number): number {
   const chainMs = expectedMs + spec.otherStepsMs;
-  return spec.slackFactor * chainMs + spec.goalMs - spec.waitedMs;
+  return spec.slackFactor * chainMs + spec.goalMs;
 }
 
 function createEntry(
@@ -63,6 +67,12 @@
 
   readonly deadlineAtMs: number;
 
+  /** An answer after this time is of no use to the caller. */
+  readonly usefulUntilMs: number;
+
+  /** Set when it was admitted, or has stayed, to be served after its objective. */
+  isDelayed = false;
+
   /** Expected run time of a task on an ordinary worker. */
   readonly expectedMs: number;
 
@@ -79,8 +89,14 @@
     this.spec = spec;
     this.contact = contact;
     this.arrivedAtMs = nowMs;
-    this.objectiveAtMs = nowMs + objectiveInMs(spec, expectedMs);
+    const objectiveMs = totalObjectiveMs(spec, expectedMs);
+    const jobArrivedAtMs = nowMs - spec.waitedMs;
+    this.objectiveAtMs = jobArrivedAtMs + objectiveMs;
     this.deadlineAtMs = nowMs + spec.deadlineInMs;
+    this.usefulUntilMs = Math.min(
+      this.deadlineAtMs,
+      jobArrivedAtMs + USEFUL_OBJECTIVES * objectiveMs,
+    );
     this.expectedMs = expectedMs;
     this.#started = spec.mayRun;
     this.tasks = spec.tasks.map((task) => createEntry(task, previousRunsOverAtMs));
@@ -95,6 +111,11 @@
     return this.objectiveAtMs - this.expectedMs;
   }
 
+  /** Latest start after which its answer is still of use to the caller. */
+  get latestUsefulStartMs(): number {
+    return this.usefulUntilMs - this.expectedMs;
+  }
+
   /** True if a start of one of its tasks has been sent, possibly by the previous owner. */
   get started(): boolean {
     return this.#started;
--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -5,9 +5,10 @@
  */
 import type { Batch } from './batch';
 import type { CellState } from './cellState';
-import { refusalOf } from './cellState';
+import { describeBatch, refusalOf } from './cellState';
 import { forecastEndsMs, type Demand } from './forecast';
 import { BatchReason, type BatchOutcome, type CellRoom } from './messages';
+import type { LateService } from './lateService';
 import { goesOnFirst, RESERVE_FRACTION, type QueueOrder } from './queueOrder';
 import type { CellWorker } from './worker';
 
@@ -54,8 +55,11 @@
   /** Priorities of the queues from which batches have arrived. */
   readonly #priorities = new Map<string, number>();
 
-  constructor(state: CellState) {
+  readonly #lateService: LateService;
+
+  constructor(state: CellState, lateService: LateService) {
     this.#state = state;
+    this.#lateService = lateService;
   }
 
   /** Returns the refusal of a batch, or null if it is admitted. */
@@ -63,7 +67,8 @@
     const { spec } = batch;
     if (batch.isPastDeadline(nowMs) && !spec.mayRun) return refusalOf(BatchReason.deadline, 0);
     this.#priorities.set(spec.queue, spec.priority);
-    this.#state.arrivals.observe(spec.queue, demandOf(batch, spec.tasks.length), nowMs);
+    const demand = demandOf(batch, spec.tasks.length);
+    this.#state.arrivals.observe(spec.queue, demand, nowMs);
     if (spec.begun || spec.mayRun) return null;
     const workers = this.#state.workersFor(spec.service);
     const available = workers.filter((worker) => worker.isAvailable(nowMs));
@@ -72,11 +77,33 @@
       return refusalOf(BatchReason.impossible, IMPOSSIBLE_RETRY_MS);
     }
     const lateMs = Math.max(...this.#forecastEndsMs(batch, available, nowMs)) - latestEndMs(batch);
-    if (lateMs <= 0) return null;
-    if (this.#startableAtOnce(batch, available, nowMs) === spec.tasks.length) return null;
+    const isInTime =
+      lateMs <= 0 || this.#startableAtOnce(batch, available, nowMs) === spec.tasks.length;
+    if (isInTime) {
+      this.#lateService.admittedInTime(spec.queue, demand, nowMs);
+      return null;
+    }
+    if (this.#delay(batch, available, nowMs)) return null;
     return refusalOf(BatchReason.overloaded, lateMs);
   }
 
+  /** Marks a batch that will be served late; false if it can't be of use. */
+  #delay(delayed: Batch, available: readonly CellWorker[], nowMs: number): boolean {
+    const batch = delayed;
+    if (!batch.spec.acceptsLate) return false;
+    const endInMs = this.#lateService.endInMs(batch, available, nowMs);
+    if (endInMs === null) return false;
+    batch.isDelayed = true;
+    this.#state.logDecision('batch-delayed', {
+      ...describeBatch(batch),
+      objectiveInMs: Math.round(batch.objectiveAtMs - nowMs),
+      usefulForMs: Math.round(batch.usefulUntilMs - nowMs),
+      endInMs: Math.round(endInMs),
+      policy: this.#state.policy.name,
+    });
+    return true;
+  }
+
   /** Number of tasks of a batch that would be admitted, without admitting them. */
   roomFor(batch: Batch, nowMs: number): CellRoom {
     const workers = this.#state.workersFor(batch.spec.service);
@@ -93,7 +120,10 @@
     const lateMs = Math.max(...endsMs) - latestEndMs(batch);
     const retryAfterMs = Math.ceil(Math.min(IMPOSSIBLE_RETRY_MS, Math.max(0, lateMs)));
     const tasks = Math.max(inTime, startable);
-    return { startable, tasks, retryAfterMs, reason: BatchReason.overloaded };
+    const room = { startable, tasks, retryAfterMs, reason: BatchReason.overloaded };
+    if (tasks === batch.spec.tasks.length) return room;
+    const lateEndInMs = this.#lateService.endInMs(batch, available, nowMs);
+    return lateEndInMs === null ? room : { ...room, lateEndInMs };
   }
 
   /** Forecast ends of the tasks of a batch. */
@@ -103,7 +133,7 @@
     nowMs: number,
   ): readonly number[] {
     const order = this.#state.queueOrder(nowMs);
-    const waiting = this.#waitingAhead(batch, order);
+    const waiting = this.#waitingAhead(batch, order, nowMs);
     const isAboveShare = !order.isBelowShare(batch.spec.queue);
     const usable = isAboveShare ? withoutReserve(available) : available;
     const demand = demandOf(batch, batch.spec.tasks.length);
@@ -132,11 +162,11 @@
   }
 
   /** Waiting work that would be served before the batch. */
-  #waitingAhead(batch: Batch, order: QueueOrder): readonly Demand[] {
+  #waitingAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
     const { queue, priority } = batch.spec;
     const waiting = [...this.#state.batches.values()].filter((other) => {
       const { queue: otherQueue, priority: otherPriority } = other.spec;
-      if (other.waitingCount === 0) return false;
+      if (other.waitingCount === 0 || this.#lateService.isDelayed(other, nowMs)) return false;
       if (goesOnFirst(other, order)) return true;
       if (otherQueue === queue) return other.latestStartMs <= batch.latestStartMs;
       return order.precedes(otherQueue, otherPriority, queue, priority);
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -11,6 +11,7 @@
 import { CrashMonitor } from './crashMonitor';
 import { Dispatch } from './dispatch';
 import { FirstArrivals } from './firstArrivals';
+import { LateService } from './lateService';
 import {
   BatchReason,
   type BatchOutcome,
@@ -41,6 +42,8 @@
 
   readonly #crashMonitor: CrashMonitor;
 
+  readonly #lateService: LateService;
+
   readonly #firstArrivals = new FirstArrivals();
 
   /** `crashes` is shared by all cells of the host. */
@@ -51,9 +54,10 @@
       runFound: (task) => this.#takeover.runFound(task),
       startRefused: (run, answer, atMs) => this.#startRefused(run, answer, atMs),
     });
-    this.#admission = new BatchAdmission(this.#state);
+    this.#lateService = new LateService(this.#state);
+    this.#admission = new BatchAdmission(this.#state, this.#lateService);
     this.#crashMonitor = new CrashMonitor(this.#state);
-    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor);
+    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor, this.#lateService);
     this.#takeover = new Takeover(this.#state);
     this.#progressMonitor = new ProgressMonitor(this.#state);
   }
@@ -339,11 +343,14 @@
 
   #giveUpLateBatches(nowMs: number): void {
     this.#state.batches.forEach((batch) => {
-      const tooLate = !batch.isBegun && nowMs > batch.latestStartMs;
+      const tooLate = !batch.isBegun && nowMs > this.#state.policy.lastStartMs(batch);
       if (tooLate) this.#state.giveUp(batch, BatchReason.overloaded, nowMs);
       else if (!this.#canMeetDeadline(batch, nowMs)) {
         this.#state.giveUp(batch, BatchReason.deadline, nowMs);
       }
     });
+    this.#lateService.useless(nowMs).forEach((batch) => {
+      this.#state.giveUp(batch, BatchReason.overloaded, nowMs);
+    });
   }
 }
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -4,13 +4,14 @@
 import type { Batch, TaskEntry } from './batch';
 import type { CrashHistory } from './crashHistory';
 import type { BatchOutcome, BatchReason } from './messages';
+import { createOverloadPolicy, OverloadPolicyName, type OverloadPolicy } from './overloadPolicy';
 import { QueueOrder } from './queueOrder';
 import { RunState, type Run } from './run';
 import { RunTracker, type RunEvents } from './runTracker';
 import { RunTimes } from './runTimes';
 import type { CellWorker } from './worker';
 
-/** Time limits of a cell, in milliseconds. */
+/** Time limits of a cell, in milliseconds, and its policy under overload. */
 export interface CellOptions {
   /** Longest time from the last renewal of a lease until every run that it covers has ended. */
   readonly leaseMs: number;
@@ -20,6 +21,8 @@
   readonly abandonDetectionMs: number;
   /** A worker that has been missing from the worker list for this long counts as removed. */
   readonly missingGraceMs: number;
+  /** Who waits and who is refused while there is too little room; equal shares by default. */
+  readonly overloadPolicy?: OverloadPolicyName;
 }
 
 const MIN_RETRY_AFTER_MS = 100;
@@ -45,6 +48,8 @@
 
   readonly options: CellOptions;
 
+  readonly policy: OverloadPolicy;
+
   readonly runTracker: RunTracker;
 
   readonly runTimes = new RunTimes();
@@ -62,6 +67,7 @@
     this.id = id;
     this.crashes = crashes;
     this.options = options;
+    this.policy = createOverloadPolicy(options.overloadPolicy ?? OverloadPolicyName.equalShares);
     this.runTracker = new RunTracker(options.leaseMs, events, (action) => this.push(action));
   }
 
@@ -125,7 +131,7 @@
     });
     const active = new Set(used.keys());
     this.batches.forEach(({ spec }) => active.add(spec.queue));
-    return new QueueOrder(capacity, used, active, (queue) =>
+    return new QueueOrder(this.policy, capacity, used, active, (queue) =>
       this.arrivals.cpuMillisOf(queue, nowMs),
     );
   }
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -4,6 +4,7 @@
 import { CrashVerdict } from './crashHistory';
 import type { CrashMonitor } from './crashMonitor';
 import { chooseIsolation } from './isolation';
+import type { LateService } from './lateService';
 import { chooseWorker, reservationFor, type PlacementQuery } from './placement';
 import { begunFirst, groupByQueue, nextQueue, type QueueOrder } from './queueOrder';
 import { createRun, Isolation } from './run';
@@ -49,7 +50,10 @@
 
   #startsHeldUntilMs = -Infinity;
 
-  constructor(state: CellState, crashMonitor: CrashMonitor) {
+  readonly #lateService: LateService;
+
+  constructor(state: CellState, crashMonitor: CrashMonitor, lateService: LateService) {
+    this.#lateService = lateService;
     this.#state = state;
     this.#crashMonitor = crashMonitor;
   }
@@ -68,15 +72,30 @@
     const order = this.#state.queueOrder(nowMs);
     const round: Round = { order, reserved: new Map(), nowMs };
     const begun = begunFirst(waiting, order);
-    const placed = begun.map((batch) => this.#placeBatch(batch, round));
-    let blocked = placed.filter((isPlaced) => !isPlaced).length;
-    const queues = groupByQueue(waiting.filter((batch) => !begun.includes(batch)));
+    const blocked = begun.filter((batch) => !this.#placeBatch(batch, round));
+    const delayed = this.#lateService.delayedOf(waiting, nowMs);
+    const inTime = waiting.filter((batch) => !begun.includes(batch) && !delayed.includes(batch));
+    const queues = groupByQueue(inTime);
     let queue = nextQueue(queues, order);
-    while (queue && blocked <= BACKFILL_LIMIT) {
+    while (queue && blocked.length <= BACKFILL_LIMIT) {
       const batch = queue.batches.shift();
-      if (batch && !this.#placeBatch(batch, round)) blocked += 1;
+      if (batch && !this.#placeBatch(batch, round)) blocked.push(batch);
       queue = nextQueue(queues, order);
     }
+    if (delayed.length > 0) this.#startDelayed(delayed, blocked, round);
+  }
+
+  /**
+   * Starts late batches whose tasks can all start. The reserve stays free, and the batches that are
+   * blocked could still start in time after them.
+   */
+  #startDelayed(delayed: readonly Batch[], blocked: readonly Batch[], round: Round): void {
+    const blockedUntilMs = Math.min(...blocked.map(({ latestStartMs }) => latestStartMs));
+    delayed.slice(0, BACKFILL_LIMIT).forEach((batch) => {
+      if (round.nowMs + batch.expectedMs > blockedUntilMs) return;
+      const cpuMillis = batch.waitingCount * batch.spec.shape.cpuMillis;
+      if (this.#mayUse(round.order, batch, cpuMillis, round.nowMs)) this.#placeBatch(batch, round);
+    });
   }
 
   /** Starts tasks of a batch while there is room; false if one of them finds none. */
@@ -158,10 +177,16 @@
    */
   #mayStart(order: QueueOrder, batch: Batch, nowMs: number): boolean {
     if (batch.isBegun || order.isBelowShare(batch.spec.queue)) return true;
+    return this.#mayUse(order, batch, batch.spec.shape.cpuMillis, nowMs);
+  }
+
+  /** True if `cpuMillis` are free beside the reserve that a batch must leave. */
+  #mayUse(order: QueueOrder, { spec }: Batch, cpuMillis: number, nowMs: number): boolean {
     const free = this.#state
       .availableWorkers(nowMs)
       .reduce((sum, worker) => sum + worker.freeCpuMillis, 0);
-    return free - batch.spec.shape.cpuMillis >= order.reserveCpuMillis;
+    const reserve = order.isBelowShare(spec.queue) ? 0 : order.reserveCpuMillis;
+    return free - cpuMillis >= reserve;
   }
 
   #start(batch: Batch, query: PlacementQuery, worker: CellWorker): void {
--- a/src/cells/messages.ts
+++ b/src/cells/messages.ts
@@ -41,6 +41,11 @@
   readonly begun: boolean;
   /** Runs of these tasks may be in progress in this cell, started by its previous owner. */
   readonly mayRun: boolean;
+  /**
+   * No cell has room for the job in time, so it is served late where that is of use to its caller;
+   * absent from hosts of earlier versions.
+   */
+  readonly acceptsLate?: boolean;
 }
 
 /** Adjusts the durations of a batch that was sent `ageMs` ago. */
@@ -99,6 +104,10 @@
   readonly retryAfterMs: number;
   /** Why not all of them could; without meaning if they can. */
   readonly reason: BatchReason;
+  /**
+   * Time until all of its tasks would end if it was served late; absent if it would be refused.
+   */
+  readonly lateEndInMs?: number;
 }
 
 /** Load of a cell; sent with each answer. */
--- a/src/cells/queueOrder.ts
+++ b/src/cells/queueOrder.ts
@@ -1,12 +1,13 @@
 /**
  * Order in which queues are served, by fair share. Each queue that has work is guaranteed an equal
- * share of the cell. Queues below their share precede those above it and are ordered by usage,
- * lowest first, then by priority; queues above their share are ordered by priority. A flood of one
- * queue, urgent or not, therefore leaves the others their share, and queues may use capacity above
- * their share that is otherwise idle. Before all queues come begun batches of queues below their
- * share: a job ends with its last task, so those that wait keep the others from being of use.
+ * share of the cell. Queues below their share precede those above it; the overload policy orders
+ * the others. A flood of one queue, urgent or not, therefore leaves the others their share, and
+ * queues may use capacity above their share that is otherwise idle. Before all queues come begun
+ * batches of queues below their share: a job ends with its last task, so those that wait keep the
+ * others from being of use.
  */
 import type { Batch } from './batch';
+import type { OverloadPolicy, QueueStanding } from './overloadPolicy';
 
 /**
  * Fraction of a cell's capacity that queues above their share leave free. Where long tasks fill
@@ -24,13 +25,17 @@
 
   readonly #activeCount: number;
 
+  readonly #policy: OverloadPolicy;
+
   /** `demandOf` returns the CPU that the recent arrivals of a queue require on average. */
   constructor(
+    policy: OverloadPolicy,
     capacityCpuMillis: number,
     used: ReadonlyMap<string, number>,
     activeQueues: ReadonlySet<string>,
     demandOf: (queue: string) => number,
   ) {
+    this.#policy = policy;
     this.#capacityCpuMillis = capacityCpuMillis;
     this.#used = new Map(used);
     this.#activeCount = Math.max(1, activeQueues.size);
@@ -62,11 +67,15 @@
 
   /** True if waiting work of `queue` is served before that of `other`. */
   precedes(queue: string, priority: number, other: string, otherPriority: number): boolean {
-    const below = this.isBelowShare(queue);
-    if (below !== this.isBelowShare(other)) return below;
-    const usageGap = (this.#used.get(other) ?? 0) - (this.#used.get(queue) ?? 0);
-    if (below && usageGap !== 0) return usageGap > 0;
-    return priority < otherPriority;
+    return this.#policy.precedes(
+      this.#standingOf(queue, priority),
+      this.#standingOf(other, otherPriority),
+    );
+  }
+
+  #standingOf(queue: string, priority: number): QueueStanding {
+    const isBelowShare = this.isBelowShare(queue);
+    return { isBelowShare, usedCpuMillis: this.#used.get(queue) ?? 0, priority };
   }
 }
 
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -94,6 +94,7 @@
       renewWaitMs: RENEW_WAIT_MS,
       missingGraceMs: MISSING_WORKER_GRACE_MS,
       workerListPeriodMs: WORKER_LIST_PERIOD_MS,
+      overloadPolicy: settings.overloadPolicy,
     };
     const crashes = new CrashHistory(clock.timeOfDayMs, settings.jobStateMs);
     this.#cluster = new Cluster({
--- a/src/dispatcher/jobs/batchSender.ts
+++ b/src/dispatcher/jobs/batchSender.ts
@@ -46,6 +46,8 @@
   readonly step: JobStep;
   readonly tasks: readonly BatchTask[];
   readonly otherStepsMs: number;
+  /** No cell has room for the tasks in time, so they are served late. */
+  readonly acceptsLate?: boolean;
 }
 
 /** Outcome of a batch, with the record of the owner that it was sent to; null if none was known. */
@@ -92,6 +94,7 @@
       deadlineInMs: job.deadlineAtMs - nowMs,
       begun,
       mayRun,
+      ...(group.acceptsLate ? { acceptsLate: true } : {}),
     };
   }
 
--- a/src/dispatcher/jobs/jobDivision.ts
+++ b/src/dispatcher/jobs/jobDivision.ts
@@ -19,6 +19,8 @@
 /** Outcome of a division. */
 export type Division =
   | { readonly type: 'assigned'; readonly assignments: readonly CellAssignment[] }
+  /** No cells have room in time; this one would serve all tasks late, and earlier than others. */
+  | { readonly type: 'late'; readonly cell: string }
   /** The cells together have too little room now; nothing has been sent to them. */
   | { readonly type: 'refused'; readonly reason: BatchReason; readonly retryAfterMs: number }
   /** No cell has answered, for example because its owner is of an earlier version. */
@@ -28,6 +30,20 @@
 const MAX_CELLS_ASKED = 6;
 const MIN_RETRY_AFTER_MS = 100;
 
+/** The cell that would end all tasks first, although late; null if all would refuse them. */
+function earliestLate(
+  rooms: readonly { readonly cell: string; readonly lateEndInMs?: number }[],
+): string | null {
+  let earliest: string | null = null;
+  let earliestMs = Infinity;
+  rooms.forEach(({ cell, lateEndInMs = Infinity }) => {
+    if (lateEndInMs >= earliestMs) return;
+    earliest = cell;
+    earliestMs = lateEndInMs;
+  });
+  return earliest;
+}
+
 /** Divides the tasks of one step over the cells. */
 export class JobDivision {
   readonly #cluster: DivisionCluster;
@@ -63,6 +79,8 @@
       parts: assignments?.length ?? 0,
     });
     if (assignments) return { type: 'assigned', assignments };
+    const cell = earliestLate(rooms);
+    if (cell !== null) return { type: 'late', cell };
     const soonestMs = Math.min(...rooms.map(({ retryAfterMs }) => retryAfterMs));
     const isOverloaded = rooms.some(({ reason }) => reason === BatchReason.overloaded);
     const reason = isOverloaded
--- a/src/dispatcher/jobs/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -125,6 +125,9 @@
     if (division.type === 'assigned') {
       return this.#runAssignments(job, group, division.assignments, false);
     }
+    if (division.type === 'late' && !job.begun) {
+      return this.#runLate(job, group, division.cell);
+    }
     if (division.type === 'refused' && !job.begun && job.openGroups === 0) {
       const { reason, retryAfterMs } = division;
       return { type: 'refused', reason, retryAfterMs };
@@ -132,6 +135,13 @@
     return this.#runAssignments(job, group, fallback, false);
   }
 
+  /** Runs all tasks in a cell that serves them after their objective. */
+  #runLate(job: RunningJob, group: TaskGroup, cell: string): Promise<JobOutcome> {
+    const taskIndexes = group.tasks.map((_, index) => index);
+    const late = { ...group, acceptsLate: true };
+    return this.#runAssignments(job, late, [{ cell, taskIndexes }], false);
+  }
+
   /** Waits up to `CELL_WAIT_MS` for a cell to be served, after a start or a change of owner. */
   async #awaitCell(job: RunningJob): Promise<void> {
     const { cluster, clock } = this.#parts;
--- a/src/dispatcher/settings.ts
+++ b/src/dispatcher/settings.ts
@@ -4,6 +4,7 @@
  * their lines.
  */
 import { Err, Ok, type Result } from 'ts-results';
+import { OverloadPolicyName } from '../cells/overloadPolicy';
 import { parseAddress } from '../settings/address';
 import type { Finding } from '../settings/finding';
 import { parseIni, type IniDocument } from '../settings/iniDocument';
@@ -32,6 +33,8 @@
   /** Time for which callers may ask for the state of a job after its end. */
   readonly jobStateMs: number;
   readonly drainMs: number;
+  /** Who waits and who is refused while a cell has too little room. */
+  readonly overloadPolicy: OverloadPolicyName;
   readonly linesPerSecond: number;
 }
 
@@ -47,6 +50,10 @@
   return parseAddress(text) === null ? null : text;
 }
 
+function readPolicy(text: string): OverloadPolicyName | null {
+  return Object.values(OverloadPolicyName).find((name) => name === text) ?? null;
+}
+
 function readList<T>(read: Reader<T>): Reader<readonly T[]> {
   return (text) => {
     const parts = text.split(',').map((part) => part.trim());
@@ -190,6 +197,13 @@
       `a number up to ${MAX_DRAIN_S}`,
       readSeconds(MAX_DRAIN_S),
     ),
+    overloadPolicy: reader.optional(
+      'overload',
+      'policy',
+      Object.values(OverloadPolicyName).join(' or '),
+      readPolicy,
+      OverloadPolicyName.equalShares,
+    ),
     linesPerSecond: reader.optional(
       'log',
       'lines-per-second',
--- a/test/cells/cellSimulation.ts
+++ b/test/cells/cellSimulation.ts
@@ -7,6 +7,7 @@
 import { RunOutcome, StartAnswer, type CellAction } from '../../src/cells/actions';
 import { CrashHistory } from '../../src/cells/crashHistory';
 import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
+import { OverloadPolicyName } from '../../src/cells/overloadPolicy';
 import { SimulatedWorker, workerEntry, type SimulatedRun } from './simulatedWorker';
 
 const LEASE_MS = 1000;
@@ -107,6 +108,7 @@
     runMs: (batch: TaskBatch, task?: string) => number = (batch) => batch.estimateMs,
     reportImmediately = true,
     crashes?: CrashHistory,
+    overloadPolicy: OverloadPolicyName = OverloadPolicyName.equalShares,
   ) {
     this.nowMs = nowMs;
     this.workers = workers;
@@ -117,6 +119,7 @@
       submitterTimeoutMs: 1300,
       abandonDetectionMs: 1000,
       missingGraceMs: 2500,
+      overloadPolicy,
     };
     this.cell = new Cell('sofia-a', options, this.crashes);
     this.cell.setWorkers(
--- a/test/model/cellModel.ts
+++ b/test/model/cellModel.ts
@@ -68,6 +68,9 @@
       workers,
       0,
       (batch, task) => this.#runMsOfTask.get(task ?? '') ?? batch.estimateMs,
+      true,
+      undefined,
+      shape.cell.policy,
     );
   }
 
@@ -147,7 +150,12 @@
       this.#runMsOfTask.set(name, job.runsMs[index] ?? 0),
     );
     const deadlineInMs = job.deadlineAtMs - nowMs;
-    const record = this.#simulation.offer({ ...job.batch, batchId, deadlineInMs });
+    const record = this.#simulation.offer({
+      ...job.batch,
+      batchId,
+      deadlineInMs,
+      acceptsLate: true,
+    });
     this.#lastBatch.set(job, batchId);
     const returnAtMs = nowMs + returnMs * (0.8 + 0.4 * this.#random.next());
     const returns = job.tries <= retries && returnAtMs < job.deadlineAtMs;
--- a/test/model/loadShape.ts
+++ b/test/model/loadShape.ts
@@ -2,10 +2,13 @@
 import { readFile } from 'node:fs/promises';
 import { parse } from 'ini';
 import { z } from 'zod';
+import { OverloadPolicyName } from '../../src/cells/overloadPolicy';
 
 const KIND_SECTION = /^kind (\S+)$/;
 
 const cellSchema = z.strictObject({
+  /** Who waits and who is refused under overload. */
+  policy: z.enum(OverloadPolicyName).default(OverloadPolicyName.equalShares),
   workers: z.coerce.number().int().positive(),
   /** Sizes of the workers, taken in turn, in thousandths of a core. */
   workerCpuMillis: z.string().transform((text) => text.split(',').map(Number)),
--- a/test/platform/testHost.ts
+++ b/test/platform/testHost.ts
@@ -66,6 +66,7 @@
         drainMs: 6000,
         resubmissionMs: 1300,
         jobStateMs: 120_000,
+        overloadPolicy: 'equal-shares',
         linesPerSecond: 400,
       },
       platform: {
