--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -4,7 +4,9 @@
 import type { Batch, TaskEntry } from './batch';
 import type { CrashHistory } from './crashHistory';
 import type { BatchOutcome, BatchReason } from './messages';
-import { createOverloadPolicy, OverloadPolicyName, type OverloadPolicy } from './overloadPolicy';
+import { EqualSharesPolicy } from './equalSharesPolicy';
+import { LeastCostPolicy } from './leastCostPolicy';
+import { OverloadPolicyName, type OverloadPolicy } from './overloadPolicy';
 import { QueueOrder } from './queueOrder';
 import { RunState, type Run } from './run';
 import { RunTracker, type RunEvents } from './runTracker';
@@ -67,7 +69,10 @@
     this.id = id;
     this.crashes = crashes;
     this.options = options;
-    this.policy = createOverloadPolicy(options.overloadPolicy ?? OverloadPolicyName.equalShares);
+    this.policy =
+      options.overloadPolicy === OverloadPolicyName.leastCost
+        ? new LeastCostPolicy()
+        : new EqualSharesPolicy();
     this.runTracker = new RunTracker(options.leaseMs, events, (action) => this.push(action));
   }
 
