--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -343,7 +343,7 @@
 
   #giveUpLateBatches(nowMs: number): void {
     this.#state.batches.forEach((batch) => {
-      const tooLate = !batch.isBegun && nowMs > this.#state.policy.lastStartMs(batch);
+      const tooLate = !batch.isBegun && nowMs > this.#lateService.lastStartMs(batch);
       if (tooLate) this.#state.giveUp(batch, BatchReason.overloaded, nowMs);
       else if (!this.#canMeetDeadline(batch, nowMs)) {
         this.#state.giveUp(batch, BatchReason.deadline, nowMs);
--- a/src/cells/lateService.ts
+++ b/src/cells/lateService.ts
@@ -52,6 +52,11 @@
     this.#inTime.observe(queue, demand, nowMs);
   }
 
+  /** Latest start of a waiting batch that has not begun; it is given up after this time. */
+  lastStartMs(batch: Batch): number {
+    return this.#state.policy.servesLate ? batch.latestUsefulStartMs : batch.latestStartMs;
+  }
+
   /** True if a waiting batch has missed its latest start and is served after the others. */
   isDelayed(batch: Batch, nowMs: number): boolean {
     if (!this.#state.policy.servesLate || batch.isBegun) return false;
--- a/src/cells/leastCostPolicy.ts
+++ b/src/cells/leastCostPolicy.ts
@@ -3,8 +3,14 @@
  * of their share are ordered by priority. What misses its objective is served after all that can
  * still meet theirs, as long as its answer is of use to the caller.
  */
-import type { Batch } from './batch';
-import { OverloadPolicyName, type OverloadPolicy, type QueueStanding } from './overloadPolicy';
+import {
+  byPriority,
+  byUsage,
+  isFirst,
+  OverloadPolicyName,
+  type OverloadPolicy,
+  type QueueStanding,
+} from './overloadPolicy';
 
 /** The policy of least cost. */
 export class LeastCostPolicy implements OverloadPolicy {
@@ -12,11 +18,10 @@
 
   readonly servesLate = true;
 
-  readonly precedes = (queue: QueueStanding, other: QueueStanding): boolean => {
-    if (queue.isBelowShare !== other.isBelowShare) return queue.isBelowShare;
-    if (queue.priority !== other.priority) return queue.priority < other.priority;
-    return queue.usedCpuMillis < other.usedCpuMillis;
-  };
+  readonly #criteria = [byPriority, byUsage];
 
-  readonly lastStartMs = (batch: Batch): number => batch.latestUsefulStartMs;
+  precedes(queue: QueueStanding, other: QueueStanding): boolean {
+    if (queue.isBelowShare !== other.isBelowShare) return queue.isBelowShare;
+    return isFirst(this.#criteria, queue, other);
+  }
 }
--- a/src/cells/overloadPolicy.ts
+++ b/src/cells/overloadPolicy.ts
@@ -3,8 +3,6 @@
  * setting of the deployment. Every policy keeps the shares: waiting work of a queue below its share
  * precedes that of a queue above it, so that a flood of one queue leaves the others their share.
  */
-import type { Batch } from './batch';
-
 /** Names of the policies, as in the settings. */
 export const OverloadPolicyName = {
   /** Refuses all that misses its objective. */
@@ -29,6 +27,23 @@
   readonly servesLate: boolean;
   /** True if waiting work of `queue` is served before that of `other`. */
   precedes(queue: QueueStanding, other: QueueStanding): boolean;
-  /** Latest start of a waiting batch that has not begun; it is given up after this time. */
-  lastStartMs(batch: Batch): number;
+}
+
+/** Compares two queues; below 0 if the left one is served first. */
+export type QueueCriterion = (left: QueueStanding, right: QueueStanding) => number;
+
+/** The queue that uses less CPU first. */
+export const byUsage: QueueCriterion = (left, right) => left.usedCpuMillis - right.usedCpuMillis;
+
+/** The more urgent queue first. */
+export const byPriority: QueueCriterion = (left, right) => left.priority - right.priority;
+
+/** True if the first criterion that tells the queues apart puts `queue` first. */
+export function isFirst(
+  criteria: readonly QueueCriterion[],
+  queue: QueueStanding,
+  other: QueueStanding,
+): boolean {
+  const gaps = criteria.map((criterion) => criterion(queue, other));
+  return (gaps.find((gap) => gap !== 0) ?? 0) < 0;
 }
