--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -5,7 +5,7 @@
  */
 import type { Batch } from './batch';
 import type { CellState } from './cellState';
-import { describeBatch, refusalOf } from './cellState';
+import { refusalOf } from './cellState';
 import { forecastEndsMs, type Demand } from './forecast';
 import { BatchReason, type BatchOutcome, type CellRoom } from './messages';
 import type { LateService } from './lateService';
@@ -83,25 +83,11 @@
       this.#lateService.admittedInTime(spec.queue, demand, nowMs);
       return null;
     }
-    if (this.#delay(batch, available, nowMs)) return null;
-    return refusalOf(BatchReason.overloaded, lateMs);
-  }
-
-  /** Marks a batch that will be served late; false if it can't be of use. */
-  #delay(delayed: Batch, available: readonly CellWorker[], nowMs: number): boolean {
-    const batch = delayed;
-    if (!batch.spec.acceptsLate) return false;
-    const endInMs = this.#lateService.endInMs(batch, available, nowMs);
-    if (endInMs === null) return false;
-    batch.isDelayed = true;
-    this.#state.logDecision('batch-delayed', {
-      ...describeBatch(batch),
-      objectiveInMs: Math.round(batch.objectiveAtMs - nowMs),
-      usefulForMs: Math.round(batch.usefulUntilMs - nowMs),
-      endInMs: Math.round(endInMs),
-      policy: this.#state.policy.name,
-    });
-    return true;
+    if (!spec.acceptsLate || this.#lateService.endInMs(batch, available, nowMs) === null) {
+      return refusalOf(BatchReason.overloaded, lateMs);
+    }
+    this.#lateService.markDelayed(batch, 'no-room', nowMs);
+    return null;
   }
 
   /** Number of tasks of a batch that would be admitted, without admitting them. */
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -349,6 +349,7 @@
         this.#state.giveUp(batch, BatchReason.deadline, nowMs);
       }
     });
+    this.#lateService.markOvertaken(nowMs);
     this.#lateService.useless(nowMs).forEach((batch) => {
       this.#state.giveUp(batch, BatchReason.overloaded, nowMs);
     });
--- a/src/cells/lateService.ts
+++ b/src/cells/lateService.ts
@@ -6,12 +6,19 @@
  */
 import { Arrivals } from './arrivals';
 import type { Batch } from './batch';
-import type { CellState } from './cellState';
+import { describeBatch, type CellState } from './cellState';
 import type { Demand } from './forecast';
 import type { CellWorker } from './worker';
 
 /** Smallest part of the capacity that counts as left over by jobs that are in time. */
-const MIN_SPARE_FRACTION = 0.1;
+const MIN_SPARE_FRACTION = 0.05;
+/** Offered load, as a multiple of the capacity, beyond which late batches would find no room. */
+const MAX_OFFERED_LOAD = 1.25;
+
+/** CPU that the arrivals of all queues keep busy on average. */
+function loadOf(arrivals: Arrivals, nowMs: number): number {
+  return arrivals.queues().reduce((sum, queue) => sum + arrivals.cpuMillisOf(queue, nowMs), 0);
+}
 
 /** Work that is served before a late batch, as CPU times time. */
 interface WorkAhead {
@@ -76,10 +83,9 @@
   endInMs(batch: Batch, workers: readonly CellWorker[], nowMs: number): number | null {
     if (!this.#state.policy.servesLate) return null;
     const capacity = usableCpuMillis(workers, batch.spec.shape.cpuMillis);
-    const arriving = this.#inTime
-      .queues()
-      .reduce((sum, queue) => sum + this.#inTime.cpuMillisOf(queue, nowMs), 0);
-    const spare = Math.max(capacity * MIN_SPARE_FRACTION, capacity - arriving);
+    if (loadOf(this.#state.arrivals, nowMs) > capacity * MAX_OFFERED_LOAD) return null;
+    const leftOver = capacity - loadOf(this.#inTime, nowMs);
+    const spare = Math.max(capacity * MIN_SPARE_FRACTION, leftOver);
     if (spare <= 0) return null;
     const { inTime, delayed } = this.#workAhead(batch, nowMs);
     const waitMs = inTime / capacity + (delayed + waitingWork(batch)) / spare;
@@ -87,6 +93,28 @@
     return nowMs + endInMs <= batch.usefulUntilMs ? endInMs : null;
   }
 
+  /** Marks and logs the waiting batches that have just missed their latest start. */
+  markOvertaken(nowMs: number): void {
+    if (!this.#state.policy.servesLate) return;
+    this.#state.batches.forEach((batch) => {
+      if (batch.isDelayed || batch.waitingCount === 0 || !this.isDelayed(batch, nowMs)) return;
+      this.markDelayed(batch, 'overtaken', nowMs);
+    });
+  }
+
+  /** Marks and logs a batch that will be served late. */
+  markDelayed(delayed: Batch, cause: 'no-room' | 'overtaken', nowMs: number): void {
+    const batch = delayed;
+    batch.isDelayed = true;
+    this.#state.logDecision('batch-delayed', {
+      ...describeBatch(batch),
+      cause,
+      objectiveInMs: Math.round(batch.objectiveAtMs - nowMs),
+      usefulForMs: Math.round(batch.usefulUntilMs - nowMs),
+      policy: this.#state.policy.name,
+    });
+  }
+
   /** Waiting batches that would be of no use any more even if no further work arrived. */
   useless(nowMs: number): readonly Batch[] {
     const waiting = [...this.#state.batches.values()].filter(
--- a/src/cells/leastCostPolicy.ts
+++ b/src/cells/leastCostPolicy.ts
@@ -1,16 +1,10 @@
 /**
- * Overload policy that delays or refuses first what costs its caller least. Queues on the same side
- * of their share are ordered by priority. What misses its objective is served after all that can
- * still meet theirs, as long as its answer is of use to the caller.
+ * Overload policy that delays or refuses first what costs its caller least. What misses its
+ * objective is served after all that can still meet theirs, as long as its answer is of use to the
+ * caller. Queues are ordered as under equal shares.
  */
-import {
-  byPriority,
-  byUsage,
-  isFirst,
-  OverloadPolicyName,
-  type OverloadPolicy,
-  type QueueStanding,
-} from './overloadPolicy';
+import { EqualSharesPolicy } from './equalSharesPolicy';
+import { OverloadPolicyName, type OverloadPolicy, type QueueStanding } from './overloadPolicy';
 
 /** The policy of least cost. */
 export class LeastCostPolicy implements OverloadPolicy {
@@ -18,10 +12,9 @@
 
   readonly servesLate = true;
 
-  readonly #criteria = [byPriority, byUsage];
+  readonly #shares = new EqualSharesPolicy();
 
   precedes(queue: QueueStanding, other: QueueStanding): boolean {
-    if (queue.isBelowShare !== other.isBelowShare) return queue.isBelowShare;
-    return isFirst(this.#criteria, queue, other);
+    return this.#shares.precedes(queue, other);
   }
 }
