--- a/src/cells/lateService.ts
+++ b/src/cells/lateService.ts
@@ -14,6 +14,8 @@
 const MIN_SPARE_FRACTION = 0.05;
 /** Offered load, as a multiple of the capacity, beyond which late batches would find no room. */
 const MAX_OFFERED_LOAD = 1.25;
+/** Time without late admissions after a late batch has found no room. */
+const NO_ROOM_PAUSE_MS = 1000;
 
 /** CPU that the arrivals of all queues keep busy on average. */
 function loadOf(arrivals: Arrivals, nowMs: number): number {
@@ -50,6 +52,8 @@
   /** Arrivals that were admitted in time. */
   readonly #inTime = new Arrivals();
 
+  #pausedUntilMs = 0;
+
   constructor(state: CellState) {
     this.#state = state;
   }
@@ -81,7 +85,7 @@
    * be of no use by then.
    */
   endInMs(batch: Batch, workers: readonly CellWorker[], nowMs: number): number | null {
-    if (!this.#state.policy.servesLate) return null;
+    if (!this.#state.policy.servesLate || nowMs < this.#pausedUntilMs) return null;
     const capacity = usableCpuMillis(workers, batch.spec.shape.cpuMillis);
     if (loadOf(this.#state.arrivals, nowMs) > capacity * MAX_OFFERED_LOAD) return null;
     const leftOver = capacity - loadOf(this.#inTime, nowMs);
@@ -121,12 +125,14 @@
       (batch) => batch.waitingCount > 0 && this.isDelayed(batch, nowMs),
     );
     if (waiting.length === 0) return [];
-    return waiting.filter((batch) => {
+    const useless = waiting.filter((batch) => {
       const workers = this.#availableFor(batch, nowMs);
       const capacity = usableCpuMillis(workers, batch.spec.shape.cpuMillis);
       const { inTime, delayed } = this.#workAhead(batch, nowMs);
       return nowMs + (inTime + delayed) / capacity > batch.latestUsefulStartMs;
     });
+    if (useless.length > 0) this.#pausedUntilMs = nowMs + NO_ROOM_PAUSE_MS;
+    return useless;
   }
 
   /** Work that is served before a late batch. */
