Serve late what callers can still use, under the overload policy least-cost

Cause: admission refuses what misses its objective, and a waiting batch is given up at its latest start, however far the caller's deadline is.

Now [overload] policy = least-cost serves such jobs late, after all that can be in time, while the answer is of use; the default, equal-shares, decides as before.

Ruled out: priority before usage below the share, a computed reserve.

--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -172,6 +172,7 @@
       ...describeBatch(batch),
       ...outcome,
       outcome: outcome.type,
+      delayed: batch.isDelayed,
       elapsedMs: Math.round(nowMs - batch.arrivedAtMs),
       batchesWaiting: this.batches.size,
     });
--- a/src/cells/lateService.ts
+++ b/src/cells/lateService.ts
@@ -129,7 +129,7 @@
       const workers = this.#availableFor(batch, nowMs);
       const capacity = usableCpuMillis(workers, batch.spec.shape.cpuMillis);
       const { inTime, delayed } = this.#workAhead(batch, nowMs);
-      return nowMs + (inTime + delayed) / capacity > batch.latestUsefulStartMs;
+      return capacity > 0 && nowMs + (inTime + delayed) / capacity > batch.latestUsefulStartMs;
     });
     if (useless.length > 0) this.#pausedUntilMs = nowMs + NO_ROOM_PAUSE_MS;
     return useless;
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of one dispatcher process, and the HTTP server for scrapes. */
 import { createServer, type Server } from 'node:http';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { LogFields } from '../observe/observer';
 import type { CellOwner } from './ownership/cellOwner';
 import type { DispatchJournal } from './journal';
 
@@ -18,6 +19,10 @@
 
   readonly #decisions: Counter<'decision'>;
 
+  readonly #batches: Counter<'queue' | 'outcome' | 'reason' | 'delayed'>;
+
+  readonly #delayed: Counter<'queue' | 'cause'>;
+
   constructor() {
     const registers = [this.#registry];
     this.#jobs = new Counter({
@@ -39,6 +44,18 @@
       labelNames: ['decision'],
       registers,
     });
+    this.#batches = new Counter({
+      name: 'wasabiyoke_batches_ended_total',
+      help: 'Batches ended by the cells owned, by queue, outcome, reason, and whether delayed',
+      labelNames: ['queue', 'outcome', 'reason', 'delayed'],
+      registers,
+    });
+    this.#delayed = new Counter({
+      name: 'wasabiyoke_batches_delayed_total',
+      help: 'Batches that miss their objective and are served late, by queue and cause',
+      labelNames: ['queue', 'cause'],
+      registers,
+    });
   }
 
   recordJob(queue: string, outcome: string, reason: string, elapsedMs: number): void {
@@ -46,8 +63,17 @@
     this.#jobSeconds.observe({ queue, outcome }, elapsedMs / MS_PER_S);
   }
 
-  countDecision(decision: string): void {
+  /** Counts a decision by its name, and those on batches by their fields too. */
+  countDecision(decision: string, fields: LogFields = {}): void {
     this.#decisions.inc({ decision });
+    const { queue, outcome, reason, delayed, cause } = fields;
+    if (decision === 'batch-ended') {
+      const labels = { queue: String(queue), outcome: String(outcome) };
+      this.#batches.inc({ ...labels, reason: String(reason ?? ''), delayed: String(delayed) });
+    }
+    if (decision === 'batch-delayed') {
+      this.#delayed.inc({ queue: String(queue), cause: String(cause) });
+    }
   }
 
   /** Registers gauges that read the state at each scrape. */
--- a/test/dispatcher/settings.test.ts
+++ b/test/dispatcher/settings.test.ts
@@ -47,6 +47,15 @@
     expect(read('job-state-seconds = 3601').err).toEqual(true);
   });
 
+  // Guards against another policy for deployments whose settings do not name one.
+  it('keeps equal shares under overload unless the settings name another policy', () => {
+    const read = (line: string) =>
+      readDispatcherSettings('a.ini', `${VALID_SETTINGS}[overload]\n${line}\n`);
+    expect(read('').unwrap().overloadPolicy).toEqual('equal-shares');
+    expect(read('policy = least-cost').unwrap().overloadPolicy).toEqual('least-cost');
+    expect(read('policy = cheapest').err).toEqual(true);
+  });
+
   it('accepts cores as a number, or as cores times a fraction', () => {
     const coresOf = (line: string) =>
       readDispatcherSettings('a.ini', VALID_SETTINGS.replace('[host]\n', `[host]\n${line}\n`));
--- a/test/dispatcher/stepRunner.test.ts
+++ b/test/dispatcher/stepRunner.test.ts
@@ -313,6 +313,22 @@
     expect(simulation.outcome).toEqual(expected);
   });
 
+  // Guards against a refusal while a cell would still serve the job when its answer is of use.
+  it('goes whole to the cell that ends it first, if all would be late', async () => {
+    const cells = [
+      fakeCell('a', { answeredRoom: { ...room(3), lateEndInMs: 400 } }),
+      fakeCell('b', { answeredRoom: { ...room(3), lateEndInMs: 300 } }),
+      fakeCell('c', { answeredRoom: room(3) }),
+    ];
+    const simulation = new Simulation(clock, cells);
+    simulation.cells.onSend = ({ answer }) => answer(DONE);
+    await simulation.submit([step(10)]);
+    await simulation.pass(0);
+    const sent = simulation.cells.sent.map(({ cell, batch }) => [cell, batch.acceptsLate]);
+    expect(sent).toEqual([['b', true]]);
+    expect(simulation.outcome).toEqual({ type: 'completed' });
+  });
+
   it('is divided by what the cells can take in time, over as few as possible', async () => {
     const rooms = { a: 2, b: 6, c: 4 };
     const cells = Object.entries(rooms).map(([name, tasks]) =>
