--- a/src/cells/arrivals.ts
+++ b/src/cells/arrivals.ts
@@ -12,9 +12,19 @@
   /** Averages for a single task. */
   taskCpuMillis: number;
   taskMs: number;
+  /** Averages for a batch that can still meet its objective: CPU of all tasks, and slack. */
+  batchCpuMillis: number;
+  slackMs: number;
   atMs: number;
 }
 
+/** An average batch of a queue. */
+export interface TypicalBatch {
+  readonly cpuMillis: number;
+  /** Time that it may wait without missing its objective. */
+  readonly slackMs: number;
+}
+
 /** Weight of a new batch in the averages for a single task. */
 const SMOOTHING = 0.1;
 
@@ -22,18 +32,29 @@
 export class Arrivals {
   readonly #rates = new Map<string, ArrivalRate>();
 
-  /** Counts the tasks of a batch that has arrived, whether it is admitted or refused. */
-  observe(queue: string, { tasks, cpuMillis, expectedMs }: Demand, nowMs: number): void {
+  /**
+   * Counts the tasks of a batch that has arrived, whether it is admitted or refused. `slackMs` is
+   * the time that it may wait without missing its objective.
+   */
+  observe(queue: string, demand: Demand, slackMs: number, nowMs: number): void {
+    const { tasks, cpuMillis, expectedMs } = demand;
+    const batchCpuMillis = tasks * cpuMillis;
     const rate = this.#rates.get(queue) ?? {
       cpuMillis: 0,
       taskCpuMillis: cpuMillis,
       taskMs: expectedMs,
+      batchCpuMillis,
+      slackMs: Math.max(0, slackMs),
       atMs: nowMs,
     };
     const decay = Math.exp(-(nowMs - rate.atMs) / WINDOW_MS);
     rate.cpuMillis = rate.cpuMillis * decay + (tasks * cpuMillis * expectedMs) / WINDOW_MS;
     rate.taskCpuMillis += SMOOTHING * (cpuMillis - rate.taskCpuMillis);
     rate.taskMs += SMOOTHING * (expectedMs - rate.taskMs);
+    if (slackMs > 0) {
+      rate.batchCpuMillis += SMOOTHING * (batchCpuMillis - rate.batchCpuMillis);
+      rate.slackMs += SMOOTHING * (slackMs - rate.slackMs);
+    }
     rate.atMs = nowMs;
     this.#rates.set(queue, rate);
   }
@@ -43,6 +64,14 @@
     return [...this.#rates.keys()];
   }
 
+  /** An average batch of each queue. */
+  typicalBatches(): readonly TypicalBatch[] {
+    return [...this.#rates.values()].map(({ batchCpuMillis, slackMs }) => ({
+      cpuMillis: batchCpuMillis,
+      slackMs,
+    }));
+  }
+
   /** Average CPU that the queue's arrivals keep busy. */
   cpuMillisOf(queue: string, nowMs: number): number {
     const rate = this.#rates.get(queue);
--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -9,7 +9,7 @@
 import { forecastEndsMs, type Demand } from './forecast';
 import { BatchReason, type BatchOutcome, type CellRoom } from './messages';
 import type { LateService } from './lateService';
-import { goesOnFirst, RESERVE_FRACTION, type QueueOrder } from './queueOrder';
+import { goesOnFirst, type QueueOrder } from './queueOrder';
 import type { CellWorker } from './worker';
 
 /** Slack that an admitted batch must have before its objective, as a fraction of its run time. */
@@ -44,8 +44,11 @@
 }
 
 /** Workers on which a queue above its share may be forecast: all but the reserve. */
-function withoutReserve(workers: readonly CellWorker[]): readonly CellWorker[] {
-  return workers.slice(Math.ceil(workers.length * RESERVE_FRACTION));
+function withoutReserve(
+  workers: readonly CellWorker[],
+  { reserveFraction }: QueueOrder,
+): readonly CellWorker[] {
+  return workers.slice(Math.ceil(workers.length * reserveFraction));
 }
 
 /** Admission control of one cell. */
@@ -68,7 +71,7 @@
     if (batch.isPastDeadline(nowMs) && !spec.mayRun) return refusalOf(BatchReason.deadline, 0);
     this.#priorities.set(spec.queue, spec.priority);
     const demand = demandOf(batch, spec.tasks.length);
-    this.#state.arrivals.observe(spec.queue, demand, nowMs);
+    this.#state.arrivals.observe(spec.queue, demand, batch.latestStartMs - nowMs, nowMs);
     if (spec.begun || spec.mayRun) return null;
     const workers = this.#state.workersFor(spec.service);
     const available = workers.filter((worker) => worker.isAvailable(nowMs));
@@ -121,7 +124,7 @@
     const order = this.#state.queueOrder(nowMs);
     const waiting = this.#waitingAhead(batch, order, nowMs);
     const isAboveShare = !order.isBelowShare(batch.spec.queue);
-    const usable = isAboveShare ? withoutReserve(available) : available;
+    const usable = isAboveShare ? withoutReserve(available, order) : available;
     const demand = demandOf(batch, batch.spec.tasks.length);
     const endsMs = forecastEndsMs(usable, waiting, demand, nowMs);
     // Later arrivals overtake a batch only until it starts. Above its share, a queue leaves room for
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -8,6 +8,7 @@
 import { LeastCostPolicy } from './leastCostPolicy';
 import { OverloadPolicyName, type OverloadPolicy } from './overloadPolicy';
 import { QueueOrder } from './queueOrder';
+import { reserveShortfall } from './reserve';
 import { RunState, type Run } from './run';
 import { RunTracker, type RunEvents } from './runTracker';
 import { RunTimes } from './runTimes';
@@ -136,8 +137,13 @@
     });
     const active = new Set(used.keys());
     this.batches.forEach(({ spec }) => active.add(spec.queue));
-    return new QueueOrder(this.policy, capacity, used, active, (queue) =>
-      this.arrivals.cpuMillisOf(queue, nowMs),
+    return new QueueOrder(
+      this.policy,
+      capacity,
+      used,
+      active,
+      (queue) => this.arrivals.cpuMillisOf(queue, nowMs),
+      () => reserveShortfall(this.arrivals.typicalBatches(), this.availableWorkers(nowMs), nowMs),
     );
   }
 
--- a/src/cells/equalSharesPolicy.ts
+++ b/src/cells/equalSharesPolicy.ts
@@ -11,12 +11,20 @@
   type QueueStanding,
 } from './overloadPolicy';
 
+/**
+ * Fraction of a cell's capacity that queues above their share leave free. Where long tasks fill
+ * every worker, tasks end too rarely for an urgent job of several tasks to find room in time.
+ */
+const RESERVE_FRACTION = 0.12;
+
 /** The policy of equal shares. */
 export class EqualSharesPolicy implements OverloadPolicy {
   readonly name = OverloadPolicyName.equalShares;
 
   readonly servesLate = false;
 
+  readonly #reserveFraction = RESERVE_FRACTION;
+
   readonly #belowShare = [byUsage, byPriority];
 
   readonly #aboveShare = [byPriority];
@@ -25,4 +33,8 @@
     if (queue.isBelowShare !== other.isBelowShare) return queue.isBelowShare;
     return isFirst(queue.isBelowShare ? this.#belowShare : this.#aboveShare, queue, other);
   }
+
+  reserveFraction(): number {
+    return this.#reserveFraction;
+  }
 }
--- a/src/cells/lateService.ts
+++ b/src/cells/lateService.ts
@@ -60,7 +60,7 @@
 
   /** Counts a batch that was admitted to meet its objective. */
   admittedInTime(queue: string, demand: Demand, nowMs: number): void {
-    this.#inTime.observe(queue, demand, nowMs);
+    this.#inTime.observe(queue, demand, 0, nowMs);
   }
 
   /** Latest start of a waiting batch that has not begun; it is given up after this time. */
--- a/src/cells/overloadPolicy.ts
+++ b/src/cells/overloadPolicy.ts
@@ -27,6 +27,11 @@
   readonly servesLate: boolean;
   /** True if waiting work of `queue` is served before that of `other`. */
   precedes(queue: QueueStanding, other: QueueStanding): boolean;
+  /**
+   * Fraction of the capacity that queues above their share leave free for those below. `shortfall`
+   * is the fraction that a wide job would lack beyond what runs release within its slack.
+   */
+  reserveFraction(shortfall: () => number): number;
 }
 
 /** Compares two queues; below 0 if the left one is served first. */
--- a/src/cells/queueOrder.ts
+++ b/src/cells/queueOrder.ts
@@ -9,12 +9,6 @@
 import type { Batch } from './batch';
 import type { OverloadPolicy, QueueStanding } from './overloadPolicy';
 
-/**
- * Fraction of a cell's capacity that queues above their share leave free. Where long tasks fill
- * every worker, tasks end too rarely for an urgent job of several tasks to find room in time.
- */
-export const RESERVE_FRACTION = 0.12;
-
 /** Queues of a cell at one moment, with the CPU that each uses. */
 export class QueueOrder {
   readonly #capacityCpuMillis: number;
@@ -27,15 +21,24 @@
 
   readonly #policy: OverloadPolicy;
 
-  /** `demandOf` returns the CPU that the recent arrivals of a queue require on average. */
+  readonly #shortfallCpuMillis: () => number;
+
+  #reserveFraction: number | null = null;
+
+  /**
+   * `demandOf` returns the CPU that the recent arrivals of a queue require on average,
+   * `shortfallCpuMillis` what a wide job would lack beyond what runs release within its slack.
+   */
   constructor(
     policy: OverloadPolicy,
     capacityCpuMillis: number,
     used: ReadonlyMap<string, number>,
     activeQueues: ReadonlySet<string>,
     demandOf: (queue: string) => number,
+    shortfallCpuMillis: () => number,
   ) {
     this.#policy = policy;
+    this.#shortfallCpuMillis = shortfallCpuMillis;
     this.#capacityCpuMillis = capacityCpuMillis;
     this.#used = new Map(used);
     this.#activeCount = Math.max(1, activeQueues.size);
@@ -53,7 +56,14 @@
 
   /** CPU that queues above their share leave free for those below. */
   get reserveCpuMillis(): number {
-    return this.#capacityCpuMillis * RESERVE_FRACTION;
+    return this.#capacityCpuMillis * this.reserveFraction;
+  }
+
+  /** The reserve as a fraction of the capacity. */
+  get reserveFraction(): number {
+    const shortfall = () => this.#shortfallCpuMillis() / Math.max(1, this.#capacityCpuMillis);
+    this.#reserveFraction ??= this.#policy.reserveFraction(shortfall);
+    return this.#reserveFraction;
   }
 
   /**
