--- a/src/cells/batchAdmission.ts
+++ b/src/cells/batchAdmission.ts
@@ -8,7 +8,8 @@
 import { refusalOf } from './cellState';
 import { forecastEndsMs, type Demand } from './forecast';
 import { BatchReason, type BatchOutcome, type CellRoom } from './messages';
-import { goesOnFirst, RESERVE_FRACTION, type QueueOrder } from './queueOrder';
+import type { LateService } from './lateService';
+import { goesOnFirst, type QueueOrder } from './queueOrder';
 import type { CellWorker } from './worker';
 
 /** Slack that an admitted batch must have before its objective, as a fraction of its run time. */
@@ -32,9 +33,22 @@
   return batch.objectiveAtMs - batch.expectedMs * MARGIN_FRACTION;
 }
 
+/**
+ * Number of tasks, from the first on, that end by `latestMs`. On workers of unequal speed a later
+ * task may end before one that is late, but the cell admits a batch only if all of its tasks end in
+ * time.
+ */
+function endsInTime(endsMs: readonly number[], latestMs: number): number {
+  const firstLate = endsMs.findIndex((endMs) => endMs > latestMs);
+  return firstLate < 0 ? endsMs.length : firstLate;
+}
+
 /** Workers on which a queue above its share may be forecast: all but the reserve. */
-function withoutReserve(workers: readonly CellWorker[]): readonly CellWorker[] {
-  return workers.slice(Math.ceil(workers.length * RESERVE_FRACTION));
+function withoutReserve(
+  workers: readonly CellWorker[],
+  { reserveFraction }: QueueOrder,
+): readonly CellWorker[] {
+  return workers.slice(Math.ceil(workers.length * reserveFraction));
 }
 
 /** Admission control of one cell. */
@@ -44,8 +58,11 @@
   /** Priorities of the queues from which batches have arrived. */
   readonly #priorities = new Map<string, number>();
 
-  constructor(state: CellState) {
+  readonly #lateService: LateService;
+
+  constructor(state: CellState, lateService: LateService) {
     this.#state = state;
+    this.#lateService = lateService;
   }
 
   /** Returns the refusal of a batch, or null if it is admitted. */
@@ -53,7 +70,8 @@
     const { spec } = batch;
     if (batch.isPastDeadline(nowMs) && !spec.mayRun) return refusalOf(BatchReason.deadline, 0);
     this.#priorities.set(spec.queue, spec.priority);
-    this.#state.arrivals.observe(spec.queue, demandOf(batch, spec.tasks.length), nowMs);
+    const demand = demandOf(batch, spec.tasks.length);
+    this.#state.arrivals.observe(spec.queue, demand, batch.latestStartMs - nowMs, nowMs);
     if (spec.begun || spec.mayRun) return null;
     const workers = this.#state.workersFor(spec.service);
     const available = workers.filter((worker) => worker.isAvailable(nowMs));
@@ -62,9 +80,17 @@
       return refusalOf(BatchReason.impossible, IMPOSSIBLE_RETRY_MS);
     }
     const lateMs = Math.max(...this.#forecastEndsMs(batch, available, nowMs)) - latestEndMs(batch);
-    if (lateMs <= 0) return null;
-    if (this.#startableAtOnce(batch, available, nowMs) === spec.tasks.length) return null;
-    return refusalOf(BatchReason.overloaded, lateMs);
+    const isInTime =
+      lateMs <= 0 || this.#startableAtOnce(batch, available, nowMs) === spec.tasks.length;
+    if (isInTime) {
+      this.#lateService.admittedInTime(spec.queue, demand, nowMs);
+      return null;
+    }
+    if (!spec.acceptsLate || this.#lateService.endInMs(batch, available, nowMs) === null) {
+      return refusalOf(BatchReason.overloaded, lateMs);
+    }
+    this.#lateService.markDelayed(batch, 'no-room', nowMs);
+    return null;
   }
 
   /** Number of tasks of a batch that would be admitted, without admitting them. */
@@ -78,12 +104,15 @@
     }
     this.#priorities.set(batch.spec.queue, batch.spec.priority);
     const endsMs = this.#forecastEndsMs(batch, available, nowMs);
-    const inTime = endsMs.filter((endMs) => endMs <= latestEndMs(batch)).length;
+    const inTime = endsInTime(endsMs, latestEndMs(batch));
     const startable = this.#startableAtOnce(batch, available, nowMs);
     const lateMs = Math.max(...endsMs) - latestEndMs(batch);
     const retryAfterMs = Math.ceil(Math.min(IMPOSSIBLE_RETRY_MS, Math.max(0, lateMs)));
     const tasks = Math.max(inTime, startable);
-    return { startable, tasks, retryAfterMs, reason: BatchReason.overloaded };
+    const room = { startable, tasks, retryAfterMs, reason: BatchReason.overloaded };
+    if (tasks === batch.spec.tasks.length) return room;
+    const lateEndInMs = this.#lateService.endInMs(batch, available, nowMs);
+    return lateEndInMs === null ? room : { ...room, lateEndInMs };
   }
 
   /** Forecast ends of the tasks of a batch. */
@@ -93,9 +122,9 @@
     nowMs: number,
   ): readonly number[] {
     const order = this.#state.queueOrder(nowMs);
-    const waiting = this.#waitingAhead(batch, order);
+    const waiting = this.#waitingAhead(batch, order, nowMs);
     const isAboveShare = !order.isBelowShare(batch.spec.queue);
-    const usable = isAboveShare ? withoutReserve(available) : available;
+    const usable = isAboveShare ? withoutReserve(available, order) : available;
     const demand = demandOf(batch, batch.spec.tasks.length);
     const endsMs = forecastEndsMs(usable, waiting, demand, nowMs);
     // Later arrivals overtake a batch only until it starts. Above its share, a queue leaves room for
@@ -118,15 +147,15 @@
     if (isLate && [...batches.values()].some(({ waitingCount }) => waitingCount > 0)) return 0;
     const demand = demandOf(batch, batch.spec.tasks.length);
     const latestMs = nowMs + batch.expectedMs * maxSlowness(available);
-    return forecastEndsMs(available, [], demand, nowMs).filter((endMs) => endMs <= latestMs).length;
+    return endsInTime(forecastEndsMs(available, [], demand, nowMs), latestMs);
   }
 
   /** Waiting work that would be served before the batch. */
-  #waitingAhead(batch: Batch, order: QueueOrder): readonly Demand[] {
+  #waitingAhead(batch: Batch, order: QueueOrder, nowMs: number): readonly Demand[] {
     const { queue, priority } = batch.spec;
     const waiting = [...this.#state.batches.values()].filter((other) => {
       const { queue: otherQueue, priority: otherPriority } = other.spec;
-      if (other.waitingCount === 0) return false;
+      if (other.waitingCount === 0 || this.#lateService.isDelayed(other, nowMs)) return false;
       if (goesOnFirst(other, order)) return true;
       if (otherQueue === queue) return other.latestStartMs <= batch.latestStartMs;
       return order.precedes(otherQueue, otherPriority, queue, priority);
--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -12,6 +12,7 @@
 import { CrashMonitor } from './crashMonitor';
 import { Dispatch } from './dispatch';
 import { FirstArrivals } from './firstArrivals';
+import { LateService } from './lateService';
 import {
   BatchReason,
   type BatchOutcome,
@@ -44,6 +45,8 @@
 
   readonly #drain: CellDrain;
 
+  readonly #lateService: LateService;
+
   readonly #firstArrivals = new FirstArrivals();
 
   /** `crashes` is shared by all cells of the host. */
@@ -54,10 +57,11 @@
       runFound: (task) => this.#takeover.runFound(task),
       startRefused: (run, answer, atMs) => this.#startRefused(run, answer, atMs),
     });
-    this.#admission = new BatchAdmission(this.#state);
+    this.#lateService = new LateService(this.#state);
+    this.#admission = new BatchAdmission(this.#state, this.#lateService);
     this.#crashMonitor = new CrashMonitor(this.#state);
     this.#drain = new CellDrain(this.#state);
-    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor, this.#drain);
+    this.#dispatch = new Dispatch(this.#state, this.#crashMonitor, this.#drain, this.#lateService);
     this.#takeover = new Takeover(this.#state);
     this.#progressMonitor = new ProgressMonitor(this.#state);
   }
@@ -366,11 +370,15 @@
 
   #giveUpLateBatches(nowMs: number): void {
     this.#state.batches.forEach((batch) => {
-      const tooLate = !batch.isBegun && nowMs > batch.latestStartMs;
+      const tooLate = !batch.isBegun && nowMs > this.#lateService.lastStartMs(batch);
       if (tooLate) this.#state.giveUp(batch, BatchReason.overloaded, nowMs);
       else if (!this.#canMeetDeadline(batch, nowMs)) {
         this.#state.giveUp(batch, BatchReason.deadline, nowMs);
       }
     });
+    this.#lateService.markOvertaken(nowMs);
+    this.#lateService.useless(nowMs).forEach((batch) => {
+      this.#state.giveUp(batch, BatchReason.overloaded, nowMs);
+    });
   }
 }
--- a/src/cells/queueOrder.ts
+++ b/src/cells/queueOrder.ts
@@ -1,18 +1,13 @@
 /**
  * Order in which queues are served, by fair share. Each queue that has work is guaranteed an equal
- * share of the cell. Queues below their share precede those above it and are ordered by usage,
- * lowest first, then by priority; queues above their share are ordered by priority. A flood of one
- * queue, urgent or not, therefore leaves the others their share, and queues may use capacity above
- * their share that is otherwise idle. Before all queues come begun batches of queues below their
- * share: a job ends with its last task, so those that wait keep the others from being of use.
+ * share of the cell. Queues below their share precede those above it; the overload policy orders
+ * the others. A flood of one queue, urgent or not, therefore leaves the others their share, and
+ * queues may use capacity above their share that is otherwise idle. Before all queues come begun
+ * batches of queues below their share: a job ends with its last task, so those that wait keep the
+ * others from being of use.
  */
 import type { Batch } from './batch';
-
-/**
- * Fraction of a cell's capacity that queues above their share leave free. Where long tasks fill
- * every worker, tasks end too rarely for an urgent job of several tasks to find room in time.
- */
-export const RESERVE_FRACTION = 0.12;
+import type { OverloadPolicy, QueueStanding } from './overloadPolicy';
 
 /** Queues of a cell at one moment, with the CPU that each uses. */
 export class QueueOrder {
@@ -24,13 +19,26 @@
 
   readonly #activeCount: number;
 
-  /** `demandOf` returns the CPU that the recent arrivals of a queue require on average. */
+  readonly #policy: OverloadPolicy;
+
+  readonly #shortfallCpuMillis: () => number;
+
+  #reserveFraction: number | null = null;
+
+  /**
+   * `demandOf` returns the CPU that the recent arrivals of a queue require on average,
+   * `shortfallCpuMillis` what a wide job would lack beyond what runs release within its slack.
+   */
   constructor(
+    policy: OverloadPolicy,
     capacityCpuMillis: number,
     used: ReadonlyMap<string, number>,
     activeQueues: ReadonlySet<string>,
     demandOf: (queue: string) => number,
+    shortfallCpuMillis: () => number,
   ) {
+    this.#policy = policy;
+    this.#shortfallCpuMillis = shortfallCpuMillis;
     this.#capacityCpuMillis = capacityCpuMillis;
     this.#used = new Map(used);
     this.#activeCount = Math.max(1, activeQueues.size);
@@ -48,7 +56,14 @@
 
   /** CPU that queues above their share leave free for those below. */
   get reserveCpuMillis(): number {
-    return this.#capacityCpuMillis * RESERVE_FRACTION;
+    return this.#capacityCpuMillis * this.reserveFraction;
+  }
+
+  /** The reserve as a fraction of the capacity. */
+  get reserveFraction(): number {
+    const shortfall = () => this.#shortfallCpuMillis() / Math.max(1, this.#capacityCpuMillis);
+    this.#reserveFraction ??= this.#policy.reserveFraction(shortfall);
+    return this.#reserveFraction;
   }
 
   /**
@@ -62,11 +77,15 @@
 
   /** True if waiting work of `queue` is served before that of `other`. */
   precedes(queue: string, priority: number, other: string, otherPriority: number): boolean {
-    const below = this.isBelowShare(queue);
-    if (below !== this.isBelowShare(other)) return below;
-    const usageGap = (this.#used.get(other) ?? 0) - (this.#used.get(queue) ?? 0);
-    if (below && usageGap !== 0) return usageGap > 0;
-    return priority < otherPriority;
+    return this.#policy.precedes(
+      this.#standingOf(queue, priority),
+      this.#standingOf(other, otherPriority),
+    );
+  }
+
+  #standingOf(queue: string, priority: number): QueueStanding {
+    const isBelowShare = this.isBelowShare(queue);
+    return { isBelowShare, usedCpuMillis: this.#used.get(queue) ?? 0, priority };
   }
 }
 
--- a/src/cli/dryRunCommand.ts
+++ b/src/cli/dryRunCommand.ts
@@ -45,6 +45,9 @@
     const { reason, retryAfterMs } = decision;
     return `refused: ${reason}; nothing would be sent; retry after ${Math.round(retryAfterMs)} ms`;
   }
+  if (decision.type === 'late') {
+    return `sent late: all to ${decision.cell}, as no cells would end all tasks in time`;
+  }
   const parts = decision.assignments.map(({ cell, taskIndexes }) => {
     const worker = cells.find((other) => other.cell === cell)?.answer?.workerId;
     return `${taskIndexes.length} to ${cell}${worker ? ` (first on ${worker})` : ' (queued there)'}`;
--- a/src/dispatcher/jobs/jobDivision.ts
+++ b/src/dispatcher/jobs/jobDivision.ts
@@ -24,6 +24,8 @@
 /** Outcome of a division. */
 export type Division =
   | { readonly type: 'assigned'; readonly assignments: readonly CellAssignment[] }
+  /** No cells have room in time; this one would serve all tasks late, and earlier than others. */
+  | { readonly type: 'late'; readonly cell: string }
   /** The cells together have too little room now; nothing has been sent to them. */
   | { readonly type: 'refused'; readonly reason: BatchReason; readonly retryAfterMs: number }
   /** No cell has answered, for example because its owner is of an earlier version. */
@@ -33,6 +35,37 @@
 const MAX_CELLS_ASKED = 6;
 const MIN_RETRY_AFTER_MS = 100;
 
+/** The cell that would end all tasks first, although late; null if all would refuse them. */
+function earliestLate(
+  rooms: readonly { readonly cell: string; readonly lateEndInMs?: number }[],
+): string | null {
+  let earliest: string | null = null;
+  let earliestMs = Infinity;
+  rooms.forEach(({ cell, lateEndInMs = Infinity }) => {
+    if (lateEndInMs >= earliestMs) return;
+    earliest = cell;
+    earliestMs = lateEndInMs;
+  });
+  return earliest;
+}
+
+/** Decides where the tasks of a step go by the rooms that the cells have told. */
+export function decideDivision(rooms: readonly AskedCell[], taskCount: number): Division {
+  if (rooms.length === 0) return { type: 'unknown' };
+  // Tasks that start at once in several cells end earlier than those that wait in one.
+  const atOnce = rooms.map(({ cell, startable }) => ({ cell, tasks: startable }));
+  const assignments = assignByRoom(atOnce, taskCount) ?? assignByRoom(rooms, taskCount);
+  if (assignments) return { type: 'assigned', assignments };
+  const cell = earliestLate(rooms);
+  if (cell !== null) return { type: 'late', cell };
+  const soonestMs = Math.min(...rooms.map(({ retryAfterMs }) => retryAfterMs));
+  const isOverloaded = rooms.some(({ reason }) => reason === BatchReason.overloaded);
+  const reason = isOverloaded
+    ? BatchReason.overloaded
+    : (rooms[0]?.reason ?? BatchReason.noWorkers);
+  return { type: 'refused', reason, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, soonestMs) };
+}
+
 /** Divides the tasks of one step over the cells. */
 export class JobDivision {
   readonly #cluster: DivisionCluster;
@@ -47,13 +80,14 @@
   /** Asks the cells for their room for `batch`, which holds all tasks of the step. */
   async divide(batch: TaskBatch): Promise<Division> {
     const rooms = await this.ask(batch);
-    const division = this.decide(rooms, batch.tasks.length);
+    const division = decideDivision(rooms, batch.tasks.length);
     if (division.type === 'unknown') return division;
     this.#journal.logDecision('job-divided', {
       jobId: batch.jobId,
       tasks: batch.tasks.length,
       rooms: rooms.map(({ cell, startable, tasks }) => `${cell}:${startable}/${tasks}`),
       parts: division.type === 'assigned' ? division.assignments.length : 0,
+      lateCell: division.type === 'late' ? division.cell : null,
     });
     return division;
   }
@@ -73,20 +107,4 @@
       return room ? [{ cell, ...room }] : [];
     });
   }
-
-  /** Decides where the tasks of a step go by the rooms that the cells have told. */
-  // eslint-disable-next-line class-methods-use-this -- belongs to `ask`
-  decide(rooms: readonly AskedCell[], taskCount: number): Division {
-    if (rooms.length === 0) return { type: 'unknown' };
-    // Tasks that start at once in several cells end earlier than those that wait in one.
-    const atOnce = rooms.map(({ cell, startable }) => ({ cell, tasks: startable }));
-    const assignments = assignByRoom(atOnce, taskCount) ?? assignByRoom(rooms, taskCount);
-    if (assignments) return { type: 'assigned', assignments };
-    const soonestMs = Math.min(...rooms.map(({ retryAfterMs }) => retryAfterMs));
-    const isOverloaded = rooms.some(({ reason }) => reason === BatchReason.overloaded);
-    const reason = isOverloaded
-      ? BatchReason.overloaded
-      : (rooms[0]?.reason ?? BatchReason.noWorkers);
-    return { type: 'refused', reason, retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, soonestMs) };
-  }
 }
--- a/src/dispatcher/jobs/placementPreview.ts
+++ b/src/dispatcher/jobs/placementPreview.ts
@@ -10,7 +10,7 @@
 import type { Cluster } from '../cluster';
 import type { DispatchJournal } from '../journal';
 import { BatchSender } from './batchSender';
-import { JobDivision, type AskedCell } from './jobDivision';
+import { decideDivision, JobDivision, type AskedCell } from './jobDivision';
 import type { QueueTable } from './queueTable';
 import { RunningJob } from './runningJob';
 import { spreadTasks, type CellAssignment } from './router';
@@ -41,6 +41,8 @@
 /** What would happen to the job now. */
 export type PreviewDecision =
   | { readonly type: 'assigned'; readonly assignments: readonly CellAssignment[] }
+  /** No cells have room in time, and this one would serve all tasks late. */
+  | { readonly type: 'late'; readonly cell: string }
   | { readonly type: 'refused'; readonly reason: string; readonly retryAfterMs: number }
   /** No cell answered in time, so that the job would be sent by load alone. */
   | { readonly type: 'unknown'; readonly assignments: readonly CellAssignment[] };
@@ -139,7 +141,7 @@
     const answer = asked.find(({ cell }) => cell === first.cell);
     const isAdmitted = answer !== undefined && answer.tasks >= tasks;
     if (byLoad.length === 1 && isAdmitted) return { type: 'assigned', assignments: byLoad };
-    const division = this.#division.decide(asked, tasks);
+    const division = decideDivision(asked, tasks);
     return division.type === 'unknown' ? { type: 'unknown', assignments: byLoad } : division;
   }
 
--- a/src/dispatcher/jobs/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -128,6 +128,9 @@
     if (division.type === 'assigned') {
       return this.#runAssignments(job, group, division.assignments, false);
     }
+    if (division.type === 'late' && !job.begun) {
+      return this.#runLate(job, group, division.cell);
+    }
     if (division.type === 'refused' && !job.begun && job.openGroups === 0) {
       const { reason, retryAfterMs } = division;
       return { type: 'refused', reason, retryAfterMs };
@@ -135,6 +138,13 @@
     return this.#runAssignments(job, group, fallback, false);
   }
 
+  /** Runs all tasks in a cell that serves them after their objective. */
+  #runLate(job: RunningJob, group: TaskGroup, cell: string): Promise<JobOutcome> {
+    const taskIndexes = group.tasks.map((_, index) => index);
+    const late = { ...group, acceptsLate: true };
+    return this.#runAssignments(job, late, [{ cell, taskIndexes }], false);
+  }
+
   async #awaitSuccessor(job: RunningJob, group: TaskGroup): Promise<void> {
     await this.#awaitCell(job, group);
     await waitForPendingReads();
