--- a/src/dispatcher/jobs/placementPreview.ts
+++ b/src/dispatcher/jobs/placementPreview.ts
@@ -96,6 +96,21 @@
   return freeCpuMillis.reduce((sum, cpu) => sum + cpu, 0);
 }
 
+/** A job goes whole to the cell that the router chooses, unless that one would refuse it. */
+function decide(
+  byLoad: readonly CellAssignment[],
+  asked: readonly AskedCell[],
+  tasks: number,
+): PreviewDecision {
+  const [first] = byLoad;
+  if (!first) return NO_CELL;
+  const answer = asked.find(({ cell }) => cell === first.cell);
+  const isAdmitted = answer !== undefined && answer.tasks >= tasks;
+  if (byLoad.length === 1 && isAdmitted) return { type: 'assigned', assignments: byLoad };
+  const division = decideDivision(asked, tasks);
+  return division.type === 'unknown' ? { type: 'unknown', assignments: byLoad } : division;
+}
+
 /** Answers questions about where jobs would go. */
 export class PlacementPreviewer {
   readonly #parts: PlacementPreviewerParts;
@@ -126,25 +141,10 @@
       policy: binding.policy,
       configurationVersion: configuration.version,
       cells: serving.map((summary) => this.#cellPreview(summary, asked)),
-      decision: this.#decide(byLoad, asked, tasks),
+      decision: decide(byLoad, asked, tasks),
     });
   }
 
-  /** A job goes whole to the cell that the router chooses, unless that one would refuse it. */
-  #decide(
-    byLoad: readonly CellAssignment[],
-    asked: readonly AskedCell[],
-    tasks: number,
-  ): PreviewDecision {
-    const [first] = byLoad;
-    if (!first) return NO_CELL;
-    const answer = asked.find(({ cell }) => cell === first.cell);
-    const isAdmitted = answer !== undefined && answer.tasks >= tasks;
-    if (byLoad.length === 1 && isAdmitted) return { type: 'assigned', assignments: byLoad };
-    const division = decideDivision(asked, tasks);
-    return division.type === 'unknown' ? { type: 'unknown', assignments: byLoad } : division;
-  }
-
   #cellPreview(summary: CellSummary, asked: readonly AskedCell[]): CellPreview {
     const { cell, capacityCpuMillis, queuedCpuMillisMs } = summary;
     return {
