--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -96,11 +96,11 @@
     return this.#state.runTracker.workers;
   }
 
-  /** True if runs of the job may be in progress on the workers, for whichever submission. */
-  hasRunsOf(jobId: string): boolean {
-    return [...this.workers.values()].some((worker) =>
-      [...worker.runs.values()].some((run) => run.jobId === jobId),
-    );
+  /** Jobs of which runs may be in progress on the workers, for whichever submission. */
+  jobsWithRuns(): ReadonlySet<string> {
+    const jobs = new Set<string>();
+    this.workers.forEach(({ runs }) => runs.forEach(({ jobId }) => jobs.add(jobId)));
+    return jobs;
   }
 
   /** True if some worker has not listed its runs to this owner. */
@@ -140,13 +140,17 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
-  /** How many tasks of a batch would be admitted now. The batch is neither queued nor refused. */
-  roomFor(offered: TaskBatch, nowMs: number): CellRoom {
+  /**
+   * How many tasks of a batch would be admitted now, and with `namesWorker` where the first would
+   * start. The batch is neither queued nor refused.
+   */
+  roomFor(offered: TaskBatch, nowMs: number, namesWorker = false): CellRoom {
     if (this.#drain.isActive) return NO_ROOM_IN_DRAIN;
     const spec = this.#firstArrivals.withTotalWait(offered, nowMs);
     const expectedMs = this.#state.runTimes.expectedMs(spec.queue, spec.estimateMs);
     const batch = new Batch(spec, LOCAL_SUBMITTER, expectedMs, nowMs, nowMs);
-    return this.#admission.roomFor(batch, nowMs);
+    const room = this.#admission.roomFor(batch, nowMs);
+    return namesWorker ? { ...room, workerId: this.#dispatch.workerFor(batch, nowMs) } : room;
   }
 
   /** Ends a batch whose outcome is no longer awaited, and stops its runs. */
@@ -199,6 +203,12 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
+  /** True if only a list of the worker can show whether a stopped run was ever started there. */
+  awaitsList(task: string, run: number, workerId: string): boolean {
+    const stopped = this.workers.get(workerId)?.runs.get(runKey(task, run));
+    return stopped !== undefined && !stopped.listed && stopped.confirmedAtMs === null;
+  }
+
   stopUnanswered(task: string, run: number, workerId: string): void {
     this.#state.runTracker.stopUnanswered(runKey(task, run), workerId);
   }
@@ -216,7 +226,7 @@
   workerSilent(workerId: string, nowMs: number): void {
     const worker = this.#state.runTracker.workers.get(workerId);
     if (!worker?.reachable) return;
-    this.#state.runTracker.workerSilent(workerId);
+    this.#state.runTracker.workerSilent(workerId, nowMs);
     this.#state.logDecision('worker-silent', { worker: workerId, runs: worker.runs.size });
     this.#crashMonitor.workerLost(worker);
     this.#giveUpLateBatches(nowMs);
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -27,10 +27,11 @@
 import { PauseDetector } from './ownership/pauseDetector';
 import type { PeerClient } from './peers/peerClient';
 import type { HostClock } from './peers/peerClocks';
-import type { BatchCall } from './peers/peerMessages';
+import type { BatchCall, RunsReply } from './peers/peerMessages';
 import { StatusExchange } from './peers/statusExchange';
 import { OpenCells } from './openCells';
 import type { Platform } from './platform';
+import { FoundRuns } from './jobs/foundRuns';
 import type { QueueTable } from './jobs/queueTable';
 import { CellRegistry } from './ownership/cellRegistry';
 import { CellLoads } from './jobs/router';
@@ -61,6 +62,10 @@
 }
 
 const TICK_MS = 25;
+/** Cells whose owners were lost together with this host have new ones so long after its start. */
+const OWNERS_AFTER_START_MS = 300;
+/** An owner that is alive answers its first status call within this time. */
+const FIRST_ANSWER_MS = 150;
 /** Time for which a new process claims no cell unless it knows which domains are drained. */
 const DRAINS_WAIT_MS = 1000;
 
@@ -97,6 +102,8 @@
   /** Null until the layout is known; no cell can be served before that. */
   #layout: CellLayout | null = null;
 
+  readonly #foundRuns: FoundRuns;
+
   readonly #ownerHealth = new Map<string, OwnerHealth>();
 
   /** When this process learned of the present owner of each cell. */
@@ -110,6 +117,8 @@
 
   readonly #pauseDetector: PauseDetector;
 
+  #firstServiceMs: number | null = null;
+
   #leaving = false;
 
   #resumeListener: (() => void) | null = null;
@@ -129,6 +138,10 @@
       domainOf: (cell) => this.#domainOf(cell),
       hasAnsweredSince: (cell, sinceMs) => this.#hasAnsweredSince(cell, sinceMs),
     });
+    this.#foundRuns = new FoundRuns(
+      (address, request) => parts.peers.runsOf(address, request),
+      clock,
+    );
     this.#crashExchange = new CrashExchange({ ...parts, store: platform.store });
     this.#registry = new CellRegistry({
       self,
@@ -239,6 +252,11 @@
     return owners.reduce((sum, { cellState }) => sum + cellState.runCount, 0);
   }
 
+  /** Time from the start of this process until it knew of a served cell; null before that. */
+  get firstServiceMs(): number | null {
+    return this.#firstServiceMs;
+  }
+
   ownerOf(cell: string): CellRecord | null {
     return this.#registry.get(cell);
   }
@@ -256,35 +274,44 @@
 
   /** See `EarlierRunsCluster`. */
   get lacksOwner(): boolean {
-    const { clock, options } = this.#parts;
-    if (clock.nowMs() - this.#startedAtMs > options.submitterTimeoutMs) return false;
+    if (this.#parts.clock.nowMs() - this.#startedAtMs > OWNERS_AFTER_START_MS) return false;
     return (this.#layout?.cells ?? []).some((cell) => !this.isServing(cell));
   }
 
   /** See `EarlierRunsCluster`. */
   async mayRunJob(cell: string, jobId: string): Promise<boolean> {
-    if (this.#ownedCells.get(cell)) return this.mayRunOwnJob(cell, jobId);
+    if (this.#ownedCells.get(cell)) return this.runsInOwnCell(cell, jobId).mayRun;
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return false;
-    return this.#parts.peers.mayRunJob(record.owner.address, { cell, jobId });
+    if (!this.#mayAnswer(cell)) return false;
+    const { address, incarnation } = record.owner;
+    return this.#foundRuns.mayRunJob({ address, incarnation, cell, jobId });
   }
 
-  /** True if runs of the job may be in progress in a cell of this host. */
-  mayRunOwnJob(cell: string, jobId: string): boolean {
-    return this.#ownedCells.get(cell)?.mayRunJob(jobId) ?? false;
+  /** False if the owner is gone, or has not answered a status call for too long. */
+  #mayAnswer(cell: string): boolean {
+    if (this.isServing(cell)) return true;
+    if (this.#ownerHealth.get(cell) === OwnerHealth.gone) return false;
+    const sinceMs = this.#ownerSinceMs.get(cell) ?? -Infinity;
+    return this.#parts.clock.nowMs() - sinceMs <= FIRST_ANSWER_MS;
+  }
+
+  /** Whether runs of the job may be in progress in a cell of this host; not in other cells. */
+  runsInOwnCell(cell: string, jobId: string): RunsReply {
+    return this.#ownedCells.get(cell)?.runsOf(jobId) ?? { mayRun: false };
   }
 
   /** How many tasks of a batch a cell could end in time; null if its owner does not answer. */
-  async roomIn(cell: string, batch: TaskBatch): Promise<CellRoom | null> {
-    if (this.#ownedCells.get(cell)) return this.roomInOwnCell(cell, batch);
+  async roomIn(cell: string, batch: TaskBatch, namesWorker = false): Promise<CellRoom | null> {
+    if (this.#ownedCells.get(cell)) return this.roomInOwnCell(cell, batch, namesWorker);
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return null;
-    return this.#parts.peers.roomIn(record.owner.address, { cell, batch });
+    return this.#parts.peers.roomIn(record.owner.address, { cell, batch, namesWorker });
   }
 
   /** The same for a cell of this host; null if this host does not own it. */
-  roomInOwnCell(cell: string, batch: TaskBatch): CellRoom | null {
-    return this.#ownedCells.get(cell)?.roomFor(batch) ?? null;
+  roomInOwnCell(cell: string, batch: TaskBatch, namesWorker = false): CellRoom | null {
+    return this.#ownedCells.get(cell)?.roomFor(batch, namesWorker) ?? null;
   }
 
   /** Runs a batch in a cell, locally or at the cell's owner. `abort` withdraws the batch. */
@@ -416,7 +443,7 @@
       nowMs,
     );
     this.owners.forEach((owner) => this.loads.set(owner.summary()));
-    this.#openCells.recordServed(this.#served());
+    this.#noteService(nowMs);
   }
 
   /** A new process learns first which domains are drained, so that it starts nothing there. */
@@ -424,6 +451,19 @@
     return this.drains.isKnown || nowMs - this.#startedAtMs >= DRAINS_WAIT_MS;
   }
 
+  /** Records that cells are served, and logs the first time of this process. */
+  #noteService(nowMs: number): void {
+    const served = this.#served();
+    this.#openCells.recordServed(served);
+    const cells = served.map(({ cell }) => cell);
+    if (cells.length === 0 || this.#firstServiceMs !== null) return;
+    this.#firstServiceMs = Math.round(nowMs - this.#startedAtMs);
+    const owned = this.owners.map(({ cell }) => cell);
+    const lacking = (this.#layout?.cells ?? []).filter((cell) => !cells.includes(cell));
+    const sinceStartMs = this.#firstServiceMs;
+    this.#parts.journal.logDecision('first-service', { sinceStartMs, cells, owned, lacking });
+  }
+
   #resume(gapMs: number, nowMs: number): void {
     this.#parts.journal.logDecision('pause-detected', { gapMs: Math.round(gapMs) });
     this.#statusExchange.resume(nowMs);
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -3,9 +3,9 @@
  * of other hosts and the metrics, and drains them on shutdown. The interface for callers is part of
  * the platform.
  */
-import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import { CrashHistory } from '../cells/crashHistory';
+import type { RandomSource } from '../core/clock';
 import { splitAddress } from '../settings/address';
 import type { HostIdentity } from './ownership/cellRecord';
 import { Cluster, type ClusterOptions } from './cluster';
@@ -16,6 +16,7 @@
 import { PeerClient } from './peers/peerClient';
 import type { HostClock } from './peers/peerClocks';
 import { PeerServer } from './peers/peerServer';
+import { PlacementPreviewer } from './jobs/placementPreview';
 import { StepRunner } from './jobs/stepRunner';
 import type { Platform } from './platform';
 import { QueueTable } from './jobs/queueTable';
@@ -33,7 +34,8 @@
   readonly droppedLines: () => number;
 }
 
-const INCARNATION_BYTES = 6;
+const INCARNATION_DIGITS = 12;
+const HEX_RADIX = 16;
 const RENEW_WAIT_MS = 120;
 const WORKER_LIST_PERIOD_MS = 500;
 /**
@@ -57,6 +59,17 @@
   });
 }
 
+/**
+ * Distinguishes the processes of one host, by the time of their start and random digits. It needs
+ * to be unique, not secret, and `node:crypto` would lengthen the start.
+ */
+function drawIncarnation({ timeOfDayMs }: HostClock, random: RandomSource): string {
+  const digits = Array.from({ length: INCARNATION_DIGITS }, () =>
+    Math.floor(random.next() * HEX_RADIX).toString(HEX_RADIX),
+  );
+  return `${Math.floor(timeOfDayMs()).toString(HEX_RADIX)}${digits.join('')}`;
+}
+
 /** A dispatcher process. */
 export class DispatchHost {
   readonly dispatcher: Dispatcher;
@@ -82,7 +95,7 @@
     const random = { next: Math.random };
     const self: HostIdentity = {
       hostId: settings.hostId,
-      incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+      incarnation: drawIncarnation(clock, random),
       domain: settings.domain,
       address: settings.announcedAddress,
       cores: settings.cores,
@@ -118,6 +131,13 @@
       journal,
     });
     const runner = new JobRunner({ stepRunner, crashes, clock, journal });
+    const previewer = new PlacementPreviewer({
+      cluster: this.#cluster,
+      queues,
+      random,
+      clock,
+      journal,
+    });
     const isServing = () => this.#cluster.hasServedCells;
     this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
     this.#peerServer = new PeerServer(
@@ -132,8 +152,9 @@
         run: (call, contact) => this.#cluster.runForPeer(call, contact),
         withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
         summary: (cell) => this.#cluster.summary(cell),
-        roomIn: (cell, batch) => this.#cluster.roomInOwnCell(cell, batch),
-        mayRunJob: (cell, jobId) => this.#cluster.mayRunOwnJob(cell, jobId),
+        roomIn: (cell, batch, namesWorker) => this.#cluster.roomInOwnCell(cell, batch, namesWorker),
+        preview: (request) => previewer.preview(request),
+        runsOf: (cell, jobId) => this.#cluster.runsInOwnCell(cell, jobId),
         configuration: () => queues.configuration,
       },
       clock,
@@ -143,6 +164,7 @@
     metrics.observeState({
       pending: () => runner.pending,
       owners: () => this.#cluster.owners,
+      firstServiceMs: () => this.#cluster.firstServiceMs,
       configurationVersion: () => queues.configuration?.version ?? 0,
       domains: settings.domains,
       drainedSinceMs: (domain) => this.#cluster.drains.drainedSinceMs(domain),
--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -36,6 +36,8 @@
 
   #byHost = new Map<string, readonly QueueBinding[]>();
 
+  readonly #firstListeners = new Set<() => void>();
+
   get configuration(): QueueConfiguration | null {
     return this.#configuration;
   }
@@ -51,9 +53,25 @@
     byHost.forEach((bindings) => bindings.sort(byLongestPrefix));
     this.#byHost = byHost;
     this.#configuration = configuration;
+    this.#firstListeners.forEach((listener) => listener());
     return true;
   }
 
+  /** Resolves when there is a configuration, or after `limitMs`. */
+  whenConfigured(limitMs: number): Promise<void> {
+    if (this.#configuration || limitMs <= 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | null = null;
+      const end = () => {
+        if (timer) clearTimeout(timer);
+        this.#firstListeners.delete(end);
+        resolve();
+      };
+      timer = setTimeout(end, limitMs);
+      this.#firstListeners.add(end);
+    });
+  }
+
   /** The queue with the longest matching path prefix, or null. */
   match(hostHeader: string, path: string): QueueMatch | null {
     const hostName = (hostHeader.split(':')[0] ?? '').toLowerCase();
--- a/src/dispatcher/jobs/stepRunner.ts
+++ b/src/dispatcher/jobs/stepRunner.ts
@@ -41,8 +41,6 @@
 const OWNER_POLL_MS = 20;
 /** Added to run numbers for a new owner, so that they exceed any that the previous owner used. */
 const RUN_NUMBER_GAP = 16;
-/** Maximum time that a job waits for a cell without an owner to get one. */
-const CELL_WAIT_MS = 300;
 /** A cell that refuses a batch does so within this time. */
 const REFUSAL_WAIT_MS = 8;
 const NO_CELL: JobOutcome = { type: 'refused', reason: 'no-cell', retryAfterMs: RETRY_AFTER_MS };
@@ -99,9 +97,8 @@
    * Runs all tasks of a step, distributed over the cells. Refused only if no cell accepted a batch.
    */
   async run(job: RunningJob, group: TaskGroup): Promise<JobOutcome> {
-    await this.#awaitCell(job);
-    if (group.step.after.length > 0) await waitForPendingReads();
-    else await this.#earlierRuns.waitUntilOver(job);
+    if (group.step.after.length > 0) await this.#awaitSuccessor(job, group);
+    else await this.#awaitFirstStart(job, group);
     if (job.hasEnded) return NOT_SENT;
     return this.#distribute(job, group);
   }
@@ -138,15 +135,41 @@
     return this.#runAssignments(job, group, fallback, false);
   }
 
-  /** Waits up to `CELL_WAIT_MS` for a cell to be served, after a start or a change of owner. */
-  async #awaitCell(job: RunningJob): Promise<void> {
-    const { cluster, clock } = this.#parts;
-    const untilMs = clock.nowMs() + CELL_WAIT_MS;
+  async #awaitSuccessor(job: RunningJob, group: TaskGroup): Promise<void> {
+    await this.#awaitCell(job, group);
+    await waitForPendingReads();
+  }
+
+  /** Waits until the job may start, and records for how long it had to. */
+  async #awaitFirstStart(job: RunningJob, group: TaskGroup): Promise<void> {
+    const { clock } = this.#parts;
+    const heldFromMs = clock.nowMs();
+    await this.#awaitCell(job, group);
+    await this.#earlierRuns.waitUntilOver(job);
+    const held = job;
+    held.heldMs = Math.max(job.heldMs, clock.nowMs() - heldFromMs);
+  }
+
+  /**
+   * Waits for a cell to be served, after a start or a change of owner. The job is not refused while
+   * an owner can be expected and the step could still end in time.
+   */
+  async #awaitCell(job: RunningJob, { step, otherStepsMs }: TaskGroup): Promise<void> {
+    const { cluster, clock, journal } = this.#parts;
+    if (cluster.serving().length > 0) return;
+    const waitedFromMs = clock.nowMs();
+    const latestStartMs = job.deadlineAtMs - step.estimateMs - otherStepsMs;
     while (cluster.serving().length === 0 && cluster.expectsOwner && !job.hasEnded) {
-      if (clock.nowMs() >= untilMs) return;
+      if (clock.nowMs() >= latestStartMs) break;
       // eslint-disable-next-line no-await-in-loop -- polls until there is an owner
       await waitAndRead(job, OWNER_POLL_MS);
     }
+    journal.logDecision('cell-awaited', {
+      jobId: job.request.job.id,
+      waitedMs: Math.round(clock.nowMs() - waitedFromMs),
+      cells: cluster.serving().length,
+      hasEnded: job.hasEnded,
+    });
   }
 
   #spread({ step, tasks }: TaskGroup): readonly CellAssignment[] {
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -18,6 +18,7 @@
 import type { DispatchJournal } from '../journal';
 import { PauseDetector } from './pauseDetector';
 import type { HostClock } from '../peers/peerClocks';
+import type { RunsReply } from '../peers/peerMessages';
 import type { WorkerClient } from './workerClient';
 import { StopAnswer } from './workerClient';
 import { latestLeaseEndMs, WorkerSession, type SessionOptions } from './workerSession';
@@ -105,15 +106,20 @@
     this.#performActions();
   }
 
-  /** True if the cell tracks runs of the job, or not all workers have listed their runs yet. */
-  mayRunJob(jobId: string): boolean {
+  /** Whether runs of the job, and of which other ones, may be in progress in the cell. */
+  runsOf(jobId: string): RunsReply {
+    // Before the list of workers has been read, nothing is known of any of them.
+    const areAllListed = this.#cell.workers.size > 0 && !this.#cell.hasUnlistedWorkers;
     const isNew = this.#now() - this.#openedAtMs < FIRST_LISTS_MS;
-    return this.#cell.hasRunsOf(jobId) || (isNew && this.#cell.hasUnlistedWorkers);
+    const mayRunOthers = isNew && !areAllListed;
+    const found = this.#cell.jobsWithRuns();
+    const mayRun = found.has(jobId) || mayRunOthers;
+    return { mayRun, foundJobs: [...found], areAllListed, mayRunOthers };
   }
 
   /** How many tasks of a batch the cell would admit now. */
-  roomFor(batch: TaskBatch): CellRoom {
-    return this.#cell.roomFor(batch, this.#now());
+  roomFor(batch: TaskBatch, namesWorker = false): CellRoom {
+    return this.#cell.roomFor(batch, this.#now(), namesWorker);
   }
 
   /** Runs a batch and resolves with its outcome. */
@@ -207,6 +213,7 @@
       if (answer === StopAnswer.unclear) this.#cell.stopUnanswered(task, run, workerId);
       if (answer !== StopAnswer.confirmed) return;
       this.#cell.stopConfirmed(task, run, workerId, this.#now());
+      if (this.#cell.awaitsList(task, run, workerId)) session.requestList();
       this.#performActions();
     });
   }
@@ -227,6 +234,8 @@
       {
         workerCount: () => this.#sessions.size,
         isIdle: () => this.#cell.workers.get(workerId)?.runs.size === 0,
+        nextOverdueAtMs: () =>
+          this.#cell.workers.get(workerId)?.nextOverdueAtMs(clock.nowMs()) ?? Infinity,
         leaseLimitMs: () => this.#cell.leaseLimitMs(workerId),
       },
       {
@@ -243,6 +252,13 @@
           this.#cell.workerRestarted(id, this.#now());
           performActions();
         },
+        overdue: (id, renewalAgeMs) =>
+          journal.logDecision('run-overdue', {
+            cell,
+            worker: id,
+            runs: this.#cell.workers.get(id)?.runs.size ?? 0,
+            renewalAgeMs: Math.round(renewalAgeMs),
+          }),
         fenced: (id) => this.#reportFenced(id),
         renewed: (id, leasesEndMs) => this.#cell.renewed(id, leasesEndMs),
       },
--- a/src/dispatcher/peers/peerMessages.ts
+++ b/src/dispatcher/peers/peerMessages.ts
@@ -12,6 +12,7 @@
   batches: '/v1/batches',
   runs: '/v1/runs',
   room: '/v1/room',
+  placement: '/v1/placement',
   configuration: '/v1/configuration',
 } as const;
 
@@ -119,12 +120,20 @@
 /** Answer to a `RunsRequest`; false also if the receiver does not own the cell. */
 export interface RunsReply {
   readonly mayRun: boolean;
+  /** All jobs with runs in the cell; absent from hosts of earlier versions. */
+  readonly foundJobs?: readonly string[];
+  /** True if all workers have listed their runs, so that no further ones will be found. */
+  readonly areAllListed?: boolean;
+  /** True if other jobs may have runs as well, because workers have not listed theirs yet. */
+  readonly mayRunOthers?: boolean;
 }
 
 /** Asks the owner of a cell how many tasks of a batch it could end in time. */
 export interface RoomRequest {
   readonly cell: string;
   readonly batch: TaskBatch;
+  /** The answer is to name a worker; absent from hosts of earlier versions. */
+  readonly namesWorker?: boolean;
 }
 
 /** Answer to a `RoomRequest`; null if the receiver does not own the cell. */
--- a/src/dispatcher/peers/peerServer.ts
+++ b/src/dispatcher/peers/peerServer.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text as readText } from 'node:stream/consumers';
+import type { Result } from 'ts-results';
 import {
   agedBatch,
   BatchReason,
@@ -27,9 +28,15 @@
   type BatchReply,
   type HostStatus,
   type RoomRequest,
+  type RunsReply,
   type RunsRequest,
   type StatusRequest,
 } from './peerMessages';
+import {
+  readPreviewRequest,
+  type PlacementPreview,
+  type PreviewRequest,
+} from '../jobs/placementPreview';
 import type { QueueConfiguration } from '../jobs/queueTable';
 import { SubmitterTracker } from './submitterTracker';
 
@@ -42,10 +49,12 @@
   run(call: BatchCall, contact: SubmitterContact): Promise<BatchOutcome>;
   withdraw(cell: string, batchId: string, reason: BatchReason): void;
   summary(cell: string): CellSummary | null;
-  /** True if runs of the job may be in progress in a cell of this host. */
-  mayRunJob(cell: string, jobId: string): boolean;
+  /** Whether runs of the job may be in progress in a cell of this host. */
+  runsOf(cell: string, jobId: string): RunsReply;
   /** How many tasks of a batch a cell of this host could end in time; null for other cells. */
-  roomIn(cell: string, batch: TaskBatch): CellRoom | null;
+  roomIn(cell: string, batch: TaskBatch, namesWorker: boolean): CellRoom | null;
+  /** Where a job would go now; the error says what is wrong with the request. */
+  preview(request: PreviewRequest): Promise<Result<PlacementPreview, string>>;
   configuration(): QueueConfiguration | null;
 }
 
@@ -156,6 +165,9 @@
       case PeerPath.room:
         this.#answerRoom(text, response);
         break;
+      case PeerPath.placement:
+        await this.#answerPlacement(text, response);
+        break;
       case PeerPath.configuration:
         sendJson(response, 200, this.#handler.configuration());
         break;
@@ -194,7 +206,7 @@
       return;
     }
     const { cell, jobId } = runsRequest;
-    sendJson(response, 200, { mayRun: this.#handler.mayRunJob(cell, jobId) });
+    sendJson(response, 200, this.#handler.runsOf(cell, jobId));
   }
 
   #answerRoom(text: string, response: ServerResponse): void {
@@ -203,8 +215,16 @@
       sendJson(response, 400, { detail: 'expected cell and batch' });
       return;
     }
-    const { cell, batch } = roomRequest;
-    sendJson(response, 200, { room: this.#handler.roomIn(cell, batch) });
+    const { cell, batch, namesWorker = false } = roomRequest;
+    sendJson(response, 200, { room: this.#handler.roomIn(cell, batch, namesWorker) });
+  }
+
+  /** Answers an operator's question; the request is checked, because it is written by hand. */
+  async #answerPlacement(text: string, response: ServerResponse): Promise<void> {
+    const request = readPreviewRequest(parseBody(text, []));
+    const preview = request.ok ? await this.#handler.preview(request.val) : request;
+    if (preview.ok) sendJson(response, 200, preview.val);
+    else sendJson(response, 400, { detail: preview.val });
   }
 
   async #answerBatch(text: string, response: ServerResponse): Promise<void> {
--- a/test/dispatcher/cellOwner.test.ts
+++ b/test/dispatcher/cellOwner.test.ts
@@ -293,6 +293,20 @@
     expect(simulation.workers.flatMap(({ starts }) => starts).length).toEqual(1);
   });
 
+  // Guards against waiting for the pending renewal, which waits longer the more workers a cell has.
+  it('starts elsewhere as soon as the stop is confirmed, in a large cell too', async (t) => {
+    const workers = Array.from({ length: 46 }, (_, index) => new LeasedWorker(`w${index}`));
+    const simulation = simulationOf(t, ...workers);
+    Object.assign(workers[0] ?? {}, { startDelaysMs: [5000] });
+    await simulation.advance(5);
+    run(simulation, batchOf(LONG));
+    // The start times out after 120 ms; a stop and two lists follow.
+    await simulation.advance(135);
+    expect(workers.flatMap(({ starts }) => starts).length).toEqual(1);
+    await simulation.advance(7000);
+    expect(workers.flatMap(({ starts }) => starts).length).toEqual(1);
+  });
+
   // Guards against leases under which the worker executes the start when it answers again.
   it('does not overlap with a second run if its worker was silent beyond its leases', async (t) => {
     const simulation = simulationWithLateStart(t, 1900, 0);
@@ -326,6 +340,21 @@
   });
 });
 
+describe('a run whose end is not reported', () => {
+  // Guards against a short task whose end is learned only when the renewal that waits for it times
+  // out, in a cell with so many workers that renewals wait long.
+  it('is looked up when it is overdue', async (t) => {
+    const workers = Array.from({ length: 46 }, (_, index) => new LeasedWorker(`w${index}`));
+    const simulation = simulationOf(t, ...workers);
+    await simulation.advance(5);
+    workers.forEach((worker) => Object.assign(worker, { lostRenewals: 1 }));
+    await simulation.advance(600);
+    const record = run(simulation, batchOf({ payload: '60', estimateMs: 60, goalMs: 900 }));
+    await simulation.advance(130);
+    expect(record.outcome).toEqual({ type: 'done' });
+  });
+});
+
 describe('a job that is resubmitted while a run of it is in the cell', () => {
   const FIRST = { jobId: 'twice', estimateMs: 900, goalMs: 9000, deadlineInMs: 12_000 } as const;
 
--- a/test/dispatcher/staleBatch.test.ts
+++ b/test/dispatcher/staleBatch.test.ts
@@ -1,6 +1,7 @@
 /** Batches and status requests that reach a host long after they were sent. */
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Err } from 'ts-results';
 import { expect } from 'earl';
 import { request } from 'undici';
 import type { BatchOutcome, TaskBatch } from '../../src/cells/messages';
@@ -64,8 +65,9 @@
       },
       withdraw: (_, batchId) => this.withdrawn.push(batchId),
       summary: () => null,
-      mayRunJob: () => false,
+      runsOf: () => ({ mayRun: false }),
       roomIn: () => null,
+      preview: async () => Err('not part of this test'),
       configuration: () => null,
     },
     this.ownerClock,
