Bind what an owner has found to its fencing token

An owner that loses a cell and gets it back is the same process, but another owner may have started runs meanwhile whose submitters are gone. What it answered before does not hold then (read, not seen). Its token tells the two times apart.

Test: foundRuns.test.ts asks again under the new token; without the change the first answer is used.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -256,7 +256,8 @@
     if (!record || isSameProcess(record.owner, this.#parts.self)) return false;
     if (!this.#mayAnswer(cell)) return false;
     const { address, incarnation } = record.owner;
-    return this.#foundRuns.mayRunJob({ address, incarnation, cell, jobId });
+    const { token } = record;
+    return this.#foundRuns.mayRunJob({ address, incarnation, token, cell, jobId });
   }
 
   /** False if the owner is gone, or has not answered a status call for too long. */
--- a/src/dispatcher/jobs/foundRuns.ts
+++ b/src/dispatcher/jobs/foundRuns.ts
@@ -12,8 +12,10 @@
 /** An owner and a question to it. */
 export interface RunsQuestion extends RunsRequest {
   readonly address: string;
-  /** Process that owns the cell; what another one has found is not used. */
+  /** Process that owns the cell. */
   readonly incarnation: string;
+  /** Its fencing token; what was found under another one is not used. */
+  readonly token: number;
 }
 
 /** An answer that does not yet hold for good is used for this long. */
@@ -58,8 +60,8 @@
     return reply.foundJobs === undefined ? reply.mayRun : (reply.mayRunOthers ?? false);
   }
 
-  #isUsable(known: Question, { incarnation, jobId }: RunsQuestion): boolean {
-    if (known.asked.incarnation !== incarnation) return false;
+  #isUsable(known: Question, { incarnation, token, jobId }: RunsQuestion): boolean {
+    if (known.asked.incarnation !== incarnation || known.asked.token !== token) return false;
     if (known.answer === undefined) return true;
     if (this.#clock.nowMs() - known.askedAtMs < PROVISIONAL_MS) return true;
     if (known.answer === null || !known.answer.areAllListed) return false;
--- a/test/dispatcher/earlierRuns.test.ts
+++ b/test/dispatcher/earlierRuns.test.ts
@@ -107,7 +107,8 @@
       cluster: {
         recentlyTakenOver: () => ['a'],
         lacksOwner: false,
-        mayRunJob: (cell, jobId) => foundRuns.mayRunJob({ address, incarnation: '1', cell, jobId }),
+        mayRunJob: (cell, jobId) =>
+          foundRuns.mayRunJob({ address, incarnation: '1', token: 1000, cell, jobId }),
       },
       clock,
       journal,
--- a/test/dispatcher/foundRuns.test.ts
+++ b/test/dispatcher/foundRuns.test.ts
@@ -14,8 +14,8 @@
   mayRunOthers: true,
 };
 
-function questionFor(jobId: string, incarnation = '1'): RunsQuestion {
-  return { cell: 'a', address: '10.0.0.1:7000', incarnation, jobId };
+function questionFor(jobId: string, incarnation = '1', token = 1000): RunsQuestion {
+  return { cell: 'a', address: '10.0.0.1:7000', incarnation, token, jobId };
 }
 
 /** An owner that gives `replies` in turn, the last one again and again. */
@@ -36,9 +36,9 @@
     );
   }
 
-  async mayRun(jobId: string, afterMs = 0, incarnation = '1'): Promise<boolean> {
+  async mayRun(jobId: string, afterMs = 0, incarnation = '1', token = 1000): Promise<boolean> {
     this.nowMs += afterMs;
-    return this.found.mayRunJob(questionFor(jobId, incarnation));
+    return this.found.mayRunJob(questionFor(jobId, incarnation, token));
   }
 }
 
@@ -78,6 +78,13 @@
     expect(await owner.mayRun(JOB, 0, '2')).toEqual(true);
   });
 
+  // Guards against the use of an answer from before another owner had the cell for a while.
+  it('is asked again when it has got the cell back', async () => {
+    const owner = new Owner([COMPLETE, { ...COMPLETE, foundJobs: [JOB], mayRun: true }]);
+    expect(await owner.mayRun(JOB)).toEqual(false);
+    expect(await owner.mayRun(JOB, 0, '1', 3000)).toEqual(true);
+  });
+
   // Guards against an answer of an earlier version, for one job, that is used for all.
   it('is asked for each job if it names none', async () => {
     const owner = new Owner([{ mayRun: false }, { mayRun: true }]);
