--- a/test/dispatcher/jsonServer.test.ts
+++ b/test/dispatcher/jsonServer.test.ts
@@ -4,8 +4,10 @@
 import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
+import { HTTPParser } from 'http-parser-js';
 import { PortBlock } from '../../src/standins/portBlock';
 import { JsonServer } from '../../src/dispatcher/transport/jsonServer';
+import { KeepAlivePool } from '../../src/dispatcher/transport/keepAlivePool';
 import type { ServerCall } from '../../src/dispatcher/transport/serverCall';
 import { wholeMessage } from '../../src/dispatcher/transport/wholeMessage';
 import { until } from '../platform/deployment';
@@ -125,6 +127,34 @@
 });
 
 describe('a message that arrives in one piece', () => {
+  afterEach(() => opened.splice(0).forEach((each) => each.close()));
+
+  // Guards against calls between hosts that cost more: counted in uses of the parser.
+  it('is read without the parser by both sides', async (context) => {
+    const server = new JsonServer(echo);
+    const block = await PortBlock.reserve(1);
+    await server.listen('127.0.0.1', block.ports[0] ?? 0);
+    const pool = new KeepAlivePool(`127.0.0.1:${block.ports[0]}`, {
+      connections: null,
+      connectTimeoutMs: 500,
+    });
+    opened.push(
+      server,
+      { close: () => pool.destroy() },
+      {
+        close: () => {
+          block.release();
+        },
+      },
+    );
+    const parses = context.mock.method(HTTPParser.prototype, 'execute');
+    for (let call = 0; call < 20; call += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one call at a time
+      await pool.call({ method: 'POST', path: '/a', body: '{}' }, { timeoutMs: 1000 });
+    }
+    expect(parses.mock.callCount()).toEqual(0);
+  });
+
   // Guards against a message that is read although its end, its length or its connection differ.
   it('is read only if its length is known and the connection is kept', () => {
     const read = (text: string) => wholeMessage(Buffer.from(text), Buffer.byteLength(text));
