Use no worker by an entry that does not name the process that wrote it

What callers could see: tasks on a worker by the labels, capacity or service of an entry that nobody could match with the process that answers, for as long as the entry stood.

Evidence: the new test of records fails before for each of nine values of `born`, and that of the cell for an entry which a host of the version before has told on. Two tests asserted the opposite (such an entry is used after a restart as soon as the worker lists its runs); they are replaced by these. The simulations of cells and owners read the entries of restarted workers now, as their workers write them.

--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -18,8 +18,8 @@
   readonly memoryMb: number;
   readonly accelerators: number;
   readonly labels: readonly string[];
-  /** Start of the process that wrote the entry, in Unix milliseconds; null if it does not say. */
-  readonly processStartMs: number | null;
+  /** Start of the process that wrote the entry, in Unix milliseconds. */
+  readonly processStartMs: number;
 }
 
 /** Consecutive failures after which a worker is avoided; low because a task has few attempts. */
@@ -163,8 +163,7 @@
    * with other labels, another capacity or for another service, and its entry is read with a lag.
    */
   get hasCurrentEntry(): boolean {
-    const { processStartMs } = this.entry;
-    return processStartMs === null || processStartMs === this.processStartMs;
+    return this.entry.processStartMs === this.processStartMs;
   }
 
   /** True if tasks may be started on the worker now. */
--- a/test/cells/cellSimulation.ts
+++ b/test/cells/cellSimulation.ts
@@ -122,11 +122,7 @@
       overloadPolicy,
     };
     this.cell = new Cell('sofia-a', options, this.crashes);
-    this.cell.setWorkers(
-      workers.map(({ entry }) => entry),
-      nowMs,
-    );
-    this.#act();
+    this.readEntries();
     if (reportImmediately) workers.forEach((worker) => this.#renew(worker));
     this.#act();
   }
@@ -165,6 +161,15 @@
     }
   }
 
+  /** Passes the current entries of all workers to the cell. */
+  readEntries(): void {
+    this.cell.setWorkers(
+      this.workers.map(({ entry }) => entry),
+      this.nowMs,
+    );
+    this.#act();
+  }
+
   /** Ends a worker's process. The owner notices at once, and a new process answers later. */
   crash(worker: SimulatedWorker): void {
     if (worker.isDown) return;
@@ -173,6 +178,7 @@
     this.cell.workerSilent(worker.entry.id, this.nowMs);
     const callback = () => {
       worker.restart(this.nowMs);
+      this.readEntries();
       this.cell.workerRestarted(worker.entry.id, this.nowMs);
       this.#renew(worker);
     };
--- a/test/cells/isolation.test.ts
+++ b/test/cells/isolation.test.ts
@@ -30,6 +30,7 @@
   return isolations.map((runs, index) => {
     const worker = new CellWorker(workerEntry(`w${index}`, 108_000));
     worker.reachable = true;
+    worker.processStartMs = worker.entry.processStartMs;
     runs.forEach((isolation, number) => addRun(worker, `job${index}.0.0.${number}`, isolation));
     return worker;
   });
--- a/test/cells/replacedWorker.test.ts
+++ b/test/cells/replacedWorker.test.ts
@@ -7,8 +7,6 @@
 
 const FIRST_START_MS = 1;
 const SECOND_START_MS = 5000;
-/** Time in which a simulated worker lists its runs at least once. */
-const RENEWAL_MS = 1000;
 const SHAPE = batchOf({}).shape;
 
 function entryOf(changes: Partial<WorkerEntry>): WorkerEntry {
@@ -22,7 +20,7 @@
   const idle = { sentAtMs: 0, running: [], ended: [] };
   simulation.cell.workerRestarted('w0', 0);
   simulation.cell.report('w0', { ...idle, processStartMs: SECOND_START_MS }, 0);
-  worker.processStartMs = SECOND_START_MS;
+  worker.restart(SECOND_START_MS);
   return simulation;
 }
 
@@ -85,12 +83,14 @@
 });
 
 describe('a worker whose entry does not name its process', () => {
-  it('gets tasks after a restart as soon as it lists its runs', () => {
-    const worker = new SimulatedWorker(workerEntry('w0'));
-    const simulation = new CellSimulation([worker]);
-    simulation.cell.workerRestarted('w0', 0);
-    worker.processStartMs = SECOND_START_MS;
-    simulation.advance(RENEWAL_MS);
+  // Guards against an entry from a host of an earlier version that counts for whichever process.
+  it('gets no task before an entry that does has been read', () => {
+    const simulation = new CellSimulation([new SimulatedWorker(entryOf({}))]);
+    const unnamed: unknown = { ...entryOf({}), processStartMs: null };
+    simulation.cell.setWorkers([unnamed as WorkerEntry], simulation.nowMs);
+    offerLabelled(simulation, 'a');
+    expect(simulation.starts).toEqual([]);
+    simulation.readEntries();
     offerLabelled(simulation, 'a');
     expect(simulation.starts.length > 0).toEqual(true);
   });
--- a/test/cells/simulatedWorker.ts
+++ b/test/cells/simulatedWorker.ts
@@ -2,6 +2,9 @@
 import { RunOutcome } from '../../src/cells/actions';
 import type { WorkerEntry } from '../../src/cells/worker';
 
+/** Start of the first process of a worker. */
+const FIRST_PROCESS_START_MS = 1;
+
 /** Builds the entry of a worker in the list. */
 export function workerEntry(id: string, cpuMillis = 64_000): WorkerEntry {
   return {
@@ -14,7 +17,7 @@
     memoryMb: 262_144,
     accelerators: 0,
     labels: ['a', 'r1-1'],
-    processStartMs: null,
+    processStartMs: FIRST_PROCESS_START_MS,
   };
 }
 
@@ -44,7 +47,7 @@
 
 /** State of one worker; `CellSimulation` advances it. */
 export class SimulatedWorker {
-  readonly entry: WorkerEntry;
+  entry: WorkerEntry;
 
   readonly faults: WorkerFaults = {
     slowness: 1,
@@ -61,8 +64,6 @@
   /** True between a crash of its process and the start of the next one. */
   isDown = false;
 
-  processStartMs = 1;
-
   leaseEndsAtMs = 0;
 
   reportedCount = 0;
@@ -75,6 +76,10 @@
     this.entry = entry;
   }
 
+  get processStartMs(): number {
+    return this.entry.processStartMs;
+  }
+
   get usedCpuMillis(): number {
     return [...this.runs.values()].reduce((sum, { cpuMillis }) => sum + cpuMillis, 0);
   }
@@ -88,10 +93,13 @@
     this.leaseEndsAtMs = 0;
   }
 
-  /** Starts the next process, which knows nothing of the previous one. */
+  /**
+   * Starts the next process, which knows nothing of the previous one. Its entry is the same but for
+   * the start of the process.
+   */
   restart(nowMs: number): void {
     this.isDown = false;
-    this.processStartMs = nowMs;
+    this.entry = { ...this.entry, processStartMs: nowMs };
   }
 
   finish(key: string, end: RunOutcome): void {
--- a/test/dispatcher/cellLayout.test.ts
+++ b/test/dispatcher/cellLayout.test.ts
@@ -18,7 +18,7 @@
     memoryMb: 1000,
     accelerators: 0,
     labels: [],
-    processStartMs: null,
+    processStartMs: 1,
   };
 }
 
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -23,6 +23,8 @@
 
 /** Time after which the client treats a request as unanswered. */
 const REQUEST_TIMEOUT_MS = 120;
+/** Period in which the owner reads the list of workers. */
+const LIST_PERIOD_MS = 500;
 
 /** Owner of a cell with the given workers; `advance` runs virtual time. */
 export class OwnerSimulation implements WorkerClient {
@@ -71,6 +73,7 @@
       this.#nowMs += 1;
       this.workers.forEach((worker) => worker.step(this.#nowMs));
       this.#timers.tick(1);
+      if (this.#nowMs % LIST_PERIOD_MS === 0) this.#readEntries(this.owner);
       // eslint-disable-next-line no-await-in-loop -- delivers answers before time advances
       await settled();
       this.#recordOverlaps();
@@ -155,10 +158,19 @@
       journal,
       onFenced: () => undefined,
     });
-    owner.setWorkers(this.workers.map(({ id }) => workerEntry(id)));
+    this.#readEntries(owner);
     return owner;
   }
 
+  /** Passes the entries that the current processes of the workers have written. */
+  #readEntries(owner: CellOwner): void {
+    const entries = this.workers.map(({ id, incarnation }) => ({
+      ...workerEntry(id),
+      processStartMs: incarnation,
+    }));
+    owner.setWorkers(entries);
+  }
+
   #recordOverlaps(): void {
     const seen = new Set<string>();
     const overlapping = new Set<string>();
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -28,11 +28,14 @@
     expect(worker({ state: 'draining' })?.draining).toEqual(true);
   });
 
-  // Guards against a restarted worker that is taken for the process that wrote its entry.
-  it('tell the process that wrote them, if they name it', () => {
+  it('tell the process that wrote them', () => {
     expect(worker({})?.processStartMs).toEqual(12);
-    expect(worker({ born: undefined })?.processStartMs).toEqual(null);
-    expect(worker({ born: '12' })?.processStartMs).toEqual(null);
+  });
+
+  // Guards against tasks on a worker by an entry that can't be matched with the process that answers.
+  it('are ignored if they name no process', () => {
+    const wrong = [undefined, null, '12', true, [12], 12.5, 0, -12, 2 ** 60];
+    wrong.forEach((born) => expect(worker({ born })).toEqual(null));
   });
 
   it('are ignored if they are invalid', () => {
