Stop unanswered starts again in each next process of their worker, before it gets a lease

What callers could see: a task that runs on a worker without the label that it requires (ROUTE), or a second time while it already runs elsewhere (TWICE), because a start that the network held back reached the next process of its worker.

What is known of one process counted for the next one. A stop was confirmed by the process before, so the start was taken as ruled out; the process that answers has never seen that stop. And the renewal that found the restart gave the new process a lease, on the clock of the one before, under which the late start was carried out.

The fix: starts without an answer are kept for 30 s for each worker (`UnansweredStarts`). The first answer of a next process is followed by a stop of each of them; until all are confirmed the worker is not available and gets no lease. A renewal that follows an unanswered one gives no lease.

Ruled out: a start that brings no lease of its own, which a process without a lease would refuse. `Target-Instance` holds the id, which both processes share. A higher fencing token for each process would need a claim in the store for each restart.

Evidence: the simulation of an owner let no start cross a restart; now it does.

Left: a start that arrives between the boot of a process and the first call to it. Nothing of the sender's is known there yet.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -198,7 +198,7 @@
     answer: StartAnswer,
     nowMs: number,
   ): void {
-    this.#state.runTracker.startAnswered(runKey(task, run), workerId, answer, nowMs);
+    this.#state.runTracker.startAnswered({ task, run }, workerId, answer, nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -109,7 +109,7 @@
   leaseLimitMs(workerId: string): number {
     const worker = this.runTracker.workers.get(workerId);
     if (!worker) return Infinity;
-    if (worker.hasOrphanedRun) return 0;
+    if (worker.hasOrphanedRun || worker.unansweredStarts.mayArrive) return 0;
     let limitMs = Infinity;
     worker.runs.forEach(({ batchId }) => {
       const batch = batchId === null ? undefined : this.batches.get(batchId);
--- a/src/cells/runDecisions.ts
+++ b/src/cells/runDecisions.ts
@@ -63,6 +63,16 @@
   };
 }
 
+/** A new process of a worker answers, and starts that had no answer may still reach it. */
+export function unansweredStartsDecision(worker: CellWorker): Decision {
+  const { entry, processStartMs, unansweredStarts } = worker;
+  return {
+    type: 'decision',
+    decision: 'unanswered-starts-stopped',
+    fields: { worker: entry.id, processStartMs, starts: unansweredStarts.unstoppedCount },
+  };
+}
+
 /** An end that no batch of this owner waits for; `run` is undefined if it was not being tracked. */
 export function unclaimedEndDecision(
   worker: CellWorker,
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -19,9 +19,11 @@
   outdatedEntryDecision,
   stopDecision,
   StopReason,
+  unansweredStartsDecision,
   unclaimedEndDecision,
 } from './runDecisions';
 import { TaskRuns } from './taskRuns';
+import type { RunId } from './unansweredStarts';
 import { UnclaimedEnds, type UnclaimedEnd } from './unclaimedEnds';
 import { CellWorker, type WorkerEntry } from './worker';
 
@@ -146,10 +148,13 @@
     this.#push({ type: 'stop', workerId, task, run: number });
   }
 
-  startAnswered(key: string, workerId: string, answer: StartAnswer, nowMs: number): void {
+  startAnswered(id: RunId, workerId: string, answer: StartAnswer, nowMs: number): void {
     const worker = this.workers.get(workerId);
-    const run = worker?.runs.get(key);
-    if (!worker || !run) return;
+    if (!worker) return;
+    const run = worker.runs.get(runKey(id.task, id.run));
+    const isListed = run?.listed ?? false;
+    if (answer === StartAnswer.unclear && !isListed) worker.unansweredStarts.add(id, nowMs);
+    if (!run) return;
     if (answer === StartAnswer.accepted) {
       this.#confirmStart(run, nowMs);
     } else if (answer === StartAnswer.unclear) {
@@ -167,6 +172,7 @@
   stopConfirmed(key: string, workerId: string, nowMs: number): void {
     const run = this.workers.get(workerId)?.runs.get(key);
     if (run) run.stopConfirmedAtMs ??= nowMs;
+    this.workers.get(workerId)?.unansweredStarts.stopConfirmed(key);
   }
 
   /** A stop had no answer and may not have reached the worker; it is sent again. */
@@ -179,7 +185,7 @@
     const worker = this.workers.get(workerId);
     if (!worker) return;
     worker.reachable = true;
-    this.#setProcess(worker, report.processStartMs);
+    this.#setProcess(worker, report.processStartMs, nowMs);
     worker.isReplaced = false;
     report.ended.forEach((entry) => this.#recordEnd(worker, entry, nowMs));
     const listed = new Set(report.running.map(({ task, run }) => runKey(task, run)));
@@ -227,8 +233,11 @@
       if (!worker.reachable && worker.runs.size > 0 && nowMs >= worker.leasesEndMs) {
         this.#lapseRuns(worker, nowMs);
       }
-      if (worker.reachable) this.#resendStops(worker, nowMs);
-      worker.removeExpiredReleased(nowMs);
+      if (worker.reachable) {
+        this.#resendStops(worker, nowMs);
+        this.#sendDueStops(worker, nowMs);
+      }
+      worker.removeExpiredStarts(nowMs);
     });
     this.#unclaimedEnds.removeExpired(nowMs);
   }
@@ -259,11 +268,29 @@
   }
 
   /** Records which process answers. None is used before its own entry has been read. */
-  #setProcess(worker: CellWorker, processStartMs: number): void {
+  #setProcess(worker: CellWorker, processStartMs: number, nowMs: number): void {
+    if (worker.processStartMs === processStartMs) return;
     const answering = worker;
-    const isFirstAnswer = worker.processStartMs !== processStartMs;
     answering.processStartMs = processStartMs;
-    if (isFirstAnswer && !worker.hasCurrentEntry) this.#push(outdatedEntryDecision(worker));
+    if (!worker.hasCurrentEntry) this.#push(outdatedEntryDecision(worker));
+    this.#stopUnansweredStarts(worker, nowMs);
+  }
+
+  /** Rules out that the first answer of a process is followed by starts for the one before. */
+  #stopUnansweredStarts(worker: CellWorker, nowMs: number): void {
+    const { runs, unansweredStarts } = worker;
+    runs.forEach((run) => {
+      if (run.confirmedAtMs === null && !run.listed) unansweredStarts.add(run, run.startedAtMs);
+    });
+    unansweredStarts.processChanged();
+    if (unansweredStarts.mayArrive) this.#push(unansweredStartsDecision(worker));
+    this.#sendDueStops(worker, nowMs);
+  }
+
+  #sendDueStops({ entry, unansweredStarts }: CellWorker, nowMs: number): void {
+    unansweredStarts.takeDueStops(nowMs).forEach(({ task, run }) => {
+      this.#push({ type: 'stop', workerId: entry.id, task, run });
+    });
   }
 
   #confirmStart(run: Run, nowMs: number): void {
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -6,6 +6,7 @@
 import { WorkerHealth } from '../core/health';
 import type { TaskShape } from './job';
 import { Isolation, overdueAtMs, runKey, RunState, type Run } from './run';
+import { MAX_START_DELAY_MS, UnansweredStarts } from './unansweredStarts';
 
 /** A worker in the platform's list. */
 export interface WorkerEntry {
@@ -28,12 +29,6 @@
 const MIN_SLOWNESS = 0.2;
 const MAX_SLOWNESS = 20;
 
-/**
- * A start without an answer is carried out within this time or never. The platform states a delay
- * of seconds; 12 seconds have been observed.
- */
-const MAX_START_DELAY_MS = 30_000;
-
 /** A worker that has not answered counts as unstable for this long, in milliseconds. */
 const UNSTABLE_MS = 5000;
 
@@ -45,6 +40,8 @@
 
   readonly health: WorkerHealth;
 
+  readonly unansweredStarts = new UnansweredStarts();
+
   /** True while the worker answers. No task is started on a worker that has not answered yet. */
   reachable = false;
 
@@ -152,7 +149,9 @@
     });
   }
 
-  removeExpiredReleased(nowMs: number): void {
+  /** Removes what is kept only because a start may still be delivered, once it can't be. */
+  removeExpiredStarts(nowMs: number): void {
+    this.unansweredStarts.removeExpired(nowMs);
     this.runs.forEach((run, key) => {
       if (run.released && nowMs - run.startedAtMs > MAX_START_DELAY_MS) this.runs.delete(key);
     });
@@ -170,6 +169,7 @@
   isAvailable(nowMs: number): boolean {
     const { entry, health } = this;
     if (!this.reachable || !this.hasCurrentEntry) return false;
+    if (this.unansweredStarts.mayArrive) return false;
     if (entry.draining || this.removed) return false;
     return nowMs >= this.backoffUntilMs && this.runs.size < health.limit(Infinity);
   }
--- a/src/dispatcher/ownership/workerSession.ts
+++ b/src/dispatcher/ownership/workerSession.ts
@@ -244,10 +244,11 @@
     this.#latestRenewal += 1;
     const renewal = this.#latestRenewal;
     const sentAtMs = this.#clock.nowMs();
-    // Give a silent worker no lease: any unanswered renewal may have arrived and extended its
-    // leases, and each one would postpone the time at which its runs are known to have ended.
-    const isSilent = this.#failures >= SILENT_AFTER_FAILURES;
-    const leaseMs = isSilent ? 0 : this.#leaseMs();
+    // Give no lease after a renewal without an answer: the next process of the worker may be the one
+    // that gets it, and could then carry out a start for the one before. Besides, any unanswered
+    // renewal may have arrived and extended the leases, and each one would postpone the time at which
+    // the runs are known to have ended.
+    const leaseMs = this.#failures > 0 ? 0 : this.#leaseMs();
     const mayExtend = leaseMs > 0;
     const leaseEndClockMs = mayExtend ? this.#leaseEndClockMs(leaseMs) : null;
     const waitMs = Math.round(longestWaitMs * (mayExtend ? 1 : WITHHELD_WAIT_FRACTION));
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -102,10 +102,7 @@
     }
     const lateMs = worker.startDelaysMs.shift();
     if (lateMs === undefined) return worker.start(request);
-    const { incarnation } = worker;
-    setTimeout(() => {
-      if (worker.incarnation === incarnation) worker.start(request);
-    }, lateMs);
+    setTimeout(() => worker.start(request), lateMs);
     await sleep(REQUEST_TIMEOUT_MS);
     return StartAnswer.unclear;
   }
