Read the list of workers soon after a restart, instead of waiting for its period

What callers could see: since a worker that has restarted under its id gets no task before its own entry has been read, which took up to the 500 ms of the list's period, also when the entry had been written before the worker answered. If it is the only worker for a label, jobs that require it wait or are refused.

Cause: the reading of the list did not know that an entry was out of date, although the cell finds that out with the first answer of the new process.

The fix: the cell asks for the list once for each process that its entry does not name. The next refresh of the host (every 50 ms) reads it, at most every 100 ms. A read that was in progress does not count, as it may not show the change.

Ruled out: reading until the entry has come. A worker whose entry another writer has replaced would be read for ten times a second for good.

--- a/src/cells/actions.ts
+++ b/src/cells/actions.ts
@@ -80,6 +80,8 @@
   | { readonly type: 'end'; readonly batchId: string; readonly outcome: BatchOutcome }
   | { readonly type: 'follow'; readonly workerId: string; readonly address: string }
   | { readonly type: 'unfollow'; readonly workerId: string }
+  /** The entry of a worker is out of date; the list is to be read again soon. */
+  | { readonly type: 'readWorkers' }
   /** A worker has accepted a newer owner; this one must give the cell up. */
   | { readonly type: 'stepDown'; readonly workerId: string }
   | { readonly type: 'decision'; readonly decision: string; readonly fields: DecisionFields };
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -272,7 +272,10 @@
     if (worker.processStartMs === processStartMs) return;
     const answering = worker;
     answering.processStartMs = processStartMs;
-    if (!worker.hasCurrentEntry) this.#push(outdatedEntryDecision(worker));
+    if (!worker.hasCurrentEntry) {
+      this.#push(outdatedEntryDecision(worker));
+      this.#push({ type: 'readWorkers' });
+    }
     this.#stopUnansweredStarts(worker, nowMs);
   }
 
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -161,6 +161,7 @@
       ...parts,
       workerClient: platform.workerClient,
       isDrained: (cell) => this.#openCells.isDrained(cell),
+      onOutdatedEntry: () => this.#workerLists.markOutdated(),
     });
     this.#claims = new CellClaims({
       ...parts,
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -38,6 +38,8 @@
    * Called when a worker has seen a higher fencing token, so that this host must release the cell.
    */
   readonly onFenced: (workerId: string) => void;
+  /** Called when the entry of a worker is out of date, to have the list of workers read soon. */
+  readonly onOutdatedEntry: () => void;
 }
 
 /** Period of the cell's timer. */
@@ -186,6 +188,9 @@
       case 'unfollow':
         this.#unfollow(action.workerId);
         break;
+      case 'readWorkers':
+        this.#parts.onOutdatedEntry();
+        break;
       case 'stepDown':
         this.#reportFenced(action.workerId);
         break;
--- a/src/dispatcher/ownership/ownedCells.ts
+++ b/src/dispatcher/ownership/ownedCells.ts
@@ -21,6 +21,8 @@
   readonly isDrained: (cell: string) => boolean;
   readonly clock: HostClock;
   readonly journal: DispatchJournal;
+  /** Called when the entry of a worker is out of date. */
+  readonly onOutdatedEntry: () => void;
 }
 
 /** Cells owned by one host. */
--- a/src/dispatcher/ownership/workerLists.ts
+++ b/src/dispatcher/ownership/workerLists.ts
@@ -32,14 +32,21 @@
   return domains;
 }
 
+/** Shortest time between the beginnings of two reads of the directory. */
+const MIN_READ_PERIOD_MS = 100;
+
 /** Lists of all known domains. */
 export class WorkerLists {
   readonly #parts: WorkerListsParts;
 
   readonly #lists = new Map<string, WorkerList>();
 
+  /** When the last read began or was due. */
   #readAtMs = -Infinity;
 
+  /** True if the list is known to be out of date since the last read began. */
+  #isOutdated = false;
+
   #reading = false;
 
   constructor(parts: WorkerListsParts) {
@@ -70,9 +77,10 @@
     if (list.version > this.versionOf(domain)) this.#lists.set(domain, list);
   }
 
-  /** Reads the directory if the period has passed. */
+  /** Reads the directory if the period has passed, or sooner if the list is out of date. */
   refresh(nowMs: number): void {
-    if (nowMs - this.#readAtMs >= this.#parts.periodMs) this.refreshNow(nowMs);
+    const periodMs = this.#isOutdated ? MIN_READ_PERIOD_MS : this.#parts.periodMs;
+    if (nowMs - this.#readAtMs >= periodMs) this.refreshNow(nowMs);
   }
 
   refreshNow(nowMs: number): void {
@@ -80,8 +88,14 @@
     if (!this.#reading) this.#read();
   }
 
+  /** The list is known to be out of date. A read that is in progress may not show the change. */
+  markOutdated(): void {
+    this.#isOutdated = true;
+  }
+
   async #read(): Promise<void> {
     this.#reading = true;
+    this.#isOutdated = false;
     const listed = await this.#parts.directory.list();
     this.#reading = false;
     if (listed.err) {
--- a/test/cells/cellSimulation.ts
+++ b/test/cells/cellSimulation.ts
@@ -92,6 +92,9 @@
   /** Lost workers, as the host knows them; several cells may share them. */
   readonly crashes: CrashHistory;
 
+  /** Times that the cell has asked for the list of workers. */
+  listRequests = 0;
+
   readonly decisions: { decision: string; fields: Readonly<Record<string, unknown>> }[] = [];
 
   readonly #runMs: (batch: TaskBatch, task?: string) => number;
@@ -281,6 +284,7 @@
 
   #perform(action: CellAction): void {
     if (action.type === 'decision') this.decisions.push(action);
+    if (action.type === 'readWorkers') this.listRequests += 1;
     if (action.type === 'end') {
       const record = this.records.get(action.batchId);
       if (record) {
--- a/test/cells/replacedWorker.test.ts
+++ b/test/cells/replacedWorker.test.ts
@@ -38,6 +38,14 @@
     expect(simulation.starts).toEqual([]);
   });
 
+  // Guards against a worker that stays unused until the list is read anyway.
+  it('has the list of workers read soon, once for each process', () => {
+    const simulation = replacedWorker();
+    expect(simulation.listRequests).toEqual(0);
+    simulation.advance(1000);
+    expect(simulation.listRequests).toEqual(1);
+  });
+
   it('gets tasks by its own labels once its entry is known', () => {
     const simulation = replacedWorker();
     const labels = ['b', 'r1-1'];
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -62,6 +62,7 @@
       crashes: new CrashHistory(() => 0, 120_000),
       clock: { nowMs: () => 0, timeOfDayMs: () => 0 },
       journal: JOURNAL,
+      onOutdatedEntry: () => {},
     });
     this.registry = new CellRegistry({
       self,
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -154,6 +154,7 @@
       clock: this.#clock,
       journal,
       onFenced: () => undefined,
+      onOutdatedEntry: () => undefined,
     });
     this.#readEntries(owner);
     return owner;
