Move the workers' list out of the run tracker, and the lease times out of the session

`CellWorkers` follows the platform's list; `leaseTimes.ts` holds the arithmetic between the two clocks and the reading of a worker's clock.

--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -12,6 +12,7 @@
   type RunningEntry,
   type WorkerReport,
 } from './actions';
+import { CellWorkers } from './cellWorkers';
 import type { TaskShape } from './job';
 import { createRun, Isolation, runKey, RunState, type Run } from './run';
 import {
@@ -25,7 +26,7 @@
 import { TaskRuns } from './taskRuns';
 import type { RunId } from './unansweredStarts';
 import { UnclaimedEnds, type UnclaimedEnd } from './unclaimedEnds';
-import { CellWorker, type WorkerEntry } from './worker';
+import type { CellWorker, WorkerEntry } from './worker';
 
 /** Notifications about runs. */
 export interface RunEvents {
@@ -70,7 +71,7 @@
 
 /** Runs of one cell, by worker. */
 export class RunTracker {
-  readonly workers = new Map<string, CellWorker>();
+  readonly #cellWorkers: CellWorkers;
 
   readonly #taskRuns = new TaskRuns();
 
@@ -87,31 +88,22 @@
     this.#leaseMs = leaseMs;
     this.#events = events;
     this.#push = push;
+    this.#cellWorkers = new CellWorkers(push, (id, nowMs) => this.workerRestarted(id, nowMs));
   }
 
-  /**
-   * Adds and updates workers from the platform's list, and marks those that it no longer contains.
-   */
+  /** Workers of the cell by id. */
+  get workers(): ReadonlyMap<string, CellWorker> {
+    return this.#cellWorkers.byId;
+  }
+
+  /** Updates the workers from the platform's list. */
   setWorkers(entries: readonly WorkerEntry[], nowMs: number): void {
-    const listed = new Set(entries.map(({ id }) => id));
-    entries.forEach((entry) => this.#addOrUpdateWorker(entry, nowMs));
-    this.workers.forEach((worker, id) => {
-      if (listed.has(id)) return;
-      const missing = worker;
-      missing.missingSinceMs ??= nowMs;
-    });
+    this.#cellWorkers.update(entries, nowMs);
   }
 
   /** Removes workers that have been missing from the list for `graceMs` and have no runs. */
   removeMissingWorkers(graceMs: number, nowMs: number): void {
-    this.workers.forEach((worker, id) => {
-      const { missingSinceMs } = worker;
-      const missing = worker;
-      missing.removed = missingSinceMs !== null && nowMs - missingSinceMs >= graceMs;
-      if (!worker.removed || worker.runs.size > 0) return;
-      this.workers.delete(id);
-      this.#push({ type: 'unfollow', workerId: id });
-    });
+    this.#cellWorkers.removeMissing(graceMs, nowMs);
   }
 
   add(run: Run): void {
@@ -250,23 +242,6 @@
     });
   }
 
-  #addOrUpdateWorker(entry: WorkerEntry, nowMs: number): void {
-    const known = this.workers.get(entry.id);
-    if (!known) {
-      this.workers.set(entry.id, new CellWorker(entry));
-      this.#push({ type: 'follow', workerId: entry.id, address: entry.address });
-      return;
-    }
-    known.missingSinceMs = null;
-    const addressChanged = known.entry.address !== entry.address;
-    known.entry = entry;
-    if (addressChanged) {
-      this.workerRestarted(entry.id, nowMs);
-      this.#push({ type: 'unfollow', workerId: entry.id });
-      this.#push({ type: 'follow', workerId: entry.id, address: entry.address });
-    }
-  }
-
   /** Records which process answers. None is used before its own entry has been read. */
   #setProcess(worker: CellWorker, processStartMs: number, nowMs: number): void {
     if (worker.processStartMs === processStartMs) return;
@@ -279,7 +254,10 @@
     this.#stopUnansweredStarts(worker, nowMs);
   }
 
-  /** Rules out that the first answer of a process is followed by starts for the one before. */
+  /**
+   * Stops the starts that earlier processes have left without an answer, because the network may
+   * still deliver them to this one.
+   */
   #stopUnansweredStarts(worker: CellWorker, nowMs: number): void {
     const { runs, unansweredStarts } = worker;
     runs.forEach((run) => {
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -21,7 +21,7 @@
 import type { Platform } from './platform';
 import { QueueTable } from './jobs/queueTable';
 import type { DispatcherSettings } from './settings';
-import { latestLeaseEndMs } from './ownership/workerSession';
+import { latestLeaseEndMs } from './ownership/leaseTimes';
 
 /** Dependencies of a `DispatchHost`. */
 export interface DispatchHostParts {
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -16,12 +16,13 @@
 import type { SubmitterContact } from '../../cells/submitterContact';
 import type { WorkerEntry } from '../../cells/worker';
 import type { DispatchJournal } from '../journal';
+import { latestLeaseEndMs } from './leaseTimes';
 import { PauseDetector } from './pauseDetector';
 import type { HostClock } from '../peers/peerClocks';
 import type { RunsReply } from '../peers/peerMessages';
 import type { WorkerClient } from './workerClient';
 import { StopAnswer } from './workerClient';
-import { latestLeaseEndMs, WorkerSession, type SessionOptions } from './workerSession';
+import { WorkerSession, type SessionOptions } from './workerSession';
 
 /** Dependencies of a `CellOwner`. */
 export interface CellOwnerParts {
--- a/src/dispatcher/ownership/workerSession.ts
+++ b/src/dispatcher/ownership/workerSession.ts
@@ -6,6 +6,7 @@
  */
 import { StartAnswer, type WorkerReport } from '../../cells/actions';
 import type { Clock } from '../../core/clock';
+import { latestLeaseEndMs, longestLeaseMs, WorkerClock } from './leaseTimes';
 import { StopAnswer, type RenewAnswer, type WorkerClient, type WorkerTarget } from './workerClient';
 
 /** Timing parameters of a session, in milliseconds. */
@@ -56,10 +57,6 @@
   renewed(workerId: string, leasesEndMs: number): void;
 }
 
-/** A worker's clock may run slower than this host's by up to this fraction. */
-const MAX_CLOCK_DRIFT = 0.02;
-/** Covers rounding and network delay of a request. */
-const LEASE_MARGIN_MS = 30;
 const SILENT_RETRY_MS = 120;
 /**
  * Unanswered renewals after which a worker counts as silent. One may be due to a broken connection
@@ -81,22 +78,6 @@
 /** Stops that are confirmed within this time of each other share one list of the worker's runs. */
 const LIST_DELAY_MS = 2;
 
-/** Latest end, on this host's clock, of a lease of `leaseMs` given at `nowMs`. */
-export function latestLeaseEndMs(leaseMs: number, nowMs: number): number {
-  return nowMs + leaseMs * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS;
-}
-
-/** Longest lease, on the worker's clock, that ends within `limitMs` on this host's clock. */
-function longestLeaseMs(limitMs: number): number {
-  return (limitMs - LEASE_MARGIN_MS) / (1 + MAX_CLOCK_DRIFT);
-}
-
-interface WorkerClock {
-  readonly clockMs: number;
-  readonly readAtMs: number;
-  readonly processStartMs: number;
-}
-
 /** Session with one worker, under one fencing token. */
 export class WorkerSession {
   readonly #target: WorkerTarget;
@@ -314,13 +295,9 @@
     this.#failures = 0;
     this.#isReplaced = false;
     const known = this.#workerClock;
-    const isOlder =
-      known?.processStartMs === processStartMs
-        ? clockMs < known.clockMs
-        : processStartMs < (known?.processStartMs ?? 0);
-    if (isOlder) return;
+    if (known?.isAfter(processStartMs, clockMs)) return;
     if (known && known.processStartMs !== processStartMs) this.#resetProcess();
-    this.#workerClock = { clockMs, readAtMs: this.#clock.nowMs(), processStartMs };
+    this.#workerClock = new WorkerClock(processStartMs, clockMs, this.#clock.nowMs());
     const ended = answer.ended.filter(({ sequence }) => sequence > this.#acknowledged);
     this.#acknowledged = ended.reduce(
       (highest, { sequence }) => Math.max(highest, sequence),
@@ -344,8 +321,7 @@
 
   #leaseEndClockMs(leaseMs: number): number | null {
     if (!this.#workerClock) return null;
-    const { clockMs, readAtMs } = this.#workerClock;
-    return Math.floor(clockMs + this.#clock.nowMs() - readAtMs + leaseMs);
+    return Math.floor(this.#workerClock.timeMs(this.#clock.nowMs()) + leaseMs);
   }
 
   #reportLease(leaseMs: number): void {
