--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -284,7 +284,9 @@
   }
 
   #updateRun(worker: CellWorker, entry: RunningEntry, nowMs: number): void {
-    const run = worker.runs.get(runKey(entry.task, entry.run));
+    const key = runKey(entry.task, entry.run);
+    worker.unansweredStarts.delivered(key);
+    const run = worker.runs.get(key);
     if (!run || run.released) {
       this.#adopt(worker, entry, nowMs);
       return;
@@ -332,7 +334,9 @@
     { task, run: number, end: outcome }: EndedRun,
     nowMs: number,
   ): void {
-    const run = worker.runs.get(runKey(task, number));
+    const key = runKey(task, number);
+    worker.unansweredStarts.delivered(key);
+    const run = worker.runs.get(key);
     if (run) this.#remove(worker, run);
     if (run && run.batchId !== null) {
       this.#events.runEnded(run, outcome, worker, nowMs);
--- a/src/cells/unansweredStarts.ts
+++ b/src/cells/unansweredStarts.ts
@@ -1,5 +1,5 @@
 /**
- * Starts on one worker that had no answer. The network may deliver such a start long afterwards, also
+ * Starts on one worker that had no answer and are not known to have arrived. The network may deliver such a start long afterwards, also
  * to the next process of the worker, which knows nothing of the stops that the one before has
  * confirmed. So each new process must confirm a stop of every one before it is used.
  */
@@ -48,6 +48,11 @@
     this.#starts.set(key, { task, run, sentAtMs, stopSentAtMs: null });
   }
 
+  /** The start has been delivered, as the worker lists the run or its end. */
+  delivered(key: string): void {
+    this.#starts.delete(key);
+  }
+
   /** Another process answers, which has seen no stop. */
   processChanged(): void {
     this.#starts.forEach((start, key) =>
--- a/test/dispatcher/delayedStarts.test.ts
+++ b/test/dispatcher/delayedStarts.test.ts
@@ -36,11 +36,16 @@
     context.after(() => this.simulation.close());
   }
 
-  static async play(context: TestContext): Promise<DelayedStart> {
+  static async play(
+    context: TestContext,
+    deliveredAfterMs = DELIVERED_AFTER_MS,
+    lostRenewals = 0,
+  ): Promise<DelayedStart> {
     const play = new DelayedStart(context);
     const { simulation, worker } = play;
     await simulation.advance(5);
-    worker.startDelaysMs = [DELIVERED_AFTER_MS];
+    worker.startDelaysMs = [deliveredAfterMs];
+    worker.lostRenewals = lostRenewals;
     simulation.owner.run(play.#batch);
     await simulation.advance(UNANSWERED_MS);
     play.restart();
@@ -92,6 +97,15 @@
     expect(play.begun).toEqual([]);
   });
 
+  // Guards against a stop for each start whose answer alone was lost, at each restart of a worker.
+  it('is not looked for if it has arrived at the process before', async (t) => {
+    // Without the lost renewal the list would come before the start counts as unanswered.
+    const play = await DelayedStart.play(t, UNANSWERED_MS / 2, 1);
+    await play.simulation.advance(NOTICED_MS);
+    expect(play.simulation.decisions.includes('worker-restarted')).toEqual(true);
+    expect(play.simulation.decisions.includes('unanswered-starts-stopped')).toEqual(false);
+  });
+
   // Guards against a restarted worker that stays unused although the start can't be carried out.
   it('does not keep the next process from being used', async (t) => {
     const play = await DelayedStart.play(t);
