--- a/test/platform/deployment.ts
+++ b/test/platform/deployment.ts
@@ -107,10 +107,11 @@
   }
 
   async #openWorker(id: string, domain: string): Promise<void> {
-    const worker = new WorkerStandin(id, domain);
+    const register = (worker: WorkerStandin) =>
+      this.store.put(`servers/${worker.id}`, worker.entry());
+    const worker = new WorkerStandin(id, domain, { register });
     await worker.open();
     this.workers.push(worker);
-    this.store.put(`servers/${worker.id}`, worker.entry());
   }
 
   async close(): Promise<void> {
--- a/test/platform/workerStandin.ts
+++ b/test/platform/workerStandin.ts
@@ -38,6 +38,8 @@
 /** Options of a worker; the defaults are those of an ordinary one. */
 export interface WorkerStandinOptions {
   readonly observer?: RunObserver;
+  /** Writes its entry to the store. Called at the start of each of its processes. */
+  readonly register?: (worker: WorkerStandin) => void;
   /** Rate of its clock relative to real time. */
   readonly clockRate?: number;
   /** Maximum number of runs at a time; further starts are refused with `room`. */
@@ -116,6 +118,7 @@
       this.#server.listen(0, '127.0.0.1', resolve);
     });
     this.address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    this.#options.register?.(this);
   }
 
   close(): void {
@@ -143,6 +146,16 @@
 
   /** Simulates a crash and restart: all runs end and all state is lost. */
   crash(): void {
+    this.#endProcess();
+    this.#startProcess();
+  }
+
+  #startProcess(): void {
+    this.#processStartedAtMs = Date.now();
+    this.#options.register?.(this);
+  }
+
+  #endProcess(): void {
     if (this.#leaseTimer) clearTimeout(this.#leaseTimer);
     this.runs.forEach(({ task, run, timer }) => {
       clearTimeout(timer);
@@ -154,16 +167,15 @@
     this.#fencingToken = 0;
     this.#sequence = 0;
     this.#leaseEndClockMs = 0;
-    this.#processStartedAtMs = Date.now();
     this.#server.closeAllConnections();
   }
 
   /** Crashes, and refuses connections until the next process starts. */
   #goDown(): void {
-    this.crash();
+    this.#endProcess();
     this.#server.close();
     this.#downTimer = setTimeout(() => {
-      this.#processStartedAtMs = Date.now();
+      this.#startProcess();
       this.#server.listen(Number(this.address.split(':')[1]), '127.0.0.1');
     }, DOWN_MS);
   }
--- a/test/soak/soakSite.ts
+++ b/test/soak/soakSite.ts
@@ -73,12 +73,13 @@
       Array.from({ length: workersPerDomain }, (_, index) => {
         const clockRate = random.between(SLOWEST_CLOCK, 1);
         const room = RUNS_PER_WORKER;
-        const traits = { observer, clockRate, stopMs, room, ...this.#speedOf(index) };
+        const register = (worker: WorkerStandin) =>
+          this.store.put(`servers/${worker.id}`, worker.entry());
+        const traits = { observer, register, clockRate, stopMs, room, ...this.#speedOf(index) };
         return openWorker(`i-${domain}-${index}`, domain, ports.shift() ?? 0, traits);
       }),
     );
     this.workers.push(...(await Promise.all(opened)));
-    this.workers.forEach(({ worker }) => this.store.put(`servers/${worker.id}`, worker.entry()));
     domains.forEach((domain, domainIndex) => {
       Array.from({ length: hostsPerDomain }, (_, index) => {
         const [announcedPort = 0, ...own] = ports.splice(0, PORTS_PER_HOST);
