--- a/src/dispatcher/ownership/cellRegistry.ts
+++ b/src/dispatcher/ownership/cellRegistry.ts
@@ -214,8 +214,8 @@
       ({ entry }) => {
         if (entry) this.#applyEntry(entry);
       },
-      () => {
-        this.setStoreAvailable(false, 'the watch of the records ended');
+      (reason) => {
+        this.setStoreAvailable(false, `the watch of the records ended: ${reason}`);
         setTimeout(() => this.#watch(), WATCH_RETRY_MS);
       },
       (entries) => this.#readAll(entries),
--- a/src/dispatcher/platform.ts
+++ b/src/dispatcher/platform.ts
@@ -10,12 +10,13 @@
 export interface RecordStore extends Pick<Store, 'list' | 'swap' | 'close'> {
   /**
    * Reads the entries with a prefix, passes them to `onOpen`, and reports each change after that.
-   * Calls `onEnd` once the watch has failed, also if the entries could not be read.
+   * Calls `onEnd` once the watch has failed, also if the entries could not be read, with the
+   * reason.
    */
   watch(
     prefix: string,
     onChange: (change: Change) => void,
-    onEnd: () => void,
+    onEnd: (reason: string) => void,
     onOpen: (entries: readonly Entry[]) => void,
   ): Watch;
 }
