End a call for a large response only when its transfer stalls

Cause: each read of the store had to end within 500 ms, however much it transfers, and a change within what was left of the 2500 ms of a watch. 1956 routes are 450 KB as the store sends them. Over a busy or slow link a transfer was given up before its last byte and began again 200 ms later, so a host never got there, and its attempts filled the link.

Why it works: a reply that has begun may take as long as the link needs, and the call fails when nothing more of it arrives for a second, so a connection that has gone silent is still noticed. The time until a reply begins is bounded as before.

--- a/src/dispatcher/transport/httpConnection.ts
+++ b/src/dispatcher/transport/httpConnection.ts
@@ -34,6 +34,8 @@
 interface CallInProgress {
   readonly resolve: (reply: HttpReply) => void;
   readonly reject: (error: Error) => void;
+  /** Called when a part of the response has arrived, but not all of it. */
+  readonly progress: () => void;
 }
 
 /** Shared by all sockets: each read is processed completely before the next one. */
@@ -169,6 +171,7 @@
       return true;
     }
     this.#isParsing = true;
+    this.#call?.progress();
     const result = this.#parser.execute(buffer as Buffer, 0, bytes);
     if (result instanceof Error) this.destroy(result);
     return true;
--- a/src/dispatcher/transport/pooledCall.ts
+++ b/src/dispatcher/transport/pooledCall.ts
@@ -3,8 +3,13 @@
 
 /** Limits that end a call without a response. */
 export interface CallLimits {
-  /** The call fails if it has no response after this time. */
+  /** The call fails if it has no response after this time; with `stallTimeoutMs`, if none begins. */
   readonly timeoutMs?: number;
+  /**
+   * A response that has begun may take any time, but the call fails if no more of it arrives for so
+   * long. For responses of any size, whose time depends on the link.
+   */
+  readonly stallTimeoutMs?: number;
   readonly signal?: AbortSignal;
 }
 
@@ -22,22 +27,26 @@
 
   readonly #handlers: CallHandlers;
 
-  readonly #timer: NodeJS.Timeout | null = null;
+  readonly #stallTimeoutMs: number | null;
+
+  #timer: NodeJS.Timeout | null = null;
+
+  /** When a part of the response arrived last; null before the first one. */
+  #receivedAtMs: number | null = null;
 
   #connection: HttpConnection | null = null;
 
   #ended = false;
 
   /** One of the `handlers` is called exactly once, even if the call never gets a connection. */
-  constructor(request: HttpRequest, { timeoutMs, signal }: CallLimits, handlers: CallHandlers) {
+  constructor(request: HttpRequest, limits: CallLimits, handlers: CallHandlers) {
+    const { timeoutMs, stallTimeoutMs = null, signal } = limits;
     this.#request = request;
     this.#signal = signal;
     this.#handlers = handlers;
+    this.#stallTimeoutMs = stallTimeoutMs;
     signal?.addEventListener('abort', this.#abort, { once: true });
-    if (timeoutMs === undefined) return;
-    // After a pause of the process, timers fire before the answers that have arrived are read.
-    const onTimeout = () => setImmediate(() => this.#timeOut(timeoutMs));
-    this.#timer = setTimeout(onTimeout, timeoutMs);
+    if (timeoutMs !== undefined) this.#startTimer(timeoutMs, () => this.#timeOut(timeoutMs));
   }
 
   begin(connection: HttpConnection): void {
@@ -47,6 +56,7 @@
         if (this.#settle()) this.#handlers.resolve(reply);
       },
       reject: (error) => this.#fail(error),
+      progress: () => this.#recordProgress(),
     });
   }
 
@@ -56,8 +66,33 @@
     this.#fail(error);
   }
 
+  #startTimer(delayMs: number, onTimeout: () => void): void {
+    if (this.#timer) clearTimeout(this.#timer);
+    // After a pause of the process, timers fire before the answers that have arrived are read.
+    this.#timer = setTimeout(() => setImmediate(onTimeout), delayMs);
+  }
+
+  /** Once the response has begun, only a stall ends the call. */
+  #recordProgress(): void {
+    if (this.#stallTimeoutMs === null || this.#ended) return;
+    const hasBegun = this.#receivedAtMs !== null;
+    this.#receivedAtMs = performance.now();
+    if (!hasBegun) this.#awaitStall(this.#stallTimeoutMs);
+  }
+
+  /** Fails the call after this time, unless more of the response has arrived by then. */
+  #awaitStall(limitMs: number): void {
+    const receivedAtMs = this.#receivedAtMs ?? 0;
+    this.#startTimer(receivedAtMs + limitMs - performance.now(), () => {
+      if (this.#ended) return;
+      if (this.#receivedAtMs !== receivedAtMs) this.#awaitStall(limitMs);
+      else this.fail(new Error(`nothing more of the answer within ${limitMs} ms`));
+    });
+  }
+
   #timeOut(timeoutMs: number): void {
-    if (!this.#ended) this.fail(new Error(`no answer within ${timeoutMs} ms`));
+    const hasBegun = this.#receivedAtMs !== null;
+    if (!this.#ended && !hasBegun) this.fail(new Error(`no answer within ${timeoutMs} ms`));
   }
 
   readonly #abort = (): void => this.fail(new Error('the call was aborted'));
--- a/test/platform/kvStandin.ts
+++ b/test/platform/kvStandin.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { text } from 'node:stream/consumers';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 interface Item {
   readonly key: string;
@@ -30,7 +31,16 @@
   forgetsHistory: boolean;
 }
 
+/** Limits of replies to reads that tests can set; null for none. */
+export interface ReplyLimits {
+  bytesPerSecond: number | null;
+  /** Replies stop after this many bytes, without a close. */
+  stallsAfterBytes: number | null;
+}
+
 const PAGE_SIZE = 10;
+/** Period at which the parts of a slow reply are sent. */
+const PART_PERIOD_MS = 20;
 
 async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
   return JSON.parse((await text(request)) || '{}') as Record<string, unknown>;
@@ -41,6 +51,24 @@
   response.end(JSON.stringify(body));
 }
 
+/** Sends a reply in parts, at the speed and up to the length that the limits set. */
+async function sendSlowly(
+  response: ServerResponse,
+  body: unknown,
+  { bytesPerSecond, stallsAfterBytes }: ReplyLimits,
+): Promise<void> {
+  const bytes = Buffer.from(JSON.stringify(body));
+  const partBytes = Math.ceil(((bytesPerSecond ?? Infinity) * PART_PERIOD_MS) / 1000);
+  const endAt = Math.min(bytes.length, stallsAfterBytes ?? bytes.length);
+  response.writeHead(200, { 'content-length': bytes.length });
+  for (let at = 0; at < endAt && !response.destroyed; at += partBytes) {
+    response.write(bytes.subarray(at, Math.min(at + partBytes, endAt)));
+    // eslint-disable-next-line no-await-in-loop -- one part after the other
+    await sleep(PART_PERIOD_MS);
+  }
+  if (endAt === bytes.length) response.end();
+}
+
 /** The simulated store. Tests write as operator or worker with `put` and `remove`. */
 export class KvStandin {
   readonly faults: StoreFaults = {
@@ -50,6 +78,8 @@
     forgetsHistory: false,
   };
 
+  readonly replyLimits: ReplyLimits = { bytesPerSecond: null, stallsAfterBytes: null };
+
   readonly #items = new Map<string, Item>();
 
   readonly #events: ChangeEvent[] = [];
@@ -125,6 +155,12 @@
     else send(response, 404, {});
   }
 
+  #sendRead(response: ServerResponse, body: unknown): void {
+    const { bytesPerSecond, stallsAfterBytes } = this.replyLimits;
+    if (bytesPerSecond === null && stallsAfterBytes === null) send(response, 200, body);
+    else sendSlowly(response, body, this.replyLimits).catch(() => response.destroy());
+  }
+
   #range(url: URL, response: ServerResponse): void {
     const prefix = url.searchParams.get('prefix') ?? '';
     const after = url.searchParams.get('after') ?? '';
@@ -133,7 +169,7 @@
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     const items = found.slice(0, PAGE_SIZE);
     const hasMore = found.length > PAGE_SIZE;
-    send(response, 200, { items, hasMore, storeRevision: this.#revision });
+    this.#sendRead(response, { items, hasMore, storeRevision: this.#revision });
   }
 
   #watch(url: URL, response: ServerResponse): void {
@@ -145,12 +181,12 @@
       return;
     }
     const answer = () => {
-      if (response.writableEnded) return;
+      if (response.headersSent) return;
       const events = this.#events.filter(
         ({ key, revision }) => key.startsWith(prefix) && revision > after,
       );
       if (events.length > 0 || Date.now() >= untilMs) {
-        send(response, 200, { events, storeRevision: this.#revision });
+        this.#sendRead(response, { events, storeRevision: this.#revision });
       } else {
         this.#waitingWatches.add(answer);
         setTimeout(answer, untilMs - Date.now()).unref();
