Ask one host at a time for a newer configuration, after the platform has had its time

Cause: each status answer or request that named a newer version started another transfer of the whole configuration, at once and without a limit, and each had 450 ms. A host that is behind hears of the version many times a second, and all hosts learn of a version at the same time. The copies filled the links of those that asked and of those that were asked, beside the same configuration that the platform was sending them, until none of them arrived in time.

Why it works: a host asks one other host at a time, 500 ms after it first heard of the version (200 ms if it has none), and each host once until it is heard again, so the work does not grow with the number of hosts that are heard. A host sends two copies at a time and refuses the others, which ask the next one: copies spread over the hosts that have it instead of waiting for one link. Other calls on these links go on meanwhile. The log says since when a host has been behind (configuration-behind, behindMs) and the metric wasabiyoke_configuration_behind_seconds shows it.

--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -167,6 +167,7 @@
       owners: () => this.#cluster.owners,
       firstServiceMs: () => this.#cluster.firstServiceMs,
       configurationVersion: () => queues.configuration?.version ?? 0,
+      configurationBehindMs: () => this.#cluster.statusExchange.configurations.behindMs,
       domains: settings.domains,
       drainedSinceMs: (domain) => this.#cluster.drains.drainedSinceMs(domain),
       runsIn: (domain) => this.#cluster.runsIn(domain),
@@ -191,7 +192,8 @@
     this.#cluster.open();
     const { drains, statusExchange } = this.#cluster;
     platform.configurations.subscribe({
-      configurationRead: (configuration) => statusExchange.configure(configuration, 'store'),
+      configurationRead: (configuration) =>
+        statusExchange.configurations.apply(configuration, 'store'),
       drainsRead: (listed, revision) => drains.applyRead(listed, revision),
       drainChanged: (drain) => drains.applyChange(drain),
     });
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -88,6 +88,8 @@
     readonly owners: () => readonly CellOwner[];
     readonly firstServiceMs: () => number | null;
     readonly configurationVersion: () => number;
+    /** For how long a newer version has been known from other hosts; 0 if there is none. */
+    readonly configurationBehindMs: () => number;
     readonly domains: readonly string[];
     /** When this host learned of a drain, in Unix milliseconds; null if the domain has none. */
     readonly drainedSinceMs: (domain: string) => number | null;
@@ -106,6 +108,11 @@
     this.#gauge('wasabiyoke_jobs_pending', 'Jobs without an answer', state.pending);
     this.#gauge('wasabiyoke_cells_owned', 'Cells that this host owns', () => state.owners().length);
     this.#gauge('wasabiyoke_configuration_version', 'Version in force', state.configurationVersion);
+    this.#gauge(
+      'wasabiyoke_configuration_behind_seconds',
+      'Time since other hosts have had a newer version than the one in force; 0 if none has',
+      () => state.configurationBehindMs() / MS_PER_S,
+    );
     this.#gauge('wasabiyoke_log_lines_dropped', 'Log lines left out', state.droppedLines);
     this.#domainGauge(
       DrainMetric.sinceSeconds,
--- a/src/dispatcher/peers/peerClient.ts
+++ b/src/dispatcher/peers/peerClient.ts
@@ -29,6 +29,8 @@
 export type StatusFailure = (typeof StatusFailure)[keyof typeof StatusFailure];
 
 const REQUEST_LIMITS: CallLimits = { timeoutMs: 450 };
+/** A configuration can be large. */
+const CONFIGURATION_LIMITS: CallLimits = { ...REQUEST_LIMITS, stallTimeoutMs: 1000 };
 /** A job waits for the answer before it starts. */
 const RUNS_LIMITS: CallLimits = { timeoutMs: 100 };
 /** Below the slack of most jobs, which wait for the answer. */
@@ -153,7 +155,7 @@
 
   async configuration(address: string): Promise<QueueConfiguration | null> {
     try {
-      const text = await this.#post(address, PeerPath.configuration, {}, REQUEST_LIMITS);
+      const text = await this.#post(address, PeerPath.configuration, {}, CONFIGURATION_LIMITS);
       return parseBody<QueueConfiguration>(text, ['version', 'bindings', 'services']);
     } catch (error) {
       this.#journal.logDecision('configuration-unread', { address, error: messageOf(error) });
--- a/src/dispatcher/peers/peerServer.ts
+++ b/src/dispatcher/peers/peerServer.ts
@@ -37,6 +37,7 @@
 } from '../jobs/placementPreview';
 import type { QueueConfiguration } from '../jobs/queueTable';
 import { SubmitterTracker } from './submitterTracker';
+import { TransferSlots } from './transferSlots';
 import { JsonServer } from '../transport/jsonServer';
 import type { ServerCall } from '../transport/serverCall';
 
@@ -75,6 +76,11 @@
  */
 const REPLY_RETENTION_MS = 10_000;
 
+/** Configurations that are sent at a time, as they share the link with all other calls. */
+const CONFIGURATION_SLOTS = 2;
+/** Longest time for which a configuration that is being sent counts. */
+const CONFIGURATION_SLOT_MS = 3000;
+
 interface RunningBatch {
   readonly call: BatchCall;
   readonly reply: Promise<BatchReply>;
@@ -99,6 +105,8 @@
 
   readonly #submitters = new SubmitterTracker();
 
+  readonly #configurationSlots = new TransferSlots(CONFIGURATION_SLOTS, CONFIGURATION_SLOT_MS);
+
   readonly #timer: NodeJS.Timeout;
 
   #checkedAtMs: number;
@@ -153,7 +161,7 @@
         await this.#answerPlacement(request);
         break;
       case PeerPath.configuration:
-        request.reply(200, this.#handler.configuration());
+        this.#answerConfiguration(request);
         break;
       default:
         request.reply(404, { detail: `no such path: ${request.path}` });
@@ -183,6 +191,13 @@
     request.reply(200, { ...this.#handler.status(statusRequest), batches, clocks });
   }
 
+  /** A host that is refused asks another one; several copies are enough to pass them on. */
+  #answerConfiguration(request: ServerCall): void {
+    const release = this.#configurationSlots.take(this.#clock.nowMs());
+    if (release) request.reply(200, this.#handler.configuration(), release);
+    else request.reply(503, { detail: 'other hosts are being sent the configuration' });
+  }
+
   #answerRuns(request: ServerCall): void {
     const runsRequest = parseBody<RunsRequest>(request.text, ['cell', 'jobId']);
     if (!runsRequest) {
--- a/src/dispatcher/peers/statusExchange.ts
+++ b/src/dispatcher/peers/statusExchange.ts
@@ -6,6 +6,7 @@
 import type { CellSummary } from '../../cells/messages';
 import type { Clock } from '../../core/clock';
 import type { CellRecord, HostIdentity } from '../ownership/cellRecord';
+import { ConfigurationExchange } from './configurationExchange';
 import type { CrashExchange } from './crashExchange';
 import type { DrainedDomains } from '../drainedDomains';
 import type { DispatchJournal } from '../journal';
@@ -13,7 +14,7 @@
 import { StatusFailure, type PeerClient } from './peerClient';
 import type { HostStatus, PeerStatus, StatusRequest } from './peerMessages';
 import { PeerMonitor } from './peerMonitor';
-import type { QueueConfiguration, QueueTable } from '../jobs/queueTable';
+import type { QueueTable } from '../jobs/queueTable';
 import type { CellRegistry } from '../ownership/cellRegistry';
 import type { WorkerLists } from '../ownership/workerLists';
 
@@ -48,6 +49,9 @@
 
   readonly #monitor: PeerMonitor;
 
+  /** The configuration of this host, and those that it gets from other hosts. */
+  readonly configurations: ConfigurationExchange;
+
   #nonOwnersPolledAtMs = -Infinity;
 
   #closed = false;
@@ -55,10 +59,12 @@
   constructor(parts: StatusExchangeParts) {
     this.#parts = parts;
     this.#monitor = new PeerMonitor(parts.self.domain);
+    this.configurations = new ConfigurationExchange(parts);
   }
 
   close(): void {
     this.#closed = true;
+    this.configurations.close();
   }
 
   /** Restarts the timeouts after a pause of this process, during which it could read no answers. */
@@ -97,9 +103,13 @@
     peers.abandonCallsToFormerOwners(changed);
   }
 
-  /** Polls the owners that are due, and other hosts where that is needed. */
+  /**
+   * Polls the owners that are due, and other hosts where that is needed, and asks for a newer
+   * configuration.
+   */
   pollDue(hasUnwrittenClaims: boolean, nowMs: number): void {
     const { peers } = this.#parts;
+    this.configurations.askIfDue();
     const due = this.#monitor.takeDue((address) => peers.mayHaveBatchesAt(address), nowMs);
     const addresses = new Set([...due, ...this.#takeDueNonOwners(hasUnwrittenClaims, nowMs)]);
     addresses.forEach((address) => this.poll(address));
@@ -135,15 +145,14 @@
     leaving: boolean,
   ): HostStatus {
     const { self, lists, drains } = this.#parts;
-    const known = this.#configurationVersion();
-    if (configurationVersion > known) this.#pullConfiguration(from.address);
+    this.configurations.learn(configurationVersion, from.address);
     drains.merge(sentDrains, from.hostId);
     this.#learnRecords(records, from.hostId);
     return {
       hostId: self.hostId,
       incarnation: self.incarnation,
       leaving,
-      configurationVersion: known,
+      configurationVersion: this.configurations.version,
       cellsPerDomain: this.#parts.records.cellsPerDomain,
       cells,
       ...this.#recordsFor(recordsDigest),
@@ -153,27 +162,13 @@
     };
   }
 
-  /** Puts a configuration in force if it is newer than the present one. */
-  configure(configuration: QueueConfiguration, source: string): void {
-    if (!this.#parts.queues.apply(configuration)) return;
-    this.#parts.journal.logDecision('configuration-in-force', {
-      version: configuration.version,
-      queues: configuration.bindings.length,
-      source,
-    });
-  }
-
-  #configurationVersion(): number {
-    return this.#parts.queues.configuration?.version ?? 0;
-  }
-
   /** Polls one host and merges the state in its answer. */
   async poll(address: string): Promise<void> {
     const { self, peers, clock, lists, drains, onPolled: onAsked } = this.#parts;
     const knownDrains = drains.all();
     const status = await peers.status(address, {
       from: self,
-      configurationVersion: this.#configurationVersion(),
+      configurationVersion: this.configurations.version,
       ...this.#recordsFor(this.#monitor.statusOf(address)?.recordsDigest ?? null),
       listVersion: lists.versionOf(self.domain),
       crashPosition: this.#monitor.statusOf(address)?.crashes?.position,
@@ -201,9 +196,7 @@
     this.#learnRecords(status.records, status.hostId);
     if (status.crashes) this.#parts.crashes.learn(status.crashes.records, status.hostId);
     if (status.workers) lists.merge(self.domain, status.workers);
-    if (status.configurationVersion > this.#configurationVersion()) {
-      this.#pullConfiguration(address);
-    }
+    this.configurations.learn(status.configurationVersion, address);
   }
 
   /** Ownership records for a host that sent this digest; none if its digest equals ours. */
@@ -219,9 +212,4 @@
   #learnRecords(records: readonly CellRecord[], source: string): void {
     records.forEach((record) => this.#parts.records.merge(record, source));
   }
-
-  async #pullConfiguration(address: string): Promise<void> {
-    const configuration = await this.#parts.peers.configuration(address);
-    if (configuration) this.configure(configuration, address);
-  }
 }
--- a/src/dispatcher/transport/serverCall.ts
+++ b/src/dispatcher/transport/serverCall.ts
@@ -8,8 +8,11 @@
   readonly closed: boolean;
   /** Sets the listener for a connection that closes before the reply. */
   onClose(listener: () => void): void;
-  /** Sends the reply; only the first one counts. */
-  reply(status: number, body: unknown): void;
+  /**
+   * Sends the reply; only the first one counts. `onEnd` is called once it has been passed to the
+   * network, or can't be sent.
+   */
+  reply(status: number, body: unknown, onEnd?: () => void): void;
   /** Closes the connection without a reply. */
   destroy(): void;
 }
@@ -33,7 +36,7 @@
 /** Callbacks from a call to its connection. */
 export interface CallConnection {
   readonly closed: boolean;
-  send(reply: string, keepsAlive: boolean): void;
+  send(reply: string, keepsAlive: boolean, onEnd: () => void): void;
   destroy(): void;
 }
 
@@ -66,10 +69,13 @@
     this.#closeListener = listener;
   }
 
-  reply(status: number, body: unknown): void {
-    if (this.#replied || this.closed) return;
+  reply(status: number, body: unknown, onEnd: () => void = () => {}): void {
+    if (this.#replied || this.closed) {
+      onEnd();
+      return;
+    }
     this.#replied = true;
-    this.#connection.send(encodeReply(status, body, this.#keepsAlive), this.#keepsAlive);
+    this.#connection.send(encodeReply(status, body, this.#keepsAlive), this.#keepsAlive, onEnd);
   }
 
   destroy(): void {
--- a/src/dispatcher/transport/serverConnection.ts
+++ b/src/dispatcher/transport/serverConnection.ts
@@ -46,13 +46,14 @@
     return this.#socket.destroyed;
   }
 
-  send(reply: string, keepsAlive: boolean): void {
+  send(reply: string, keepsAlive: boolean, onEnd: () => void): void {
     this.#calls.shift();
     if (!keepsAlive) {
-      this.#socket.end(reply);
+      this.#socket.end(reply, onEnd);
       return;
     }
-    this.#socket.write(reply);
+    // Called with an error if the connection closes first.
+    this.#socket.write(reply, () => onEnd());
     const [next] = this.#calls;
     if (next) this.#handle(next);
   }
