--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -48,7 +48,9 @@
     const byHost = new Map<string, QueueBinding[]>();
     configuration.bindings.forEach((binding) => {
       const name = binding.hostName.toLowerCase();
-      byHost.set(name, [...(byHost.get(name) ?? []), binding]);
+      const bindings = byHost.get(name);
+      if (bindings) bindings.push(binding);
+      else byHost.set(name, [binding]);
     });
     byHost.forEach((bindings) => bindings.sort(byLongestPrefix));
     this.#byHost = byHost;
