--- a/test/platform/allHostsLost.test.ts
+++ b/test/platform/allHostsLost.test.ts
@@ -2,11 +2,16 @@
 import { after, before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
-import { TestDeployment } from './deployment';
+import { configurationText, TestDeployment, until } from './deployment';
 
 const JOBS = 6;
 const TASKS = 1;
 const STORE_AWAY_MS = 300;
+const QUEUES = 2000;
+/** A read of the configuration with these queues takes 1.2 s. */
+const SLOW_BYTES_PER_S = 400_000;
+/** The longest time until service is back that the deployments allow for. */
+const RECOVERY_MS = 12_000;
 
 let jobCount = 0;
 
@@ -48,4 +53,17 @@
     deployment.store.faults.busy = false;
     expect(await statusCodes).toEqual(ALL_SERVED);
   });
+
+  // Guards against hosts that never serve again, because none of them can read a large configuration
+  // in the time of one call (issue 38).
+  it('serves again when the configuration comes over a slow link', async () => {
+    const { store, hosts } = deployment;
+    store.put('op/config', configurationText(2, QUEUES));
+    store.replyLimits.bytesPerSecond = SLOW_BYTES_PER_S;
+    await deployment.loseAllHosts();
+    const isReady = () => hosts.every(({ host }) => host.dispatcher.ready);
+    await until('every host is ready', isReady, RECOVERY_MS);
+    store.replyLimits.bytesPerSecond = null;
+    expect(await submitAtOnce(deployment)).toEqual(ALL_SERVED);
+  });
 });
--- a/test/platform/deployment.ts
+++ b/test/platform/deployment.ts
@@ -6,24 +6,29 @@
 import { KvStandin } from './kvStandin';
 import { WorkerStandin } from './workerStandin';
 
-/** Returns the text of a configuration with one queue. */
-export function configurationText(version: number): string {
+function routeOf(name: string, prefix: string): object {
+  return {
+    name,
+    host: 'desk.example',
+    prefix,
+    kind: 'non_idempotent',
+    timeoutMs: 1500,
+    goalMs: 60,
+    priority: 0,
+    backend: 'service-a',
+    maxAttempts: 2,
+    slackFactor: 1.6,
+  };
+}
+
+/** Returns the text of a configuration with one queue that is used, and others of about 180 bytes. */
+export function configurationText(version: number, otherQueues = 0): string {
+  const others = Array.from({ length: otherQueues }, (_, index) =>
+    routeOf(`other-${index}`, `/other-${index}/`),
+  );
   return JSON.stringify({
     version,
-    routes: [
-      {
-        name: 'r-1',
-        host: 'desk.example',
-        prefix: '/jobs/',
-        kind: 'non_idempotent',
-        timeoutMs: 1500,
-        goalMs: 60,
-        priority: 0,
-        backend: 'service-a',
-        maxAttempts: 2,
-        slackFactor: 1.6,
-      },
-    ],
+    routes: [routeOf('r-1', '/jobs/'), ...others],
     backends: [{ name: 'service-a' }],
     limits: { maxBodyBytes: 20_000 },
   });
