--- a/test/platform/kvStandin.ts
+++ b/test/platform/kvStandin.ts
@@ -92,6 +92,9 @@
 
   calls = 0;
 
+  /** Entries sent in replies to reads and watches. */
+  entriesSent = 0;
+
   constructor() {
     this.#server = createServer((request, response) => {
       this.#handleRequest(request, response).catch(() => response.destroy());
@@ -169,6 +172,7 @@
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     const items = found.slice(0, PAGE_SIZE);
     const hasMore = found.length > PAGE_SIZE;
+    this.entriesSent += items.length;
     this.#sendRead(response, { items, hasMore, storeRevision: this.#revision });
   }
 
@@ -186,6 +190,7 @@
         ({ key, revision }) => key.startsWith(prefix) && revision > after,
       );
       if (events.length > 0 || Date.now() >= untilMs) {
+        this.entriesSent += events.length;
         this.#sendRead(response, { events, storeRevision: this.#revision });
       } else {
         this.#waitingWatches.add(answer);
