--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -166,7 +166,7 @@
       pending: () => runner.pending,
       owners: () => this.#cluster.owners,
       firstServiceMs: () => this.#cluster.firstServiceMs,
-      configurationVersion: () => queues.configuration?.version ?? 0,
+      configurationVersion: () => queues.version,
       configurationBehindMs: () => this.#cluster.statusExchange.configurations.behindMs,
       domains: settings.domains,
       drainedSinceMs: (domain) => this.#cluster.drains.drainedSinceMs(domain),
--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -30,10 +30,13 @@
   return right.pathPrefix.length - left.pathPrefix.length;
 }
 
-/** Holds the newest configuration. */
+/** Holds the newest configuration that this host has, and knows whether others have a newer one. */
 export class QueueTable {
   #configuration: QueueConfiguration | null = null;
 
+  /** Newest version that any host is known to have. */
+  #newestVersion = 0;
+
   #byHost = new Map<string, readonly QueueBinding[]>();
 
   readonly #firstListeners = new Set<() => void>();
@@ -42,9 +45,24 @@
     return this.#configuration;
   }
 
+  /** Version in force; 0 if there is none. */
+  get version(): number {
+    return this.#configuration?.version ?? 0;
+  }
+
+  /** True if there is a newer configuration: a queue that this one lacks may exist. */
+  get isOutdated(): boolean {
+    return this.version < this.#newestVersion;
+  }
+
+  /** Another host has this version. */
+  noteVersion(version: number): void {
+    this.#newestVersion = Math.max(this.#newestVersion, version);
+  }
+
   /** Puts a configuration in force. Returns false if it is not newer than the present one. */
   apply(configuration: QueueConfiguration): boolean {
-    if (this.#configuration && configuration.version <= this.#configuration.version) return false;
+    if (this.#configuration && configuration.version <= this.version) return false;
     const byHost = new Map<string, QueueBinding[]>();
     configuration.bindings.forEach((binding) => {
       const name = binding.hostName.toLowerCase();
--- a/src/dispatcher/peers/configurationExchange.ts
+++ b/src/dispatcher/peers/configurationExchange.ts
@@ -48,7 +48,7 @@
 
   /** Version in force; 0 if there is none. */
   get version(): number {
-    return this.#parts.queues.configuration?.version ?? 0;
+    return this.#parts.queues.version;
   }
 
   /** For how long this host has known of a newer version than the one in force; 0 if of none. */
@@ -70,7 +70,8 @@
 
   /** Another host has this version in force. */
   learn(version: number, address: string): void {
-    if (this.#closed || version <= this.version) return;
+    if (this.#closed || !Number.isFinite(version) || version <= this.version) return;
+    this.#parts.queues.noteVersion(version);
     if (!this.#newer) this.#reportBehind(version, address);
     const sinceMs = this.#newer?.sinceMs ?? this.#parts.clock.nowMs();
     if (version >= (this.#newer?.version ?? 0)) this.#newer = { version, address, sinceMs };
--- a/test/dispatcher/configurationExchange.test.ts
+++ b/test/dispatcher/configurationExchange.test.ts
@@ -106,6 +106,14 @@
     expect(asked).toEqual(['host-1']);
   });
 
+  // Guards against a host that counts as behind for ever after a message without a proper version.
+  it('ignores what is not a version', () => {
+    exchange.learn(undefined as never, 'host-1');
+    exchange.learn(NaN, 'host-1');
+    pass(1000);
+    expect([asked, exchange.behindMs]).toEqual([[], 0]);
+  });
+
   // Guards against a host that counts as up to date with a version that is older than what it heard.
   it('goes on after it got a version that is newer, but not the newest', async () => {
     exchange.apply(configuration(1), 'store');
