--- a/test/soak/faultInjector.ts
+++ b/test/soak/faultInjector.ts
@@ -1,6 +1,5 @@
 /** Carries out the faults of a plan. */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { configurationText } from '../platform/deployment';
 import { FaultKind, PlannedKind, WideFaultKind, type Fault } from './faultPlan';
 import { Direction, type FaultProxy } from './faultProxy';
 import type { Invariants } from './invariants';
@@ -136,7 +135,7 @@
 
   #changeConfiguration(): void {
     this.#version += 1;
-    this.#site.store.put('op/config', configurationText(this.#version));
+    this.#site.putConfiguration(this.#version);
   }
 
   async #restart(host: SoakHost): Promise<void> {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -6,7 +6,7 @@
 import { expect } from 'earl';
 import { bundle, ROOT } from '../../scripts/bundle';
 import { soak, type SoakOptions } from './soak';
-import { DRAIN_SHAPE, WIDE_SHAPE, type SoakShape } from './soakShape';
+import { DRAIN_SHAPE, LARGE_CONFIGURATION_SHAPE, WIDE_SHAPE, type SoakShape } from './soakShape';
 
 const PROGRAM = ['--import', 'tsx', 'platform/main.ts'];
 const WIDE_SEED = 201;
@@ -46,6 +46,13 @@
     expect(report.broken).toEqual([]);
   });
 
+  // Guards against hosts that never have a large configuration over a slow link (issue 38).
+  it('serves with a large configuration while hosts and the store fail', async () => {
+    const options = { seed: 1, shape: LARGE_CONFIGURATION_SHAPE, faults: 4, faultSeconds: 3 };
+    const report = await soak({ ...options, program: PROGRAM });
+    expect(report.broken).toEqual([]);
+  });
+
   describe('on a site with several cells a domain', () => {
     let folder = '';
 
--- a/test/soak/soakShape.ts
+++ b/test/soak/soakShape.ts
@@ -26,6 +26,10 @@
   readonly deadlineMs: number;
   /** Hosts between the one that had a job and the one that gets it again. */
   readonly resubmitStride: number;
+  /** Queues in the configuration besides the one that jobs use. */
+  readonly otherQueues: number;
+  /** Speed at which the store sends each reply to a read; null for no limit. */
+  readonly storeBytesPerSecond: number | null;
   readonly kinds: readonly Fault['kind'][];
   /** Faults may go on for so long after their begin. */
   readonly longestFaultSeconds: number;
@@ -48,6 +52,8 @@
   mostRunMs: 300,
   deadlineMs: 2500,
   resubmitStride: 1,
+  otherQueues: 0,
+  storeBytesPerSecond: null,
   kinds: Object.values(FaultKind),
   longestFaultSeconds: 10,
 };
@@ -78,6 +84,8 @@
   mostRunMs: 1200,
   deadlineMs: 6000,
   resubmitStride: 3,
+  otherQueues: 0,
+  storeBytesPerSecond: null,
   kinds: [
     ...Object.values(WideFaultKind),
     ...HOSTS_TOGETHER,
@@ -110,9 +118,28 @@
   longestFaultSeconds: 16,
 };
 
+/** Each read of the configuration takes longer than the store may take to begin a reply. */
+export const LARGE_CONFIGURATION_SHAPE: SoakShape = {
+  ...SMALL_SHAPE,
+  hasSourceAddresses: true,
+  otherQueues: 2000,
+  storeBytesPerSecond: 400_000,
+  kinds: [
+    FaultKind.configurationChanged,
+    FaultKind.configurationChanged,
+    FaultKind.storeSilent,
+    FaultKind.storeForgets,
+    FaultKind.storeCut,
+    FaultKind.hostKilled,
+    FaultKind.hostRestarted,
+    WideFaultKind.hostsKilled,
+  ],
+};
+
 /** Shapes by the names that the command line uses. */
 export const SHAPES: Readonly<Record<string, SoakShape>> = {
   small: SMALL_SHAPE,
   wide: WIDE_SHAPE,
   drains: DRAIN_SHAPE,
+  'large-configuration': LARGE_CONFIGURATION_SHAPE,
 };
--- a/test/soak/soakSite.ts
+++ b/test/soak/soakSite.ts
@@ -62,7 +62,8 @@
     random: SeededRandom,
   ): Promise<void> {
     const storeAddress = await this.store.open();
-    this.store.put('op/config', configurationText(1));
+    this.store.replyLimits.bytesPerSecond = this.#shape.storeBytesPerSecond;
+    this.putConfiguration(1);
     const { domains, hostsPerDomain, workersPerDomain, cellsPerDomain, stopMs } = this.#shape;
     if (cellsPerDomain !== null) this.store.put(LAYOUT_KEY, encodeLayout(cellsPerDomain));
     const hostCount = domains.length * hostsPerDomain;
@@ -93,6 +94,11 @@
     await Promise.all(this.hosts.map((host) => host.open()));
   }
 
+  /** Writes a version of the configuration to the store, as the operators do. */
+  putConfiguration(version: number): void {
+    this.store.put('op/config', configurationText(version, this.#shape.otherQueues));
+  }
+
   #speedOf(workerIndex: number): { readonly slowness: number } {
     const { slowness } = this.#shape;
     return { slowness: slowness[workerIndex % slowness.length] ?? 1 };
