--- a/src/dispatcher/platform.ts
+++ b/src/dispatcher/platform.ts
@@ -7,7 +7,7 @@
 import type { WorkerClient } from './ownership/workerClient';
 
 /** Store operations that coordination between hosts needs. */
-export interface RecordStore extends Pick<Store, 'list' | 'swap' | 'close'> {
+export interface RecordStore extends Pick<Store, 'swap' | 'close'> {
   /**
    * Reads the entries with a prefix, passes them to `onOpen`, and reports each change after that.
    * Calls `onEnd` once the watch has failed, also if the entries could not be read, with the
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -34,7 +34,6 @@
 ): readonly string[] {
   const keys: string[] = [];
   const store: RecordStore = {
-    list: async () => Ok([]),
     swap: (key) => {
       keys.push(key);
       return new Promise(() => {});
@@ -111,7 +110,6 @@
 
   constructor() {
     const store: RecordStore = {
-      list: async () => Ok([]),
       swap: () => {
         this.claimedAtMs.push(this.#nowMs);
         return new Promise(() => {});
--- a/test/dispatcher/drainedCluster.test.ts
+++ b/test/dispatcher/drainedCluster.test.ts
@@ -65,7 +65,6 @@
 
   constructor() {
     const store: RecordStore = {
-      list: async () => Ok([]),
       swap: (key) => {
         this.claims.push(key);
         return new Promise(() => {});
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -109,7 +109,6 @@
 
   #store(): RecordStore {
     return {
-      list: async () => Ok([]),
       swap: async (key, value) => {
         if (!this.#isStoreAvailable)
           return Err({ code: StoreErrorCode.unavailable, message: 'down' });
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -64,7 +64,6 @@
 /** Fake store without entries that reports the changes passed to it. */
 class FakeStore {
   readonly store: RecordStore = {
-    list: async () => Ok([]),
     swap: () => new Promise(() => {}),
     watch: (_, onChange) => {
       this.#onChange = onChange;
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -20,7 +20,7 @@
   it('lists all items of a prefix over several pages', async () => {
     for (let index = 0; index < 25; index += 1) standin.put(`many/${index}`, `value ${index}`);
     standin.put('other/1', 'x');
-    const listed = (await store.list('many/')).unwrap();
+    const { entries: listed } = (await store.snapshot('many/')).unwrap();
     expect(listed.length).toEqual(25);
     expect(listed.some(({ key, value }) => key === 'many/7' && value === 'value 7')).toEqual(true);
   });
@@ -44,7 +44,7 @@
     const lost = await store.swap('k/2', 'a', 0);
     standin.faults.losesWriteAnswers = false;
     expect(lost.err && lost.val.code).toEqual(StoreErrorCode.unclear);
-    expect((await store.list('k/2')).unwrap().length).toEqual(1);
+    expect((await store.snapshot('k/2')).unwrap().entries.length).toEqual(1);
   });
 
   // Guards against a second read of the same entries by each host that starts, and by all hosts each
