--- /dev/null
+++ b/review/lib-2/hostProcess.ts
@@ -0,0 +1,203 @@
+/** One dispatcher process: the command of the deploy file, its settings, its links and signals. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { createWriteStream, readFileSync, writeFileSync, type WriteStream } from 'node:fs';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Direction, FaultProxy } from '../../test/soak/faultProxy';
+import type { CaseRecord } from './record';
+import { fillTemplate } from './template';
+
+/** Where a host runs. */
+export interface HostPlace {
+  readonly hostId: string;
+  readonly zone: string;
+  readonly zones: readonly string[];
+  readonly storeAddress: string;
+  /** Ports for clients, readiness, other hosts, metrics and the announced address. */
+  readonly ports: readonly number[];
+  /** Announced addresses of the hosts that others ask first. */
+  readonly seeds: readonly string[];
+  readonly folder: string;
+}
+
+const LOOPBACK = '127.0.0.1';
+const RESTART_DELAY_MS = 300;
+const BOTH = [Direction.forward, Direction.backward];
+/** Bounds of the site file that the cases name. */
+const BOUNDS = { graceS: 6, maxHoldMs: 1000, retryMs: 1300, status_s: 120 };
+
+/** The words of `run` in the deploy file. */
+function runCommand(): readonly string[] {
+  // eslint-disable-next-line n/no-sync -- read once at the start
+  const deployment = readFileSync('deploy/system.toml', 'utf8');
+  const run = /^run = "(.*)"$/m.exec(deployment)?.[1];
+  if (run === undefined) throw new Error('deploy/system.toml has no run command');
+  return run.split(' ');
+}
+
+/** A host with proxies on its links to the store and from other hosts. */
+export class HostProcess {
+  readonly hostId: string;
+
+  readonly callersAddress: string;
+
+  readonly readinessAddress: string;
+
+  readonly #place: HostPlace;
+
+  readonly #storeLink: FaultProxy;
+
+  readonly #peerLink: FaultProxy;
+
+  readonly #record: CaseRecord;
+
+  readonly #output: WriteStream;
+
+  #settingsFile = '';
+
+  #child: ChildProcess | null = null;
+
+  #isEndExpected = false;
+
+  constructor(place: HostPlace, record: CaseRecord) {
+    const [callers, readiness, peers] = place.ports;
+    this.#place = place;
+    this.#record = record;
+    this.hostId = place.hostId;
+    this.callersAddress = `${LOOPBACK}:${callers}`;
+    this.readinessAddress = `${LOOPBACK}:${readiness}`;
+    this.#storeLink = new FaultProxy(place.storeAddress);
+    this.#peerLink = new FaultProxy(`${LOOPBACK}:${peers}`);
+    this.#output = createWriteStream(join(place.folder, `${place.hostId}.log`));
+  }
+
+  async open(): Promise<void> {
+    await this.#peerLink.open(this.#place.ports[4]);
+    this.#writeSettings(await this.#storeLink.open());
+    this.#start();
+  }
+
+  /** Kills the process, and starts it again after a short delay as the platform does. */
+  async killAndRestart(): Promise<void> {
+    this.#record.add('kill', { host: this.hostId });
+    await this.#end('SIGKILL');
+    await sleep(RESTART_DELAY_MS);
+    this.#start();
+  }
+
+  /**
+   * The machine loses power and is dark for some time: what it has sent and what is held back on its
+   * links is lost, and so is all that others send to it until it is back.
+   */
+  async losePower(darkMs: number): Promise<void> {
+    this.#record.add('power-lost', { host: this.hostId });
+    await this.#end('SIGKILL');
+    this.silenceLinks();
+    await sleep(darkMs);
+    this.#start();
+  }
+
+  /** Silences the channels that exist now on the links of this host, without an end. */
+  silenceLinks(): void {
+    this.#storeLink.silence();
+    this.silencePeerLink();
+  }
+
+  /** Silences the channels that other hosts have opened to this one. */
+  silencePeerLink(): void {
+    this.#peerLink.silence();
+  }
+
+  /** Sends a signal without waiting for its effect. */
+  signal(signal: NodeJS.Signals): void {
+    this.#record.add('signal', { host: this.hostId, signal });
+    if (signal === 'SIGTERM') this.#isEndExpected = true;
+    this.#child?.kill(signal);
+  }
+
+  /** Cuts the links to the store and from other hosts: what is sent is held back. */
+  cut(): void {
+    this.#record.add('cut', { host: this.hostId });
+    this.#storeLink.cut(BOTH);
+    this.#peerLink.cut(BOTH);
+  }
+
+  /** The store does not answer this host, while it serves the others. */
+  cutStore(): void {
+    this.#record.add('store-turns-away', { host: this.hostId });
+    this.#storeLink.cut(BOTH);
+  }
+
+  /** Cuts only what other hosts send to this one. */
+  cutPeers(): void {
+    this.#record.add('cut-peers', { host: this.hostId });
+    this.#peerLink.cut(BOTH);
+  }
+
+  heal(): void {
+    this.#record.add('heal', { host: this.hostId });
+    this.#storeLink.heal();
+    this.#peerLink.heal();
+  }
+
+  async close(): Promise<void> {
+    await this.#end('SIGKILL');
+    this.#storeLink.close();
+    this.#peerLink.close();
+    this.#output.end();
+  }
+
+  #writeSettings(storeAddress: string): void {
+    const { hostId, zone, zones, ports, seeds, folder } = this.#place;
+    const [, , peers, metrics, announced] = ports;
+    // eslint-disable-next-line n/no-sync -- read once at the start
+    const template = readFileSync('deploy/settings.ini', 'utf8')
+      .replace(':9464', `:${metrics}`)
+      .replace(/^(peers = .*)$/m, `$1\npeers-announced = ${LOOPBACK}:${announced}`);
+    const text = fillTemplate(template, {
+      node: hostId,
+      zone,
+      zones: Object.fromEntries(zones.map((name) => [name, 'region'])),
+      ip: LOOPBACK,
+      limits: { cores: 1, cpuShare: 0.675 },
+      listenAddrs: {
+        front: this.callersAddress,
+        ready: this.readinessAddress,
+        control: `${LOOPBACK}:${peers}`,
+      },
+      seeds,
+      bounds: BOUNDS,
+      platform: { address: storeAddress },
+    });
+    this.#settingsFile = join(folder, `${hostId}.ini`);
+    // eslint-disable-next-line n/no-sync -- written once at the start
+    writeFileSync(this.#settingsFile, text);
+  }
+
+  #start(): void {
+    const [program = 'node', ...words] = runCommand();
+    this.#isEndExpected = false;
+    this.#record.add('start', { host: this.hostId });
+    const child = spawn(program === 'node' ? process.execPath : program, words, {
+      env: { PATH: process.env.PATH, HOME: process.env.HOME, WASABIYOKE_BOOT: this.#settingsFile },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(this.#output, { end: false });
+    child.stderr.pipe(this.#output, { end: false });
+    child.once('exit', (code, signal) => {
+      if (this.#child !== child) return;
+      this.#record.add('exit', { host: this.hostId, code, signal, own: !this.#isEndExpected });
+    });
+    this.#child = child;
+  }
+
+  async #end(signal: NodeJS.Signals): Promise<void> {
+    const child = this.#child;
+    if (!child || child.exitCode !== null || child.signalCode !== null) return;
+    this.#isEndExpected = true;
+    const ended = once(child, 'exit');
+    child.kill(signal);
+    await ended;
+  }
+}
