--- a/review/lib-2/hostProcess.ts
+++ b/review/lib-2/hostProcess.ts
@@ -86,6 +86,13 @@
     this.#start();
   }
 
+  /** Kills the process for good. */
+  async kill(): Promise<void> {
+    this.#record.add('removed', { host: this.hostId });
+    await this.#end('SIGKILL');
+    this.#peerLink.refuse();
+  }
+
   /**
    * The machine loses power and is dark for some time: what it has sent and what is held back on its
    * links is lost, and so is all that others send to it until it is back.
