--- a/review/lib-2/hostProcess.ts
+++ b/review/lib-2/hostProcess.ts
@@ -27,6 +27,10 @@
 /** Bounds of the site file that the cases name. */
 const BOUNDS = { graceS: 6, maxHoldMs: 1000, retryMs: 1300, status_s: 120 };
 
+/** Processes that run now; none outlives the script, however it ends. */
+const children = new Set<ChildProcess>();
+process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+
 /** The words of `run` in the deploy file. */
 function runCommand(): readonly string[] {
   // eslint-disable-next-line n/no-sync -- read once at the start
@@ -192,7 +196,9 @@
     });
     child.stdout.pipe(this.#output, { end: false });
     child.stderr.pipe(this.#output, { end: false });
+    children.add(child);
     child.once('exit', (code, signal) => {
+      children.delete(child);
       if (this.#child !== child) return;
       this.#record.add('exit', { host: this.hostId, code, signal, own: !this.#isEndExpected });
     });
--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -18,11 +18,14 @@
 export async function runCase(play: (context: CaseContext) => Promise<Verdict>): Promise<void> {
   const record = new CaseRecord(process.env.RECORD ?? 'record.txt');
   const hasTrouble = process.env.TROUBLE !== '0';
-  const timer = setTimeout(() => {
-    record.add('not-run', { reason: 'the time is over' });
+  const abort = (reason: string) => {
+    record.add('not-run', { reason });
     record.close();
     process.exit(Verdict.notRun); // eslint-disable-line n/no-process-exit
-  }, LIMIT_MS);
+  };
+  const timer = setTimeout(() => abort('the time is over'), LIMIT_MS);
+  process.once('SIGTERM', () => abort('SIGTERM'));
+  process.once('SIGINT', () => abort('SIGINT'));
   let verdict: Verdict = Verdict.notRun;
   try {
     record.add('begin', { trouble: hasTrouble });
