--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+RECORD=review/7/record.txt exec node target/review-2/7.cjs
--- a/review/8/main.ts
+++ b/review/8/main.ts
@@ -1,67 +1,61 @@
 /**
- * The store turns away the host that owns a cell, and the room of the workers shrinks meanwhile. The
- * store serves the other host, so the system could know.
+ * Entries of another writer, whose service the configuration does not name, stand first in the list of
+ * a zone's workers when the machines of that zone are lost.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { ownerInStore } from '../lib-2/cellOwner';
-import { send } from '../lib-2/client';
+import { send, type ClientAnswer } from '../lib-2/client';
 import { CaseDeployment, CLIENT_HOST, configuration, JOB_PREFIX } from '../lib-2/deployment';
+import type { HostProcess } from '../lib-2/hostProcess';
 import { runCase, Verdict, type CaseContext } from '../lib-2/runCase';
 
-const ZONE = 'bole';
-/** A room that has shrunk counts `contactMs` and one beat later. */
-const SHRUNK_COUNTS_MS = 3000 + 1500;
-/** The store turns the owner away for 9 s, the length that the site file gives. */
-const TURNED_AWAY_MS = 9000;
-const SHRINKS_AFTER_MS = 500;
-/** The room shrinks from 64 to 32 cores; a job has two tasks of 27 cores. */
-const SHRUNK_CPU_MILLIS = 32_000;
-const TASK_CPU_MILLIS = 27_000;
-const TASK_MS = 300;
-const JOB_PERIOD_MS = 500;
+const LOST_ZONE = 'bole';
+const OTHER_ZONE = 'piassa';
+/** `recoveryS` of the site. */
+const RECOVERY_MS = 12_000;
+const SERVED_SHARE = 0.25;
+const TRAFFIC_MS = 4000;
+const REQUEST_PERIOD_MS = 50;
 const DEADLINE_MS = 1500;
-const BEFORE_MS = 4000;
-const AFTER_MS = 2000;
-
-/** Runs in progress by worker. */
-const runs = new Map<string, Set<string>>();
-
-/** When the room shrank, on the clock of the record; null before. */
-let shrunkAtMs: number | null = null;
-
-/** Starts that brought a worker over its room once that counts. */
-let startsOver = 0;
+const TASK_MS = 300;
+const FOREIGN_ENTRIES = 3;
+const BEFORE_FAULT_MS = 2000;
 
-function runsOn(worker: string): Set<string> {
-  const known = runs.get(worker) ?? new Set<string>();
-  runs.set(worker, known);
-  return known;
-}
+let requestCount = 0;
 
-function started({ record }: CaseContext, worker: string, run: string): void {
-  const present = runsOn(worker).add(run);
-  const usedCpuMillis = present.size * TASK_CPU_MILLIS;
-  record.add('run', { worker, run, usedCpuMillis });
-  const counts = shrunkAtMs !== null && record.nowMs >= shrunkAtMs + SHRUNK_COUNTS_MS;
-  if (!counts || usedCpuMillis <= SHRUNK_CPU_MILLIS) return;
-  startsOver += 1;
-  record.add('over-capacity', { worker, run, usedCpuMillis, capacity: SHRUNK_CPU_MILLIS });
+/** Writes entries that name a service of somebody else; nothing listens at their addresses. */
+function writeForeignEntries({ store }: CaseDeployment): void {
+  for (let index = 1; index <= FOREIGN_ENTRIES; index += 1) {
+    const entry = {
+      backend: 'archive-batch',
+      address: `127.0.0.1:${index}`,
+      zone: LOST_ZONE,
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      coldLeftMs: 0,
+      capacity: { cpu: 16_000, memMb: 32_768, gpu: 0 },
+      labels: ['a', 'r1-9'],
+      clockMs: 1000,
+      seq: 1,
+      born: Date.now(),
+    };
+    store.put(`servers/archive-${index}`, JSON.stringify(entry));
+  }
 }
 
+/** Submits jobs to the hosts in turn; returns the share that was served. */
 async function playTraffic(
   { record }: CaseContext,
-  deployment: CaseDeployment,
-  forMs: number,
-): Promise<void> {
-  const untilMs = record.nowMs + forMs;
-  for (let count = 0; record.nowMs < untilMs; count += 1) {
-    const id = Math.round(record.nowMs * 1000)
-      .toString(16)
-      .padStart(16, '0');
-    const host = deployment.hosts[count % deployment.hosts.length];
-    if (!host) return;
+  hosts: readonly HostProcess[],
+  phase: string,
+): Promise<number> {
+  const answers: Promise<ClientAnswer>[] = [];
+  for (let sentMs = 0; sentMs < TRAFFIC_MS; sentMs += REQUEST_PERIOD_MS) {
+    const host = hosts[answers.length % hosts.length] as HostProcess;
+    requestCount += 1;
+    const id = requestCount.toString(16).padStart(16, '0');
     record.add('sent', { id, host: host.hostId });
-    send({
+    const answer = send({
       address: host.callersAddress,
       method: 'POST',
       path: `${JOB_PREFIX}${id}`,
@@ -70,43 +64,48 @@
       body: {
         spec: String(TASK_MS),
         bestEffort: true,
-        steps: [{ count: 2, cpu: TASK_CPU_MILLIS, memMb: 64, estimateMs: TASK_MS }],
+        steps: [{ count: 2, cpu: 27_000, memMb: 64, estimateMs: TASK_MS }],
       },
-    }).then(({ status, text }) => record.add('answered', { id, status, text }));
+    });
+    answer.then(({ status, text }) => record.add('answered', { id, status, text }));
+    answers.push(answer);
     // eslint-disable-next-line no-await-in-loop -- requests are sent at a steady rate
-    await sleep(JOB_PERIOD_MS);
+    await sleep(REQUEST_PERIOD_MS);
   }
+  const ended = await Promise.all(answers);
+  const served = ended.filter(({ status }) => status === 200).length;
+  record.add('traffic', { phase, asked: ended.length, served });
+  return served / ended.length;
 }
 
 async function play(context: CaseContext, deployment: CaseDeployment): Promise<Verdict> {
   const { record, hasTrouble } = context;
-  await deployment.open([{ name: ZONE, hosts: 2, workers: 2 }]);
-  deployment.store.put('op/config', configuration(2, false));
-  if (!(await deployment.untilReady())) return Verdict.notRun;
-  await playTraffic(context, deployment, BEFORE_MS);
-  const ownerId = await ownerInStore(deployment.storeAddress, ZONE);
-  const owner = deployment.hosts.find(({ hostId }) => hostId === ownerId);
-  if (!owner) return Verdict.notRun;
-  if (hasTrouble) owner.cutStore();
-  const traffic = playTraffic(context, deployment, TURNED_AWAY_MS + AFTER_MS);
-  await sleep(SHRINKS_AFTER_MS);
-  deployment.setCapacity(SHRUNK_CPU_MILLIS);
-  shrunkAtMs = record.nowMs;
-  await sleep(TURNED_AWAY_MS - SHRINKS_AFTER_MS);
-  if (hasTrouble) owner.heal();
-  await traffic;
-  await sleep(DEADLINE_MS);
-  return startsOver > 0 ? Verdict.broken : Verdict.held;
+  await deployment.open([
+    { name: LOST_ZONE, hosts: 1, workers: 8 },
+    { name: OTHER_ZONE, hosts: 1, workers: 1 },
+  ]);
+  const [lost, other] = deployment.hosts;
+  if (!lost || !other || !(await deployment.untilReady())) return Verdict.notRun;
+  if (hasTrouble) writeForeignEntries(deployment);
+  await sleep(BEFORE_FAULT_MS);
+  const before = await playTraffic(context, deployment.hosts, 'before the final fault');
+  if (before < SERVED_SHARE) return Verdict.notRun;
+  // The final fault: all processes end right after a configuration was acknowledged. The machine of
+  // one zone is removed for good.
+  deployment.store.put('op/config', configuration(2));
+  await Promise.all([lost.kill(), other.killAndRestart()]);
+  if (!(await deployment.untilReady([other]))) return Verdict.notRun;
+  record.add('back', { host: other.hostId });
+  await sleep(RECOVERY_MS);
+  const after = await playTraffic(context, [other], 'after the recovery');
+  return after < SERVED_SHARE ? Verdict.broken : Verdict.held;
 }
 
 runCase(async (context) => {
   const { record } = context;
   const deployment = new CaseDeployment(record, {
-    started: (worker, task, run) => started(context, worker.id, `${task}#${run}`),
-    ended: (worker, task, run, how) => {
-      runsOn(worker.id).delete(`${task}#${run}`);
-      record.add('end', { worker: worker.id, task, run, how });
-    },
+    started: (worker, task, run) => record.add('run', { worker: worker.id, task, run }),
+    ended: (worker, task, run, how) => record.add('end', { worker: worker.id, task, run, how }),
   });
   try {
     return await play(context, deployment);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Bundles the scripts of cases 6 to 10 with the stand-ins that they use.
+# Bundles the scripts of cases 6 to 9 with the stand-ins that they use.
 set -eu
 cd "$(dirname "$0")/.."
 for main in review/*/main.ts; do
--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -73,6 +73,9 @@
   /** Capacity of each worker in thousandths of a core; null for that of the stand-in. */
   #cpuMillis: number | null = null;
 
+  /** Labels by worker; those of the stand-in where none are set. */
+  readonly #labels = new Map<string, readonly string[]>();
+
   readonly #record: CaseRecord;
 
   readonly #observer: RunObserver;
@@ -86,13 +89,18 @@
     this.#observer = observer;
   }
 
-  async open(zones: readonly ZonePlan[]): Promise<void> {
+  /** `prepare` is called with each worker before it writes its first entry. */
+  async open(
+    zones: readonly ZonePlan[],
+    prepare: (worker: WorkerStandin, index: number) => void = () => {},
+  ): Promise<void> {
     const storeAddress = await this.store.open();
     this.storeAddress = storeAddress;
     this.store.put('op/config', configuration(1));
     const workers = zones.flatMap(({ name, workers: count }) =>
       Array.from({ length: count }, (_, index) => this.#newWorker(`w-${name}-${index}`, name)),
     );
+    workers.forEach((worker, index) => prepare(worker, index));
     await Promise.all(workers.map((worker) => worker.open()));
     this.workers.push(...workers);
     this.#heartbeat = setInterval(
@@ -146,6 +154,20 @@
     return status === 200;
   }
 
+  /**
+   * Ends the process of a worker and starts another one at once under the same id and address, with
+   * other labels.
+   */
+  restartWorker(worker: WorkerStandin, labels: readonly string[]): void {
+    this.setLabels(worker, labels);
+    worker.crash();
+  }
+
+  /** Sets the labels that a worker writes from its next entry on. */
+  setLabels({ id }: WorkerStandin, labels: readonly string[]): void {
+    this.#labels.set(id, labels);
+  }
+
   /** Changes the capacity of all workers, which say so at once. */
   setCapacity(cpuMillis: number): void {
     this.#record.add('capacity', { cpuMillis });
@@ -169,8 +191,12 @@
   }
 
   #register(worker: WorkerStandin): void {
-    const entry = JSON.parse(worker.entry()) as { capacity: { cpu: number } };
+    const entry = JSON.parse(worker.entry()) as {
+      capacity: { cpu: number };
+      labels: readonly string[];
+    };
     if (this.#cpuMillis !== null) entry.capacity.cpu = this.#cpuMillis;
+    entry.labels = this.#labels.get(worker.id) ?? entry.labels;
     this.store.put(`servers/${worker.id}`, JSON.stringify(entry));
   }
 }
