--- a/review/7/main.ts
+++ b/review/7/main.ts
@@ -1,6 +1,6 @@
 /**
  * The store turns away the host that owns a cell, and the room of the workers shrinks meanwhile. The
- * store serves the other host, so the system could know.
+ * store serves the other hosts, so the system could know.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ownerInStore } from '../lib-2/cellOwner';
@@ -80,7 +80,7 @@
 
 async function play(context: CaseContext, deployment: CaseDeployment): Promise<Verdict> {
   const { record, hasTrouble } = context;
-  await deployment.open([{ name: ZONE, hosts: 2, workers: 2 }]);
+  await deployment.open([{ name: ZONE, hosts: 3, workers: 2 }]);
   deployment.store.put('op/config', configuration(2, false));
   if (!(await deployment.untilReady())) return Verdict.notRun;
   await playTraffic(context, deployment, BEFORE_MS);
