--- a/review/lib-2/hostProcess.ts
+++ b/review/lib-2/hostProcess.ts
@@ -97,59 +97,16 @@
     this.#peerLink.refuse();
   }
 
-  /**
-   * The machine loses power and is dark for some time: what it has sent and what is held back on its
-   * links is lost, and so is all that others send to it until it is back.
-   */
-  async losePower(darkMs: number): Promise<void> {
-    this.#record.add('power-lost', { host: this.hostId });
-    await this.#end('SIGKILL');
-    this.silenceLinks();
-    await sleep(darkMs);
-    this.#start();
-  }
-
-  /** Silences the channels that exist now on the links of this host, without an end. */
-  silenceLinks(): void {
-    this.#storeLink.silence();
-    this.silencePeerLink();
-  }
-
-  /** Silences the channels that other hosts have opened to this one. */
-  silencePeerLink(): void {
-    this.#peerLink.silence();
-  }
-
-  /** Sends a signal without waiting for its effect. */
-  signal(signal: NodeJS.Signals): void {
-    this.#record.add('signal', { host: this.hostId, signal });
-    if (signal === 'SIGTERM') this.#isEndExpected = true;
-    this.#child?.kill(signal);
-  }
-
-  /** Cuts the links to the store and from other hosts: what is sent is held back. */
-  cut(): void {
-    this.#record.add('cut', { host: this.hostId });
-    this.#storeLink.cut(BOTH);
-    this.#peerLink.cut(BOTH);
-  }
-
   /** The store does not answer this host, while it serves the others. */
   cutStore(): void {
     this.#record.add('store-turns-away', { host: this.hostId });
     this.#storeLink.cut(BOTH);
   }
 
-  /** Cuts only what other hosts send to this one. */
-  cutPeers(): void {
-    this.#record.add('cut-peers', { host: this.hostId });
-    this.#peerLink.cut(BOTH);
-  }
-
+  /** The store answers this host again. */
   heal(): void {
     this.#record.add('heal', { host: this.hostId });
     this.#storeLink.heal();
-    this.#peerLink.heal();
   }
 
   async close(): Promise<void> {
