--- a/review/6/main.ts
+++ b/review/6/main.ts
@@ -15,6 +15,8 @@
 type Kind = (typeof KINDS)[number];
 const CRASHES = 10;
 const CRASH_PERIOD_MS = 2000;
+/** The worker is back at once: its port is closed only until the next process listens. */
+const DOWN_MS = 0;
 const BEFORE_MS = 2000;
 const JOB_PERIOD_MS = 200;
 /** All tasks of a job fit on one worker. */
@@ -31,6 +33,8 @@
 
 let startsWithoutLabel = 0;
 
+let jobsServed = 0;
+
 function otherKind(kind: Kind): Kind {
   return kind === 'a' ? 'b' : 'a';
 }
@@ -40,11 +44,15 @@
   return task.split('.')[0]?.endsWith('a') ? 'a' : 'b';
 }
 
-function crash({ record }: CaseContext, deployment: CaseDeployment, worker: WorkerStandin): void {
+function crash(
+  { record }: CaseContext,
+  deployment: CaseDeployment,
+  worker: WorkerStandin,
+): Promise<void> {
   const kind = otherKind(kinds.get(worker.id) ?? 'a');
   record.add('crash', { worker: worker.id, isBackAs: kind });
   kinds.set(worker.id, kind);
-  deployment.restartWorker(worker, [kind, 'r1-1']);
+  return deployment.restartWorker(worker, [kind, 'r1-1'], DOWN_MS);
 }
 
 function started(
@@ -83,7 +91,10 @@
       host: CLIENT_HOST,
       deadlineMs: DEADLINE_MS,
       body: { spec: String(TASK_MS), bestEffort: true, steps: [{ ...step, requires: kind }] },
-    }).then(({ status, text }) => record.add('answered', { id, status, text }));
+    }).then(({ status, text }) => {
+      if (status === 200) jobsServed += 1;
+      record.add('answered', { id, status, text });
+    });
   }, JOB_PERIOD_MS);
   return () => clearInterval(timer);
 }
@@ -105,6 +116,7 @@
   }
   endTraffic();
   await sleep(DEADLINE_MS);
+  if (deployment.hasLostHost || jobsServed === 0) return Verdict.notRun;
   return startsWithoutLabel > 0 ? Verdict.broken : Verdict.held;
 }
 
--- a/review/7/main.ts
+++ b/review/7/main.ts
@@ -96,6 +96,7 @@
   if (hasTrouble) owner.heal();
   await traffic;
   await sleep(DEADLINE_MS);
+  if (deployment.hasLostHost) return Verdict.notRun;
   return startsOver > 0 ? Verdict.broken : Verdict.held;
 }
 
--- a/review/8/main.ts
+++ b/review/8/main.ts
@@ -98,6 +98,7 @@
   record.add('back', { host: other.hostId });
   await sleep(RECOVERY_MS);
   const after = await playTraffic(context, [other], 'after the recovery');
+  if (deployment.hasLostHost) return Verdict.notRun;
   return after < SERVED_SHARE ? Verdict.broken : Verdict.held;
 }
 
--- a/review/lib-2/deployment.ts
+++ b/review/lib-2/deployment.ts
@@ -2,14 +2,14 @@
  * A small deployment: the platform's store, workers that write their entries to it as they live, and
  * dispatcher processes.
  */
-import { mkdtempSync } from 'node:fs';
-import { rm } from 'node:fs/promises';
+import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { PortBlock } from '../../src/standins/portBlock';
 import { KvStandin } from '../../test/platform/kvStandin';
 import { WorkerStandin, type RunObserver } from '../../test/platform/workerStandin';
+import { FaultProxy } from '../../test/soak/faultProxy';
 import { send } from './client';
 import { HostProcess } from './hostProcess';
 import type { CaseRecord } from './record';
@@ -21,6 +21,12 @@
   readonly workers: number;
 }
 
+/** The address at which a worker is reached; it closes with the worker's process. */
+interface WorkerFront {
+  readonly port: number;
+  readonly link: FaultProxy;
+}
+
 const PORTS_PER_HOST = 5;
 const HEARTBEAT_MS = 1500;
 const POLL_MS = 50;
@@ -73,6 +79,13 @@
   /** Capacity of each worker in thousandths of a core; null for that of the stand-in. */
   #cpuMillis: number | null = null;
 
+  /** Proxies in front of workers that may be restarted, with their ports. */
+  readonly #fronts = new Map<string, WorkerFront>();
+
+  readonly #links: FaultProxy[] = [];
+
+  readonly #frontPorts = new Map<string, number>();
+
   /** Labels by worker; those of the stand-in where none are set. */
   readonly #labels = new Map<string, readonly string[]>();
 
@@ -87,6 +100,10 @@
   constructor(record: CaseRecord, observer: RunObserver) {
     this.#record = record;
     this.#observer = observer;
+    process.once('exit', () => {
+      // eslint-disable-next-line n/no-sync -- the process exits
+      rmSync(this.folder, { recursive: true, force: true });
+    });
   }
 
   /** `prepare` is called with each worker before it writes its first entry. */
@@ -97,19 +114,24 @@
     const storeAddress = await this.store.open();
     this.storeAddress = storeAddress;
     this.store.put('op/config', configuration(1));
+    const hostCount = zones.reduce((sum, { hosts }) => sum + hosts, 0);
+    const workerCount = zones.reduce((sum, { workers: count }) => sum + count, 0);
+    this.#portBlock = await PortBlock.reserve(hostCount * PORTS_PER_HOST + workerCount);
+    const ports = [...this.#portBlock.ports];
+    const workerPorts = ports.splice(0, workerCount);
     const workers = zones.flatMap(({ name, workers: count }) =>
-      Array.from({ length: count }, (_, index) => this.#newWorker(`w-${name}-${index}`, name)),
+      Array.from({ length: count }, (_, index) =>
+        this.#newWorker(`w-${name}-${index}`, name, workerPorts.shift() ?? 0),
+      ),
     );
     workers.forEach((worker, index) => prepare(worker, index));
     await Promise.all(workers.map((worker) => worker.open()));
+    await Promise.all(workers.map((worker) => this.#openFront(worker)));
     this.workers.push(...workers);
     this.#heartbeat = setInterval(
       () => this.workers.forEach((worker) => this.#register(worker)),
       HEARTBEAT_MS,
     );
-    const hostCount = zones.reduce((sum, { hosts }) => sum + hosts, 0);
-    this.#portBlock = await PortBlock.reserve(hostCount * PORTS_PER_HOST);
-    const ports = [...this.#portBlock.ports];
     const seed = `127.0.0.1:${ports[4]}`;
     zones.forEach(({ name, hosts }) => {
       for (let index = 0; index < hosts; index += 1) {
@@ -154,13 +176,28 @@
     return status === 200;
   }
 
+  /** True if a process has ended without being told to, so that the run shows nothing. */
+  get hasLostHost(): boolean {
+    return this.hosts.some(({ hasEndedItself }) => hasEndedItself);
+  }
+
   /**
-   * Ends the process of a worker and starts another one at once under the same id and address, with
-   * other labels.
+   * Ends the process of a worker, with its port, and starts another one under the same id and address,
+   * with other labels; at once if `downMs` is 0.
    */
-  restartWorker(worker: WorkerStandin, labels: readonly string[]): void {
+  async restartWorker(
+    worker: WorkerStandin,
+    labels: readonly string[],
+    downMs: number,
+  ): Promise<void> {
+    const front = this.#fronts.get(worker.id);
+    if (!front) throw new Error(`${worker.id} has no front`);
+    front.link.refuse();
+    front.link.reset();
     this.setLabels(worker, labels);
     worker.crash();
+    if (downMs > 0) await sleep(downMs);
+    await front.link.open(front.port);
   }
 
   /** Sets the labels that a worker writes from its next entry on. */
@@ -176,18 +213,28 @@
   }
 
   /** Ends all processes and stand-ins. */
-  async close(keepsLogs = false): Promise<void> {
+  async close(): Promise<void> {
     await Promise.all(this.hosts.map((host) => host.close()));
     if (this.#heartbeat) clearInterval(this.#heartbeat);
     this.workers.forEach((worker) => worker.close());
     this.store.close();
     await this.#portBlock?.release();
-    if (!keepsLogs) await rm(this.folder, { recursive: true });
+    this.#links.forEach((link) => link.close());
   }
 
-  #newWorker(id: string, zone: string): WorkerStandin {
+  #newWorker(id: string, zone: string, port: number): WorkerStandin {
     const register = (worker: WorkerStandin) => this.#register(worker);
-    return new WorkerStandin(id, zone, { observer: this.#observer, register });
+    this.#frontPorts.set(id, port);
+    const announcedAddress = `127.0.0.1:${port}`;
+    return new WorkerStandin(id, zone, { observer: this.#observer, register, announcedAddress });
+  }
+
+  async #openFront({ id, address }: WorkerStandin): Promise<void> {
+    const link = new FaultProxy(address);
+    const port = this.#frontPorts.get(id) ?? 0;
+    this.#links.push(link);
+    this.#fronts.set(id, { port, link });
+    await link.open(port);
   }
 
   #register(worker: WorkerStandin): void {
--- a/review/lib-2/hostProcess.ts
+++ b/review/lib-2/hostProcess.ts
@@ -64,6 +64,9 @@
 
   #isEndExpected = false;
 
+  /** True if a process of the host has ended without being told to. */
+  hasEndedItself = false;
+
   constructor(place: HostPlace, record: CaseRecord) {
     const [callers, readiness, peers] = place.ports;
     this.#place = place;
@@ -157,6 +160,7 @@
     child.once('exit', (code, signal) => {
       children.delete(child);
       if (this.#child !== child) return;
+      if (!this.#isEndExpected) this.hasEndedItself = true;
       this.#record.add('exit', { host: this.hostId, code, signal, own: !this.#isEndExpected });
     });
     this.#child = child;
--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -26,6 +26,8 @@
   const timer = setTimeout(() => abort('the time is over'), LIMIT_MS);
   process.once('SIGTERM', () => abort('SIGTERM'));
   process.once('SIGINT', () => abort('SIGINT'));
+  // Node would exit with 1, which says that the rule was broken.
+  process.once('uncaughtException', (error) => abort(error.stack ?? String(error)));
   let verdict: Verdict = Verdict.notRun;
   try {
     record.add('begin', { trouble: hasTrouble });
