Send starts and stops only to the process that they are meant for

Cause: five connections lead to a worker, and further starts wait in KeepAlivePool. When the process ended, the pool sent each waiting start over a new connection, to whichever process answered there; a start over a new connection of its own had the same fault. Target-Instance holds the id alone.

A start and a stop name the process that they are meant for. A connection ends with the process that accepted it, so one list of runs over it, which names the process, is enough; over a new connection that list is asked for first. A start that was not sent is told apart from one without an answer: its task is placed anew at once, and the worker is not taken for failing. A stop counts as confirmed only by the process that still answers.

--- a/src/cells/actions.ts
+++ b/src/cells/actions.ts
@@ -14,6 +14,8 @@
   unhealthy: 'unhealthy',
   /** Another incarnation of the worker answered. */
   restarted: 'restarted',
+  /** The start was not sent, as the worker could not be reached. */
+  unsent: 'unsent',
   invalid: 'invalid',
   /** No answer: the worker may have carried the start out, or may still do so. */
   unclear: 'unclear',
@@ -67,6 +69,8 @@
   | {
       readonly type: 'start';
       readonly workerId: string;
+      /** Start of the process of the worker that the task was placed on. */
+      readonly processStartMs: number;
       readonly task: string;
       readonly run: number;
       readonly payload: string;
--- a/src/cells/dispatch.ts
+++ b/src/cells/dispatch.ts
@@ -237,7 +237,9 @@
       nowMs,
     );
     this.#state.runTracker.add(run);
-    this.#state.push({ type: 'start', workerId, task: task.name, run: task.lastRun, payload });
+    const { processStartMs } = worker;
+    const start = { workerId, processStartMs, task: task.name, run: task.lastRun, payload };
+    this.#state.push({ type: 'start', ...start });
     this.#state.logDecision('placed', {
       jobId,
       batchId: batch.id,
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -200,10 +200,11 @@
     }
   }
 
-  #start({ workerId, task, run, payload }: Extract<CellAction, { type: 'start' }>): void {
+  #start(action: Extract<CellAction, { type: 'start' }>): void {
+    const { workerId, task, run } = action;
     const session = this.#sessions.get(workerId);
     if (!session) return;
-    session.start(task, run, payload).then((answer: StartAnswer) => {
+    session.start(action).then((answer: StartAnswer) => {
       if (this.#closed) return;
       this.#cell.startAnswered(task, run, workerId, answer, this.#now());
       this.#performActions();
--- a/src/dispatcher/ownership/workerClient.ts
+++ b/src/dispatcher/ownership/workerClient.ts
@@ -17,12 +17,16 @@
   readonly payload: string;
   readonly leaseEndClockMs: number;
   readonly fencingToken: number;
+  /** Start of the process that the request is meant for; it is sent to no other one. */
+  readonly processStartMs: number;
 }
 
 /** Stops a run. */
 export interface StopRequest {
   readonly task: string;
   readonly run: number;
+  /** As in `StartRequest`. */
+  readonly processStartMs: number;
   readonly fencingToken: number;
 }
 
--- a/src/dispatcher/ownership/workerSession.ts
+++ b/src/dispatcher/ownership/workerSession.ts
@@ -45,6 +45,15 @@
   leaseLimitMs(): number;
 }
 
+/** A run, and the process that it was placed on. */
+export interface PlacedRun {
+  readonly task: string;
+  readonly run: number;
+  readonly payload: string;
+  /** Start of the process, in Unix milliseconds. */
+  readonly processStartMs: number;
+}
+
 /** Events that a session reports to the owner of the cell. */
 export interface SessionEvents {
   reported(workerId: string, report: WorkerReport): void;
@@ -75,6 +84,13 @@
  */
 const WITHHELD_WAIT_FRACTION = 0.2;
 
+/** Answers to a start after which the worker may be lost or replaced. */
+const MAY_BE_LOST: ReadonlySet<StartAnswer> = new Set([
+  StartAnswer.unclear,
+  StartAnswer.unsent,
+  StartAnswer.restarted,
+]);
+
 /** Stops that are confirmed within this time of each other share one list of the worker's runs. */
 const LIST_DELAY_MS = 2;
 
@@ -145,27 +161,36 @@
     this.#renew(0);
   }
 
-  async start(task: string, run: number, payload: string): Promise<StartAnswer> {
+  /** Starts a run, unless another process answers by now than the one it was placed on. */
+  async start(placed: PlacedRun): Promise<StartAnswer> {
+    if (placed.processStartMs !== this.#workerClock?.processStartMs) return StartAnswer.restarted;
     this.#renewWithin(this.#busyWaitMs());
     const leaseMs = this.#leaseMs();
     const leaseEndClockMs = this.#leaseEndClockMs(leaseMs) ?? 0;
     this.#reportLease(leaseMs);
     this.#awaitOverdueRun();
+    const { task, run, payload, processStartMs } = placed;
     const answer = await this.#workerClient.start(this.#target, {
       task,
       run,
       payload,
+      processStartMs,
       leaseEndClockMs,
       fencingToken: this.#fencingToken,
     });
     // Renew at once: the pending renewal may wait long before it shows that the worker is lost.
-    if (answer === StartAnswer.unclear) this.#renewWithin(0);
+    if (MAY_BE_LOST.has(answer)) this.#renewWithin(0);
     return answer;
   }
 
+  /** Stops a run. Only a confirmation by the process that answers now counts. */
   async stop(task: string, run: number): Promise<StopAnswer> {
-    const fencingToken = this.#fencingToken;
-    return this.#workerClient.stop(this.#target, { task, run, fencingToken });
+    const processStartMs = this.#workerClock?.processStartMs;
+    if (processStartMs === undefined) return StopAnswer.unclear;
+    const request = { task, run, processStartMs, fencingToken: this.#fencingToken };
+    const answer = await this.#workerClient.stop(this.#target, request);
+    const isReplaced = processStartMs !== this.#workerClock?.processStartMs;
+    return isReplaced && answer === StopAnswer.confirmed ? StopAnswer.restarted : answer;
   }
 
   /**
--- a/src/dispatcher/transport/httpConnection.ts
+++ b/src/dispatcher/transport/httpConnection.ts
@@ -72,6 +72,9 @@
 
 /** A connection in a pool. */
 export class HttpConnection {
+  /** Start of the process at the other end, in Unix milliseconds; null until it has been told. */
+  processStartMs: number | null = null;
+
   readonly #address: string;
 
   readonly #events: ConnectionEvents;
@@ -125,6 +128,11 @@
     this.#attachParser();
   }
 
+  /** False once the connection can carry no further call. */
+  get isOpen(): boolean {
+    return !this.#closed && !this.#socket.destroyed;
+  }
+
   /** Starts a call. No other call may be in progress. */
   send(request: HttpRequest, call: CallInProgress): void {
     this.#call = call;
@@ -136,7 +144,7 @@
    * limit.
    */
   isUsable(nowMs: number, maxIdleMs: number): boolean {
-    if (this.#closed || this.#socket.destroyed) return false;
+    if (!this.isOpen) return false;
     const serverIdleMs = (this.#idleLimitMs ?? Infinity) - CLOSE_MARGIN_MS;
     return nowMs - this.#idleSinceMs < Math.min(maxIdleMs, serverIdleMs);
   }
@@ -192,7 +200,8 @@
     if (!call || !this.#keepsAlive) this.#socket.destroy();
     this.#idleSinceMs = performance.now();
     call?.resolve({ status, text });
-    if (call && this.#keepsAlive) this.#events.idle(this);
+    // The one who waited for this reply may have started the next call.
+    if (call && this.#keepsAlive && !this.#call) this.#events.idle(this);
   }
 
   /** The server has closed its side, which also ends a body without a length. */
--- a/src/dispatcher/transport/keepAlivePool.ts
+++ b/src/dispatcher/transport/keepAlivePool.ts
@@ -1,6 +1,6 @@
 /** A pool of keep-alive HTTP connections to one address, each with one call at a time. */
 import { HttpConnection, type HttpReply, type HttpRequest } from './httpConnection';
-import { PooledCall, type CallLimits } from './pooledCall';
+import { PooledCall, type CallLimits, type ProcessReader } from './pooledCall';
 
 /** Maximum idle time of a connection. */
 const MAX_IDLE_MS = 60_000;
@@ -10,8 +10,12 @@
   /** Maximum number of connections; null for no limit. */
   readonly connections: number | null;
   readonly connectTimeoutMs: number;
+  /** Needed for calls that are meant for one process. */
+  readonly processIn?: ProcessReader;
 }
 
+const NO_PROCESS: ProcessReader = () => null;
+
 /** Connection pool for `ip:port`. */
 export class KeepAlivePool {
   readonly #address: string;
@@ -34,11 +38,12 @@
 
   /**
    * Makes a call. Rejects if the connection fails, or if the call times out or is aborted; then its
-   * connection is closed too.
+   * connection is closed too. The error is an `UnsentCallError` if the call was never sent.
    */
   call(request: HttpRequest, limits: CallLimits): Promise<HttpReply> {
     return new Promise((resolve, reject) => {
-      const call: PooledCall = new PooledCall(request, limits, {
+      const { processIn = NO_PROCESS } = this.#options;
+      const call: PooledCall = new PooledCall(request, limits, processIn, {
         resolve,
         reject: (error) => {
           this.#waiting.delete(call);
@@ -67,24 +72,33 @@
   }
 
   #begin(call: PooledCall): void {
-    const idle = this.#takeIdle();
+    const idle = this.#takeIdle(call);
     if (idle) {
       call.begin(idle);
-    } else if (this.#connections.size < (this.#options.connections ?? Infinity)) {
-      call.begin(this.#connect());
-    } else {
-      this.#waiting.add(call);
+      return;
     }
+    if (this.#isFull) this.#idle.pop()?.destroy(new Error('it leads to another process'));
+    if (this.#isFull) this.#waiting.add(call);
+    else call.begin(this.#connect());
+  }
+
+  get #isFull(): boolean {
+    return this.#connections.size >= (this.#options.connections ?? Infinity);
   }
 
-  #takeIdle(): HttpConnection | null {
+  #takeIdle(call: PooledCall): HttpConnection | null {
     const nowMs = performance.now();
-    let connection = this.#idle.pop();
+    let connection = this.#popIdle(call);
     while (connection && !connection.isUsable(nowMs, MAX_IDLE_MS)) {
       connection.destroy(new Error('the idle connection has expired'));
-      connection = this.#idle.pop();
+      connection = this.#popIdle(call);
     }
-    return connection ?? null;
+    return connection;
+  }
+
+  #popIdle(call: PooledCall): HttpConnection | null {
+    const at = this.#idle.findLastIndex((connection) => call.suits(connection));
+    return at < 0 ? null : (this.#idle.splice(at, 1)[0] ?? null);
   }
 
   #connect(): HttpConnection {
@@ -97,7 +111,11 @@
   }
 
   #onIdle(connection: HttpConnection): void {
-    const next = this.#takeWaiting();
+    let next = this.#takeWaiting();
+    while (next && !next.suits(connection)) {
+      next.refuse(connection);
+      next = this.#takeWaiting();
+    }
     if (next) next.begin(connection);
     else if (this.#closed) connection.destroy(new Error('the pool is closed'));
     else this.#idle.push(connection);
--- a/src/dispatcher/transport/pooledCall.ts
+++ b/src/dispatcher/transport/pooledCall.ts
@@ -1,5 +1,21 @@
-/** A call in a connection pool: waits for a connection, is sent over it, and settles once. */
+/**
+ * A call in a connection pool: waits for a connection, is sent over it, and settles once. A call that
+ * is meant for one process of the server is sent only over a connection to that process. A connection
+ * ends with the process that accepted it, so it is enough to ask once over each connection.
+ */
 import type { HttpConnection, HttpReply, HttpRequest } from './httpConnection';
+import { UnsentCallError } from './unsentCallError';
+
+/** The process of the server that a call is meant for. */
+export interface IntendedProcess {
+  /** Its start, in Unix milliseconds. */
+  readonly startMs: number;
+  /** Sent first over a connection to an unknown process; has a reply that names the process. */
+  readonly query: HttpRequest;
+}
+
+/** Reads the start of the server's process from a reply; null if the reply does not tell it. */
+export type ProcessReader = (reply: HttpReply) => number | null;
 
 /** Limits that end a call without a response. */
 export interface CallLimits {
@@ -11,6 +27,8 @@
    */
   readonly stallTimeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Without it the call may go to whichever process answers. */
+  readonly process?: IntendedProcess;
 }
 
 /** Callbacks for the end of a call. */
@@ -29,6 +47,13 @@
 
   readonly #stallTimeoutMs: number | null;
 
+  readonly #process: IntendedProcess | null;
+
+  readonly #processIn: ProcessReader;
+
+  /** True once the call itself has been sent, not just the query for the process. */
+  #isSent = false;
+
   #timer: NodeJS.Timeout | null = null;
 
   /** When a part of the response arrived last; null before the first one. */
@@ -39,9 +64,16 @@
   #ended = false;
 
   /** One of the `handlers` is called exactly once, even if the call never gets a connection. */
-  constructor(request: HttpRequest, limits: CallLimits, handlers: CallHandlers) {
-    const { timeoutMs, stallTimeoutMs = null, signal } = limits;
+  constructor(
+    request: HttpRequest,
+    limits: CallLimits,
+    processIn: ProcessReader,
+    handlers: CallHandlers,
+  ) {
+    const { timeoutMs, stallTimeoutMs = null, signal, process = null } = limits;
     this.#request = request;
+    this.#process = process;
+    this.#processIn = processIn;
     this.#signal = signal;
     this.#handlers = handlers;
     this.#stallTimeoutMs = stallTimeoutMs;
@@ -49,10 +81,37 @@
     if (timeoutMs !== undefined) this.#startTimer(timeoutMs, () => this.#timeOut(timeoutMs));
   }
 
+  /** False if the connection leads to another process than the one that the call is meant for. */
+  suits({ processStartMs }: HttpConnection): boolean {
+    const { startMs = null } = this.#process ?? {};
+    return startMs === null || processStartMs === null || processStartMs === startMs;
+  }
+
   begin(connection: HttpConnection): void {
     this.#connection = connection;
+    if (this.#process && connection.processStartMs === null) {
+      this.#queryProcess(connection, this.#process);
+    } else {
+      this.#send(connection);
+    }
+  }
+
+  /** Fails the call because the connection that it would have got leads to another process. */
+  refuse(connection: HttpConnection): void {
+    this.#fail(this.#mismatch(connection));
+  }
+
+  /** Fails the call and closes the connection that carries it. */
+  fail(error: Error): void {
+    if (this.#connection) this.#connection.destroy(error);
+    this.#fail(error);
+  }
+
+  #send(connection: HttpConnection): void {
+    this.#isSent = true;
     connection.send(this.#request, {
       resolve: (reply) => {
+        this.#learnProcess(connection, reply);
         if (this.#settle()) this.#handlers.resolve(reply);
       },
       reject: (error) => this.#fail(error),
@@ -60,10 +119,30 @@
     });
   }
 
-  /** Fails the call and closes the connection that carries it. */
-  fail(error: Error): void {
-    if (this.#connection) this.#connection.destroy(error);
-    this.#fail(error);
+  #queryProcess(connection: HttpConnection, { query }: IntendedProcess): void {
+    connection.send(query, {
+      resolve: (reply) => {
+        this.#learnProcess(connection, reply);
+        const isIntended = connection.processStartMs !== null && this.suits(connection);
+        if (this.#ended) return;
+        if (isIntended && connection.isOpen) this.#send(connection);
+        else this.#fail(this.#mismatch(connection, reply));
+      },
+      reject: (error) => this.#fail(error),
+      progress: () => {},
+    });
+  }
+
+  #learnProcess(connection: HttpConnection, reply: HttpReply): void {
+    const known = connection;
+    known.processStartMs ??= this.#processIn(reply);
+  }
+
+  #mismatch(connection: HttpConnection, reply: HttpReply | null = null): UnsentCallError {
+    const answeringStartMs = this.suits(connection) ? null : connection.processStartMs;
+    const answering = answeringStartMs === null ? 'not named' : `process ${answeringStartMs}`;
+    const message = `not sent: meant for process ${this.#process?.startMs}, the one that answers is ${answering}`;
+    return new UnsentCallError(message, { answeringStartMs, reply });
   }
 
   #startTimer(delayMs: number, onTimeout: () => void): void {
@@ -98,7 +177,9 @@
   readonly #abort = (): void => this.fail(new Error('the call was aborted'));
 
   #fail(error: Error): void {
-    if (this.#settle()) this.#handlers.reject(error);
+    const isTold = this.#isSent || error instanceof UnsentCallError;
+    const cause = isTold ? error : new UnsentCallError(error.message, { cause: error });
+    if (this.#settle()) this.#handlers.reject(cause);
   }
 
   /** Marks the call as ended. Returns false if it had ended already. */
--- a/test/dispatcher/keepAlivePool.test.ts
+++ b/test/dispatcher/keepAlivePool.test.ts
@@ -2,53 +2,16 @@
  * Calls over pooled connections to servers that use the various response framings of HTTP, or fail.
  */
 import { afterEach, describe, it } from 'node:test';
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { KeepAlivePool } from '../../src/dispatcher/transport/keepAlivePool';
 import { until } from '../platform/deployment';
+import { RawServer, type Behaviour } from './rawServer';
 
 const OPTIONS = { connections: null, connectTimeoutMs: 500 };
 const REQUEST = { method: 'POST', path: '/a', body: '{"b":"\u00e9"}' } as const;
 const OK = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}';
 
-type Behaviour = (socket: Socket, request: string) => void;
-
-/** A server that passes each read of a connection to `behaviour`. */
-class RawServer {
-  readonly requests: string[] = [];
-
-  readonly sockets: Socket[] = [];
-
-  readonly #server: Server;
-
-  address = '';
-
-  constructor(behaviour: Behaviour) {
-    this.#server = createServer((socket) => {
-      this.sockets.push(socket);
-      socket.on('error', () => {});
-      socket.on('data', (data) => {
-        this.requests.push(data.toString('utf8'));
-        behaviour(socket, data.toString('utf8'));
-      });
-    });
-  }
-
-  async open(): Promise<this> {
-    await new Promise<void>((resolve) => {
-      this.#server.listen(0, '127.0.0.1', resolve);
-    });
-    this.address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-    return this;
-  }
-
-  close(): void {
-    this.sockets.forEach((socket) => socket.destroy());
-    this.#server.close();
-  }
-}
-
 const opened: { close(): void }[] = [];
 
 async function serverOf(behaviour: Behaviour): Promise<RawServer> {
--- a/test/dispatcher/workerSession.test.ts
+++ b/test/dispatcher/workerSession.test.ts
@@ -34,6 +34,7 @@
 });
 
 const LISTED = { type: 'listed', clockMs: 0, processStartMs: 1, running: [], ended: [] } as const;
+const PLACED = { task: 'a.0.0.0', run: 1, payload: '', processStartMs: 1 } as const;
 const END = { task: 'a.0.0.0', run: 1, end: RunOutcome.succeeded } as const;
 
 /** A session whose renewals the test answers; `requests` are the renewals sent so far. */
@@ -52,6 +53,12 @@
 
   startAnswer: StartAnswer = StartAnswer.accepted;
 
+  /** Starts that were sent. */
+  starts = 0;
+
+  /** Confirms the stop that was sent last. */
+  confirmStop: (() => void) | null = null;
+
   nowMs = 0;
 
   readonly session: WorkerSession;
@@ -62,8 +69,14 @@
     this.#timers = t.mock.timers;
     this.#timers.enable({ apis: ['setTimeout'] });
     const workerClient: WorkerClient = {
-      start: async () => this.startAnswer,
-      stop: async () => StopAnswer.unclear,
+      start: async () => {
+        this.starts += 1;
+        return this.startAnswer;
+      },
+      stop: () =>
+        new Promise((answer) => {
+          this.confirmStop = () => answer(StopAnswer.confirmed);
+        }),
       renew: (_, request) =>
         new Promise((answer) => {
           this.requests.push({ ...request, answer });
@@ -136,7 +149,7 @@
     const simulation = new SessionSimulation(t);
     await simulation.settle();
     await simulation.pass(100);
-    await simulation.session.start('a.0.0.0', 1, '');
+    await simulation.session.start(PLACED);
     simulation.isIdle = false;
     await simulation.pass(119);
     expect(simulation.waitsMs).toEqual([0, 0, 600]);
@@ -154,7 +167,7 @@
   it('are not followed by an additional one if the run ends first', async (t) => {
     const simulation = new SessionSimulation(t);
     await simulation.settle();
-    await simulation.session.start('a.0.0.0', 1, '');
+    await simulation.session.start(PLACED);
     await simulation.answer(2, { ...LISTED, ended: [{ ...END, sequence: 1 }] });
     await simulation.pass(500);
     expect(simulation.waitsMs).toEqual([0, 0, 600, 600]);
@@ -164,7 +177,7 @@
   it('are ignored if a more recent answer of the worker has already arrived', async (t) => {
     const simulation = new SessionSimulation(t);
     await simulation.settle();
-    await simulation.session.start('a.0.0.0', 1, '');
+    await simulation.session.start(PLACED);
     simulation.isIdle = false;
     await simulation.pass(120);
     const running = [{ task: 'a.0.0.0', run: 1, percent: 99 }];
@@ -184,7 +197,7 @@
     const simulation = new SessionSimulation(t);
     await simulation.settle();
     simulation.startAnswer = StartAnswer.unclear;
-    await simulation.session.start('a.0.0.0', 1, '');
+    await simulation.session.start(PLACED);
     expect(simulation.waitsMs).toEqual([0, 0, 600, 0]);
     await simulation.answer(3, { type: 'silent', error: 'timed out' });
     await simulation.answer(4, { type: 'silent', error: 'timed out' });
@@ -199,7 +212,7 @@
     await simulation.settle();
     simulation.isIdle = false;
     simulation.nextOverdueAtMs = 70;
-    await simulation.session.start('a.0.0.0', 1, '');
+    await simulation.session.start(PLACED);
     await simulation.pass(69);
     expect(simulation.waitsMs).toEqual([0, 0, 600]);
     simulation.nextOverdueAtMs = Infinity;
@@ -254,3 +267,36 @@
     expect(simulation.restarts).toEqual(2);
   });
 });
+
+describe('a session whose worker restarts', () => {
+  // Guards against a start on a process with other labels, another room or another service.
+  it('sends no start that was placed on the process before', async (t) => {
+    const simulation = new SessionSimulation(t);
+    await simulation.settle();
+    await simulation.answer(2, { ...LISTED, processStartMs: 2 });
+    expect(await simulation.session.start(PLACED)).toEqual(StartAnswer.restarted);
+    expect(simulation.starts).toEqual(0);
+    const placed = { ...PLACED, processStartMs: 2 };
+    expect(await simulation.session.start(placed)).toEqual(StartAnswer.accepted);
+  });
+
+  // Guards against a stop that counts as confirmed by a process that has not seen it, and then still
+  // carries out the start.
+  it('does not count the confirmation of a stop by the process before', async (t) => {
+    const simulation = new SessionSimulation(t);
+    await simulation.settle();
+    const stop = simulation.session.stop(PLACED.task, PLACED.run);
+    await simulation.answer(2, { ...LISTED, processStartMs: 2 });
+    simulation.confirmStop?.();
+    expect(await stop).toEqual(StopAnswer.restarted);
+  });
+
+  // Guards against tasks that are offered to a lost process until the pending renewal times out.
+  it('asks for a list at once when a start was not sent', async (t) => {
+    const simulation = new SessionSimulation(t);
+    await simulation.settle();
+    simulation.startAnswer = StartAnswer.unsent;
+    await simulation.session.start(PLACED);
+    expect(simulation.waitsMs).toEqual([0, 0, 600, 0]);
+  });
+});
