Probe the workers of a lost domain in turn, and only those of named services

Cause: before a host claims a cell of another domain it probes workers there. It probed the first three entries by key, the same ones each time and of whatever service; while these three do not answer, the claim is withheld. Three entries of another writer are enough, and so are three crashed workers.

Each probe now takes the worker that answered last and the next ones of the list in turn, still three, beginning at a random one. Workers of services that the configuration does not name are left out. The cells of a domain share a probe. Why it works: every worker has its turn, so one that answers is found whatever stands before it, and then it is probed each time.

Not taken: a larger sample, which each host outside a cut domain would pay for with as many failing connections in each period.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -168,6 +168,7 @@
       registry: this.#registry,
       healthOf: (cell) => this.#ownerHealth.get(cell) ?? OwnerHealth.unknown,
       poll: (address) => this.#statusExchange.poll(address),
+      namesService: (service) => parts.queues.namesService(service),
     });
     this.#statusExchange = new StatusExchange({
       ...parts,
--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -39,6 +39,9 @@
 
   #byHost = new Map<string, readonly QueueBinding[]>();
 
+  /** Services that the configuration names. */
+  #services: ReadonlySet<string> = new Set();
+
   readonly #firstListeners = new Set<() => void>();
 
   get configuration(): QueueConfiguration | null {
@@ -60,6 +63,11 @@
     this.#newestVersion = Math.max(this.#newestVersion, version);
   }
 
+  /** False for a service that the configuration does not name; true while there is none. */
+  namesService(service: string): boolean {
+    return this.#configuration === null || this.#services.has(service);
+  }
+
   /** Puts a configuration in force. Returns false if it is not newer than the present one. */
   apply(configuration: QueueConfiguration): boolean {
     if (this.#configuration && configuration.version <= this.version) return false;
@@ -72,6 +80,8 @@
     });
     byHost.forEach((bindings) => bindings.sort(byLongestPrefix));
     this.#byHost = byHost;
+    const ofQueues = configuration.bindings.map(({ policy }) => policy.service);
+    this.#services = new Set([...configuration.services, ...ofQueues]);
     this.#configuration = configuration;
     this.#firstListeners.forEach((listener) => listener());
     return true;
--- a/src/dispatcher/ownership/cellClaims.ts
+++ b/src/dispatcher/ownership/cellClaims.ts
@@ -9,7 +9,7 @@
 import { ClaimPolicy, OwnerHealth } from './claimPolicy';
 import type { Platform } from '../platform';
 import type { CellRegistry } from './cellRegistry';
-import type { RenewRequest } from './workerClient';
+import { DomainProbes } from './domainProbes';
 
 /** Dependencies of `CellClaims`. */
 export interface CellClaimsParts {
@@ -22,6 +22,8 @@
   readonly healthOf: (cell: string) => OwnerHealth;
   /** Sends a status poll to the host at an address immediately. */
   readonly poll: (address: string) => void;
+  /** See `DomainProbesParts`. */
+  readonly namesService: (service: string) => boolean;
 }
 
 /** Interval between attempts to write a claim that was made without the store. */
@@ -32,17 +34,6 @@
  * answer, and keep their cells.
  */
 const MIN_REACHABLE_MS = 700;
-const MAX_PROBED_WORKERS = 3;
-/**
- * Renewal with the lowest fencing token, sent only to see whether a worker answers. A worker that
- * already has an owner rejects it as fenced.
- */
-const PROBE_REQUEST: RenewRequest = {
-  fencingToken: 0,
-  acknowledged: 0,
-  leaseEndClockMs: null,
-  waitMs: 0,
-};
 
 /** Claims made by one host. */
 export class CellClaims {
@@ -50,6 +41,8 @@
 
   readonly #policy: ClaimPolicy;
 
+  readonly #probes: DomainProbes;
+
   readonly #pendingClaims = new Set<string>();
 
   /** For each other domain, the period in which all probes of its workers were answered. */
@@ -65,6 +58,7 @@
   constructor(parts: CellClaimsParts) {
     this.#parts = parts;
     this.#policy = new ClaimPolicy(parts.self, parts.random, parts.clock.nowMs());
+    this.#probes = new DomainProbes(parts);
   }
 
   close(): void {
@@ -141,9 +135,13 @@
     this.#pendingClaims.delete(cell);
   }
 
-  /** Reason for not claiming a cell of another domain yet; null if it may be claimed. */
+  /**
+   * Reason for not claiming a cell of another domain yet; null if it may be claimed. If no worker of
+   * the domain answers, it may be partitioned from this host and still be served by its own hosts. A
+   * claim would then only take the workers away from their owner once the partition ends.
+   */
   async #withholdReason(cell: string, domain: string): Promise<string | null> {
-    const isReachable = await this.#probeWorkers(domain);
+    const isReachable = await this.#probes.reaches(domain);
     if (this.#parts.healthOf(cell) === OwnerHealth.serving) return 'its owner answers again';
     const nowMs = this.#parts.clock.nowMs();
     const before = this.#reachableDomains.get(domain);
@@ -156,22 +154,4 @@
     this.#reachableDomains.set(domain, { sinceMs, lastMs: nowMs });
     return nowMs - sinceMs >= MIN_REACHABLE_MS ? null : 'its workers answer, its owner may as well';
   }
-
-  /**
-   * True if a worker of another domain answers a probe. If none does, the domain may be partitioned
-   * from this host and still be served by its own hosts. A claim would then only take the workers
-   * away from their owner once the partition ends.
-   */
-  async #probeWorkers(domain: string): Promise<boolean> {
-    const { workerClient, workers } = this.#parts.platform;
-    const listed = await workers.list();
-    if (listed.err) return false;
-    const sample = listed.val
-      .filter((worker) => worker.domain === domain)
-      .slice(0, MAX_PROBED_WORKERS);
-    const answers = await Promise.all(
-      sample.map((worker) => workerClient.renew(worker, PROBE_REQUEST)),
-    );
-    return answers.some(({ type }) => type !== 'silent');
-  }
 }
--- a/test/dispatcher/cellClaims.test.ts
+++ b/test/dispatcher/cellClaims.test.ts
@@ -9,11 +9,14 @@
 import { OwnerHealth } from '../../src/dispatcher/ownership/claimPolicy';
 import type { Platform, RecordStore } from '../../src/dispatcher/platform';
 import { CellRegistry } from '../../src/dispatcher/ownership/cellRegistry';
+import type { WorkerTarget } from '../../src/dispatcher/ownership/workerClient';
 import { workerEntry } from '../cells/simulatedWorker';
 
 const JOURNAL = { logDecision: () => {} };
 const OBSERVED_MS = 10_000;
 const TICK_MS = 25;
+/** A service that the configuration does not name. */
+const UNNAMED_SERVICE = 'archive-batch';
 
 function host(hostId: string, domain = 'bole'): HostIdentity {
   return { hostId, incarnation: '1', domain, address: `${hostId}:1`, cores: 1 };
@@ -63,6 +66,7 @@
     journal: JOURNAL,
     healthOf: () => health,
     poll: () => {},
+    namesService: () => true,
   });
   for (let nowMs = 0; nowMs < forMs; nowMs += TICK_MS) claims.claimDueCells(layout, nowMs);
   return keys;
@@ -98,6 +102,14 @@
 
   reachesWorkers = true;
 
+  /** Workers whose entries are listed but that do not answer. */
+  readonly lostWorkers = new Set<string>();
+
+  /** Entries of the workers of the cell's domain, in the order of the list. */
+  entries = [{ ...workerEntry('w0'), domain: 'bole' }];
+
+  probes = 0;
+
   health: OwnerHealth = OwnerHealth.gone;
 
   answersWhenAsked = false;
@@ -106,9 +118,10 @@
 
   readonly #claims: CellClaims;
 
-  readonly #layout = new CellLayout(['bole'], 1);
+  readonly #layout: CellLayout;
 
-  constructor() {
+  constructor(cells = 1) {
+    this.#layout = new CellLayout(['bole'], cells);
     const store: RecordStore = {
       swap: () => {
         this.claimedAtMs.push(this.#nowMs);
@@ -125,7 +138,9 @@
       onCrashes: () => {},
     };
     const records = new CellRegistry({ self, store, ...ignored });
-    records.merge({ cell: 'bole', owner: host('bole-2'), token: 1000 }, 'test');
+    this.#layout.cells.forEach((cell) => {
+      records.merge({ cell, owner: host('bole-2'), token: 1000 }, 'test');
+    });
     const listed = {
       type: 'listed',
       clockMs: 0,
@@ -134,8 +149,11 @@
       ended: [],
     } as const;
     const silent = { type: 'silent', error: 'timed out' } as const;
-    const renew = async () => (this.reachesWorkers ? listed : silent);
-    const workers = { list: async () => Ok([{ ...workerEntry('w0'), domain: 'bole' }]) };
+    const renew = async ({ id }: WorkerTarget) => {
+      this.probes += 1;
+      return this.reachesWorkers && !this.lostWorkers.has(id) ? listed : silent;
+    };
+    const workers = { list: async () => Ok(this.entries) };
     this.#claims = new CellClaims({
       self,
       platform: { store, workers, workerClient: { renew } } as unknown as Platform,
@@ -147,7 +165,18 @@
       poll: () => {
         if (this.answersWhenAsked) this.health = OwnerHealth.serving;
       },
+      namesService: (service) => service !== UNNAMED_SERVICE,
+    });
+  }
+
+  /** Adds entries before all others whose workers do not answer. */
+  addLostWorkers(count: number, service = workerEntry('').service): void {
+    const lost = Array.from({ length: count }, (_, index) => {
+      const entry = workerEntry(`lost-${index}`);
+      return { ...entry, domain: 'bole', service };
     });
+    lost.forEach(({ id }) => this.lostWorkers.add(id));
+    this.entries = [...lost, ...this.entries];
   }
 
   async advance(durationMs: number): Promise<void> {
@@ -197,4 +226,40 @@
     await remote.advance(600);
     expect(remote.claimedAtMs.length).toEqual(1);
   });
+
+  // Guards against workers that are never used again after their hosts are lost, because a rack
+  // without power, or workers that have crashed, stand first in the list.
+  it('is made although the workers that are listed first do not answer', async () => {
+    const remote = new RemoteHost();
+    remote.addLostWorkers(12);
+    // Four probes of three workers, at intervals of 250 ms, find the one that answers.
+    await remote.advance(2250 + 4 * 300 + 700 + 300);
+    expect(remote.claimedAtMs.length).toBeGreaterThanOrEqual(1);
+  });
+
+  // Guards against probes of entries of another writer, which name no worker to use.
+  it('is not kept back by workers of a service that the configuration does not name', async () => {
+    const remote = new RemoteHost();
+    remote.addLostWorkers(300, UNNAMED_SERVICE);
+    await remote.advance(4000);
+    expect(remote.claimedAtMs.length).toBeGreaterThanOrEqual(1);
+  });
+
+  // Guards against a claim for the sake of workers that this host could not use.
+  it('is not made while only workers of such a service answer', async () => {
+    const remote = new RemoteHost();
+    remote.entries = [{ ...workerEntry('w0'), domain: 'bole', service: UNNAMED_SERVICE }];
+    await remote.advance(6000);
+    expect(remote.claimedAtMs).toEqual([]);
+  });
+
+  // Guards against a load on the workers that grows with the number of cells of their domain.
+  it('shares its probes with the claims of the other cells of the domain', async () => {
+    const remote = new RemoteHost(6);
+    remote.addLostWorkers(30);
+    remote.reachesWorkers = false;
+    await remote.advance(4250);
+    // 2 s with a probe of three workers each 250 ms.
+    expect(remote.probes).toBeLessThanOrEqual(3 * 9);
+  });
 });
