Choose the number of cells by the workers of named services alone

Cause: the number of cells is chosen from the first list whose length has kept for 1.5 s, and the length counted all entries. Workers of services that the configuration does not name do not count any more.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -97,7 +97,7 @@
 
   readonly #statusExchange: StatusExchange;
 
-  readonly #layoutSelector = new LayoutSelector();
+  readonly #layoutSelector: LayoutSelector;
 
   /** Null until the layout is known; no cell can be served before that. */
   #layout: CellLayout | null = null;
@@ -163,12 +163,14 @@
       isDrained: (cell) => this.#openCells.isDrained(cell),
       onOutdatedEntry: () => this.#workerLists.markOutdated(),
     });
+    const namesService = (service: string) => parts.queues.namesService(service);
+    this.#layoutSelector = new LayoutSelector(namesService);
     this.#claims = new CellClaims({
       ...parts,
       registry: this.#registry,
       healthOf: (cell) => this.#ownerHealth.get(cell) ?? OwnerHealth.unknown,
       poll: (address) => this.#statusExchange.poll(address),
-      namesService: (service) => parts.queues.namesService(service),
+      namesService,
     });
     this.#statusExchange = new StatusExchange({
       ...parts,
--- a/src/dispatcher/ownership/layoutSelector.ts
+++ b/src/dispatcher/ownership/layoutSelector.ts
@@ -1,6 +1,7 @@
 /**
  * Chooses the number of cells per failure domain when a deployment first starts, from the first
- * list of workers that is stable. The number is then kept in the store and not changed.
+ * list of workers that is stable. The number is then kept in the store and not changed. Workers of
+ * services that the configuration does not name do not count.
  */
 import type { WorkerEntry } from '../../cells/worker';
 
@@ -17,12 +18,20 @@
 
 /** Chooses the number of cells per failure domain. */
 export class LayoutSelector {
+  readonly #namesService: (service: string) => boolean;
+
   #workerCount = 0;
 
   #unchangedSinceMs = 0;
 
+  /** `namesService` is false for a service that the configuration does not name. */
+  constructor(namesService: (service: string) => boolean) {
+    this.#namesService = namesService;
+  }
+
   /** Returns the number of cells per domain once the list is stable; null before that. */
-  observe(entries: readonly WorkerEntry[], nowMs: number): number | null {
+  observe(listed: readonly WorkerEntry[], nowMs: number): number | null {
+    const entries = listed.filter(({ service }) => this.#namesService(service));
     if (entries.length !== this.#workerCount) {
       this.#workerCount = entries.length;
       this.#unchangedSinceMs = nowMs;
--- a/test/dispatcher/cellLayout.test.ts
+++ b/test/dispatcher/cellLayout.test.ts
@@ -63,7 +63,7 @@
 
 describe('the layout selector', () => {
   it('waits for a stable list, so that workers that start late are counted', () => {
-    const choice = new LayoutSelector();
+    const choice = new LayoutSelector(() => true);
     expect(choice.observe([], 0)).toEqual(null);
     expect(choice.observe(workers(20), 500)).toEqual(null);
     expect(choice.observe(workers(82), 1900)).toEqual(null);
@@ -73,10 +73,20 @@
 
   it('chooses one cell per 40 workers of the largest failure domain', () => {
     const cellsFor = (perDomain: number) => {
-      const choice = new LayoutSelector();
+      const choice = new LayoutSelector(() => true);
       choice.observe(workers(perDomain), 0);
       return choice.observe(workers(perDomain), 2000);
     };
     expect([1, 11, 59, 61, 117].map(cellsFor)).toEqual([1, 1, 1, 2, 3]);
   });
+
+  // Guards against a first start that never ends while an entry of another writer comes and goes.
+  it('does not wait for workers of services that the configuration does not name', () => {
+    const choice = new LayoutSelector((service) => service !== 'archive-batch');
+    const sound = workers(20);
+    const foreign = { ...worker('foreign', 'bole'), service: 'archive-batch' };
+    choice.observe(sound, 0);
+    expect(choice.observe([foreign, ...sound], 1000)).toEqual(null);
+    expect(choice.observe(sound, 1600)).toEqual(1);
+  });
 });
