Tell owners that the store turns away which workers there are, and how old that is

Cause: only owners read the list of workers, status answers carry it to other hosts only, and nothing says how old a list is. One from another host replaced a known one by the time of day of its reader, whichever was read later.

An owner that has not read its lists for a second asks one other host for them in its status calls; that host reads the directory and answers with the age, and with the entries if they differ. Ages are durations on the clock of the reader, so the list that was read last counts. Where no host can read, workers that do not guard their room get no task once the list is older than [workers] capacity-notice-ms (contactMs of the platform) less 150 ms; others are used as before. Why it works: what a start relies on was current within the time that the rule grants, or the start is not sent.

Failed try: asking only the hosts that are registered. An owner that is turned away right after its start knows none, so hosts that have called count too.

--- a/src/cells/cell.ts
+++ b/src/cells/cell.ts
@@ -8,6 +8,7 @@
 import { BatchAdmission } from './batchAdmission';
 import { CellDrain, NO_ROOM_IN_DRAIN } from './cellDrain';
 import { CellState, describeBatch, type CellOptions } from './cellState';
+import type { ListedWorkers } from './cellWorkers';
 import type { CrashHistory } from './crashHistory';
 import { CrashMonitor } from './crashMonitor';
 import { Dispatch } from './dispatch';
@@ -24,7 +25,7 @@
 import { runKey, type Run } from './run';
 import { LOCAL_SUBMITTER, type SubmitterContact } from './submitterContact';
 import { Takeover } from './takeover';
-import type { CellWorker, WorkerEntry } from './worker';
+import type { CellWorker } from './worker';
 
 /**
  * Decision logic of one cell. It performs no I/O: the caller passes in events with the current time
@@ -186,8 +187,8 @@
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
-  setWorkers(entries: readonly WorkerEntry[], nowMs: number): void {
-    this.#state.runTracker.setWorkers(entries, nowMs);
+  setWorkers(listed: ListedWorkers, nowMs: number): void {
+    this.#state.runTracker.setWorkers(listed, nowMs);
     this.#dispatch.startWaitingTasks(nowMs);
   }
 
--- a/src/cells/cellState.ts
+++ b/src/cells/cellState.ts
@@ -24,6 +24,15 @@
   readonly abandonDetectionMs: number;
   /** A worker that has been missing from the worker list for this long counts as removed. */
   readonly missingGraceMs: number;
+  /**
+   * Age, in ms, from which the entry of a worker that does not guard its room is not used, as its
+   * capacity may have changed since.
+   */
+  readonly maxEntryAgeMs: number;
+  /**
+   * True if the workers of a service refuse a start that exceeds their capacity; without it all do.
+   */
+  readonly guardsRoom?: (service: string) => boolean;
   /** Who waits and who is refused while there is too little room; equal shares by default. */
   readonly overloadPolicy?: OverloadPolicyName;
 }
@@ -74,7 +83,9 @@
       options.overloadPolicy === OverloadPolicyName.leastCost
         ? new LeastCostPolicy()
         : new EqualSharesPolicy();
-    this.runTracker = new RunTracker(options.leaseMs, events, (action) => this.push(action));
+    const { maxEntryAgeMs, guardsRoom = () => true } = options;
+    const rules = { maxEntryAgeMs, guardsRoom };
+    this.runTracker = new RunTracker(options.leaseMs, rules, events, (action) => this.push(action));
   }
 
   push(action: CellAction): void {
--- a/src/cells/runDecisions.ts
+++ b/src/cells/runDecisions.ts
@@ -63,6 +63,15 @@
   };
 }
 
+/**
+ * Workers that do not guard their room are no longer used, or are used again, because of the time
+ * since their entries were read.
+ */
+export function entryAgeDecision(workers: number, isOutdated: boolean, ageMs: number): Decision {
+  const decision = isOutdated ? 'worker-entries-too-old' : 'worker-entries-current';
+  return { type: 'decision', decision, fields: { workers, ageMs } };
+}
+
 /** A new process of a worker answers, and starts that had no answer may still reach it. */
 export function unansweredStartsDecision(worker: CellWorker): Decision {
   const { entry, processStartMs, unansweredStarts } = worker;
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -12,7 +12,7 @@
   type RunningEntry,
   type WorkerReport,
 } from './actions';
-import { CellWorkers } from './cellWorkers';
+import { CellWorkers, type EntryRules, type ListedWorkers } from './cellWorkers';
 import type { TaskShape } from './job';
 import { createRun, Isolation, runKey, RunState, type Run } from './run';
 import {
@@ -26,7 +26,7 @@
 import { TaskRuns } from './taskRuns';
 import type { RunId } from './unansweredStarts';
 import { UnclaimedEnds, type UnclaimedEnd } from './unclaimedEnds';
-import type { CellWorker, WorkerEntry } from './worker';
+import type { CellWorker } from './worker';
 
 /** Notifications about runs. */
 export interface RunEvents {
@@ -85,11 +85,17 @@
   readonly #unclaimedEnds = new UnclaimedEnds();
 
   /** `leaseMs` is the longest time from granting a lease to its expiry. */
-  constructor(leaseMs: number, events: RunEvents, push: (action: CellAction) => void) {
+  constructor(
+    leaseMs: number,
+    rules: EntryRules,
+    events: RunEvents,
+    push: (action: CellAction) => void,
+  ) {
     this.#leaseMs = leaseMs;
     this.#events = events;
     this.#push = push;
-    this.#cellWorkers = new CellWorkers(push, (id, nowMs) => this.workerRestarted(id, nowMs));
+    const onMoved = (id: string, nowMs: number) => this.workerRestarted(id, nowMs);
+    this.#cellWorkers = new CellWorkers(rules, push, onMoved);
   }
 
   /** Workers of the cell by id. */
@@ -98,8 +104,8 @@
   }
 
   /** Updates the workers from the platform's list. */
-  setWorkers(entries: readonly WorkerEntry[], nowMs: number): void {
-    this.#cellWorkers.update(entries, nowMs);
+  setWorkers(listed: ListedWorkers, nowMs: number): void {
+    this.#cellWorkers.update(listed, nowMs);
   }
 
   /** Removes workers that have been missing from the list for `graceMs` and have no runs. */
@@ -221,6 +227,7 @@
    * Ends the runs of unreachable workers whose leases have expired, and removes expired entries.
    */
   tick(nowMs: number): void {
+    this.#cellWorkers.tick(nowMs);
     this.workers.forEach((worker) => {
       worker.health.tick(nowMs);
       if (!worker.reachable && worker.runs.size > 0 && nowMs >= worker.leasesEndMs) {
--- a/src/cells/worker.ts
+++ b/src/cells/worker.ts
@@ -54,6 +54,9 @@
   /** True if the worker has been missing too long for an outage of the list to be the cause. */
   removed = false;
 
+  /** True if the entry is too old for a worker that does not guard its room. */
+  isEntryOutdated = false;
+
   /** No task is started before this time, because the worker refused a start or is slow. */
   backoffUntilMs = 0;
 
@@ -170,7 +173,7 @@
     const { entry, health } = this;
     if (!this.reachable || !this.hasCurrentEntry) return false;
     if (this.unansweredStarts.mayArrive) return false;
-    if (entry.draining || this.removed) return false;
+    if (entry.draining || this.removed || this.isEntryOutdated) return false;
     return nowMs >= this.backoffUntilMs && this.runs.size < health.limit(Infinity);
   }
 
--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -12,7 +12,7 @@
 import type { CellOptions } from '../cells/cellState';
 import type { CrashHistory } from '../cells/crashHistory';
 import type { SubmitterContact } from '../cells/submitterContact';
-import type { WorkerEntry } from '../cells/worker';
+import type { ListedWorkers } from '../cells/cellWorkers';
 import type { RandomSource } from '../core/clock';
 import { CellClaims } from './ownership/cellClaims';
 import { CellLayout } from './ownership/cellLayout';
@@ -154,11 +154,15 @@
     this.#workerLists = new WorkerLists({
       directory: platform.workers,
       periodMs: options.workerListPeriodMs,
+      clock,
+      journal,
+      ownedDomains: () => this.#ownedDomains(),
       onList: () => this.#updateCellWorkers(),
       onDirectoryResult: (up, detail) => this.#registry.setStoreAvailable(up, detail),
     });
     this.#ownedCells = new OwnedCells({
       ...parts,
+      guardsRoom: (service) => parts.queues.guardsRoom(service),
       workerClient: platform.workerClient,
       isDrained: (cell) => this.#openCells.isDrained(cell),
       onOutdatedEntry: () => this.#workerLists.markOutdated(),
@@ -405,16 +409,24 @@
     if (cellsPerDomain !== null) this.#registry.proposeLayout(cellsPerDomain);
   }
 
-  #workersOf(cell: string): readonly WorkerEntry[] {
-    const domain = this.#layout?.domainOf(cell) ?? cell;
-    return this.#workerLists.of(domain).filter((entry) => this.#layout?.cellOf(entry) === cell);
+  #workersOf(cell: string): ListedWorkers {
+    const domain = this.#domainOf(cell);
+    const entries = this.#workerLists.of(domain);
+    return {
+      entries: entries.filter((entry) => this.#layout?.cellOf(entry) === cell),
+      readAtMs: this.#workerLists.readAtMs(domain),
+    };
+  }
+
+  #ownedDomains(): readonly string[] {
+    return [...new Set(this.owners.map(({ cell }) => this.#domainOf(cell)))];
   }
 
   /** Passes the listed workers to the owned cells. An empty list is ignored. */
   #updateCellWorkers(): void {
     this.owners.forEach((owner) => {
-      const workers = this.#workersOf(owner.cell);
-      if (workers.length > 0) owner.setWorkers(workers);
+      const listed = this.#workersOf(owner.cell);
+      if (listed.entries.length > 0) owner.setWorkers(listed);
     });
   }
 
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -38,6 +38,8 @@
 const HEX_RADIX = 16;
 const RENEW_WAIT_MS = 120;
 const WORKER_LIST_PERIOD_MS = 500;
+/** Longest time from the decision to start a task until the start arrives at the worker. */
+const START_MARGIN_MS = 150;
 /**
  * Time until a worker missing from the list counts as gone. Entries that expired while the store of
  * the list was down are back within two seconds of its return.
@@ -107,6 +109,7 @@
       renewWaitMs: RENEW_WAIT_MS,
       missingGraceMs: MISSING_WORKER_GRACE_MS,
       workerListPeriodMs: WORKER_LIST_PERIOD_MS,
+      maxEntryAgeMs: settings.capacityNoticeMs - START_MARGIN_MS,
       overloadPolicy: settings.overloadPolicy,
     };
     const crashes = new CrashHistory(clock.timeOfDayMs, settings.jobStateMs);
--- a/src/dispatcher/jobs/queueTable.ts
+++ b/src/dispatcher/jobs/queueTable.ts
@@ -16,6 +16,11 @@
   readonly bindings: readonly QueueBinding[];
   /** Services whose workers may run tasks. */
   readonly services: readonly string[];
+  /**
+   * Those of the services whose workers start whatever they are told to, also beyond their capacity;
+   * absent from hosts of earlier versions.
+   */
+  readonly unguardedServices?: readonly string[];
   readonly bodyLimitBytes: number;
 }
 
@@ -68,6 +73,11 @@
     return this.#configuration === null || this.#services.has(service);
   }
 
+  /** True unless the workers of the service exceed their capacity if they are told to. */
+  guardsRoom(service: string): boolean {
+    return !(this.#configuration?.unguardedServices ?? []).includes(service);
+  }
+
   /** Puts a configuration in force. Returns false if it is not newer than the present one. */
   apply(configuration: QueueConfiguration): boolean {
     if (this.#configuration && configuration.version <= this.version) return false;
--- a/src/dispatcher/ownership/cellOwner.ts
+++ b/src/dispatcher/ownership/cellOwner.ts
@@ -5,6 +5,7 @@
 import { Cell } from '../../cells/cell';
 import type { CrashHistory } from '../../cells/crashHistory';
 import type { CellOptions } from '../../cells/cellState';
+import type { ListedWorkers } from '../../cells/cellWorkers';
 import type { CellAction, StartAnswer } from '../../cells/actions';
 import type {
   BatchOutcome,
@@ -14,7 +15,6 @@
   TaskBatch,
 } from '../../cells/messages';
 import type { SubmitterContact } from '../../cells/submitterContact';
-import type { WorkerEntry } from '../../cells/worker';
 import type { DispatchJournal } from '../journal';
 import { latestLeaseEndMs } from './leaseTimes';
 import { PauseDetector } from './pauseDetector';
@@ -31,6 +31,8 @@
   readonly workerClient: WorkerClient;
   readonly options: CellOptions & SessionOptions;
   readonly crashes: CrashHistory;
+  /** See `CellOptions`. */
+  readonly guardsRoom: (service: string) => boolean;
   /** True if the operators have drained the cell's failure domain. */
   readonly drained: boolean;
   readonly clock: HostClock;
@@ -73,7 +75,8 @@
     this.#openedAtMs = parts.clock.nowMs();
     this.#pauseDetector = new PauseDetector(parts.clock);
     const leaseMs = latestLeaseEndMs(parts.options.leaseMs, 0);
-    this.#cell = new Cell(parts.cell, { ...parts.options, leaseMs }, parts.crashes);
+    const options = { ...parts.options, leaseMs, guardsRoom: parts.guardsRoom };
+    this.#cell = new Cell(parts.cell, options, parts.crashes);
     if (parts.drained) this.setDrained(true);
     this.#timer = setInterval(() => {
       this.#cell.tick(this.#now());
@@ -104,8 +107,8 @@
     this.#performActions();
   }
 
-  setWorkers(entries: readonly WorkerEntry[]): void {
-    this.#cell.setWorkers(entries, this.#now());
+  setWorkers(listed: ListedWorkers): void {
+    this.#cell.setWorkers(listed, this.#now());
     this.#performActions();
   }
 
--- a/src/dispatcher/ownership/cellRegistry.ts
+++ b/src/dispatcher/ownership/cellRegistry.ts
@@ -134,6 +134,15 @@
     return this.#domainPeers;
   }
 
+  /** Addresses of all other registered hosts, those of this host's failure domain first. */
+  otherAddresses(): readonly string[] {
+    const { hostId, domain } = this.#parts.self;
+    const elsewhere = [...this.#hosts.values()].filter(
+      (host) => host.domain !== domain && host.hostId !== hostId,
+    );
+    return [...this.domainPeers(), ...elsewhere].map(({ address }) => address);
+  }
+
   /** True if the record supersedes the one last read from the store. */
   isUnwritten(record: CellRecord): boolean {
     const stored = this.#stored.get(record.cell);
--- a/src/dispatcher/ownership/ownedCells.ts
+++ b/src/dispatcher/ownership/ownedCells.ts
@@ -2,8 +2,8 @@
  * The cells that this host owns. Starts an owner when a record names this host, and releases it
  * later.
  */
-import type { WorkerEntry } from '../../cells/worker';
 import type { CellOptions } from '../../cells/cellState';
+import type { ListedWorkers } from '../../cells/cellWorkers';
 import type { CrashHistory } from '../../cells/crashHistory';
 import { CellOwner } from './cellOwner';
 import type { CellRecord } from './cellRecord';
@@ -17,6 +17,8 @@
   readonly workerClient: WorkerClient;
   readonly options: CellOptions & SessionOptions;
   readonly crashes: CrashHistory;
+  /** See `CellOptions`. */
+  readonly guardsRoom: (service: string) => boolean;
   /** True if the operators have drained the failure domain of a cell. */
   readonly isDrained: (cell: string) => boolean;
   readonly clock: HostClock;
@@ -44,7 +46,7 @@
   }
 
   /** Starts to run a cell whose record names this host. */
-  add({ cell, token }: CellRecord, known: readonly WorkerEntry[]): void {
+  add({ cell, token }: CellRecord, known: ListedWorkers): void {
     const { journal } = this.#parts;
     const owner = new CellOwner({
       ...this.#parts,
@@ -58,7 +60,7 @@
     });
     this.#owners.set(cell, owner);
     journal.logDecision('cell-owned', { cell, fencingToken: token });
-    if (known.length > 0) owner.setWorkers(known);
+    if (known.entries.length > 0) owner.setWorkers(known);
   }
 
   /** Tells all owners whether their cells are drained. */
--- a/src/dispatcher/peers/peerMessages.ts
+++ b/src/dispatcher/peers/peerMessages.ts
@@ -4,7 +4,7 @@
 import type { CrashPosition, CrashUpdate } from './crashExchange';
 import type { DomainDrain } from '../drainedDomains';
 import type { ClockReading, SendTime } from './peerClocks';
-import type { WorkerList } from '../ownership/workerLists';
+import type { ToldList, WantedList, WorkerList } from '../ownership/workerLists';
 
 /** Paths of the peer interface. */
 export const PeerPath = {
@@ -40,6 +40,8 @@
   readonly crashPosition?: CrashPosition | undefined;
   /** Drained failure domains as the sender knows them; absent if there is none. */
   readonly drains?: readonly DomainDrain[] | undefined;
+  /** Lists of workers that the sender needs and can't read; absent if there is none. */
+  readonly wantedLists?: readonly WantedList[] | undefined;
   /** Absent if no batch has been sent to the receiver, and from hosts of earlier versions. */
   readonly awaited?: AwaitedCalls | undefined;
   /**
@@ -65,6 +67,8 @@
   readonly records: readonly CellRecord[];
   /** Workers of the requester's domain, if the requester's list is older. */
   readonly workers: WorkerList | null;
+  /** The wanted lists of workers that the host has read later than the requester. */
+  readonly toldLists?: readonly ToldList[] | undefined;
   /** Lost workers that the requester does not know of; absent from hosts of earlier versions. */
   readonly crashes?: CrashUpdate;
   /**
--- a/src/dispatcher/peers/statusExchange.ts
+++ b/src/dispatcher/peers/statusExchange.ts
@@ -1,7 +1,8 @@
 /**
  * The status exchange between hosts. Status calls carry the health of owners, the loads of their
  * cells, the ownership records, the workers of the requester's domain, the drained failure domains,
- * and the version of the configuration.
+ * and the version of the configuration. A host that can't read the lists of its workers asks another
+ * one for them by the same calls.
  */
 import type { CellSummary } from '../../cells/messages';
 import type { Clock } from '../../core/clock';
@@ -17,6 +18,7 @@
 import type { QueueTable } from '../jobs/queueTable';
 import type { CellRegistry } from '../ownership/cellRegistry';
 import type { WorkerLists } from '../ownership/workerLists';
+import { ListSources } from './listSources';
 
 /** Dependencies of the status exchange. */
 export interface StatusExchangeParts {
@@ -38,8 +40,8 @@
 }
 
 /**
- * Poll period of hosts that are not owners: seeds, and hosts of this domain that must be told of a
- * claim.
+ * Poll period of hosts that are not owners: seeds, hosts of this domain that must be told of a
+ * claim, and a host that is asked for lists of workers.
  */
 const NON_OWNER_POLL_PERIOD_MS = 150;
 
@@ -52,6 +54,8 @@
   /** The configuration of this host, and those that it gets from other hosts. */
   readonly configurations: ConfigurationExchange;
 
+  readonly #listSources = new ListSources();
+
   #nonOwnersPolledAtMs = -Infinity;
 
   #closed = false;
@@ -116,18 +120,21 @@
   }
 
   /**
-   * Addresses of non-owners to poll: the seeds while records or the configuration are missing, and
-   * the hosts of this domain while this host has claims that are not in the store, as the call
-   * carries the claims.
+   * Addresses of non-owners to poll: the seeds while records or the configuration are missing, the
+   * hosts of this domain while this host has claims that are not in the store, as the call carries
+   * the claims, and one host while this one can't read the lists of its workers.
    */
   #takeDueNonOwners(hasUnwrittenClaims: boolean, nowMs: number): readonly string[] {
-    const { self, queues, seeds, records } = this.#parts;
+    const { self, queues, seeds, records, lists } = this.#parts;
     if (nowMs - this.#nonOwnersPolledAtMs < NON_OWNER_POLL_PERIOD_MS) return [];
     this.#nonOwnersPolledAtMs = nowMs;
     const lacksClusterState = records.all().length === 0 || queues.configuration === null;
     const seedAddresses = lacksClusterState ? seeds.filter((seed) => seed !== self.address) : [];
     const domainPeers = hasUnwrittenClaims ? records.domainPeers() : [];
-    return [...seedAddresses, ...domainPeers.map(({ address }) => address)];
+    const wantsLists = lists.wanted(nowMs).length > 0;
+    const source = wantsLists ? this.#listSources.next(records.otherAddresses()) : null;
+    const sources = source === null ? [] : [source];
+    return [...seedAddresses, ...domainPeers.map(({ address }) => address), ...sources];
   }
 
   /** Answers a status request from another host and merges the state that it carries. */
@@ -140,12 +147,14 @@
       listVersion,
       crashPosition,
       drains: sentDrains = [],
+      wantedLists,
     }: StatusRequest,
     cells: readonly CellSummary[],
     leaving: boolean,
   ): HostStatus {
-    const { self, lists, drains } = this.#parts;
+    const { self, lists, drains, clock } = this.#parts;
     this.configurations.learn(configurationVersion, from.address);
+    this.#listSources.recordCaller(from.address);
     drains.merge(sentDrains, from.hostId);
     this.#learnRecords(records, from.hostId);
     return {
@@ -157,6 +166,7 @@
       cells,
       ...this.#recordsFor(recordsDigest),
       workers: lists.newerThan(from.domain, listVersion),
+      toldLists: wantedLists && lists.laterThan(wantedLists, clock.nowMs()),
       crashes: this.#parts.crashes.changesSince(crashPosition),
       drains: drains.isKnown ? drains.newerThan(sentDrains) : undefined,
     };
@@ -166,6 +176,8 @@
   async poll(address: string): Promise<void> {
     const { self, peers, clock, lists, drains, onPolled: onAsked } = this.#parts;
     const knownDrains = drains.all();
+    const askedAtMs = clock.nowMs();
+    const wantedLists = lists.wanted(askedAtMs);
     const status = await peers.status(address, {
       from: self,
       configurationVersion: this.configurations.version,
@@ -173,18 +185,22 @@
       listVersion: lists.versionOf(self.domain),
       crashPosition: this.#monitor.statusOf(address)?.crashes?.position,
       drains: knownDrains.length > 0 ? knownDrains : undefined,
+      wantedLists: wantedLists.length > 0 ? wantedLists : undefined,
     });
     if (this.#closed) return;
+    const isAnswered = status !== StatusFailure.refused && status !== StatusFailure.unanswered;
+    const hasTold = isAnswered && (status.toldLists?.length ?? 0) > 0;
+    if (wantedLists.length > 0) this.#listSources.record(address, hasTold);
     if (status === StatusFailure.refused) {
       this.#monitor.recordRefusal(address);
     } else if (status !== StatusFailure.unanswered) {
       this.#monitor.recordStatus(address, status, clock.nowMs());
-      this.#applyStatus(address, status);
+      this.#applyStatus(address, status, askedAtMs);
     }
     onAsked();
   }
 
-  #applyStatus(address: string, status: PeerStatus): void {
+  #applyStatus(address: string, status: PeerStatus, askedAtMs: number): void {
     const { self, lists, drains, onSummaries } = this.#parts;
     // Before the records: a host that learns from them that it owns a cell may start tasks there.
     if (status.drains) drains.mergeAll(status.drains, status.hostId);
@@ -195,7 +211,8 @@
     }
     this.#learnRecords(status.records, status.hostId);
     if (status.crashes) this.#parts.crashes.learn(status.crashes.records, status.hostId);
-    if (status.workers) lists.merge(self.domain, status.workers);
+    if (status.workers) lists.merge(self.domain, status.workers, status.hostId, askedAtMs);
+    if (status.toldLists) lists.learn(status.toldLists, status.hostId, askedAtMs);
     this.configurations.learn(status.configurationVersion, address);
   }
 
--- a/src/dispatcher/settings.ts
+++ b/src/dispatcher/settings.ts
@@ -26,6 +26,11 @@
   readonly seeds: readonly string[];
   readonly storeAddress: string;
   readonly leaseMs: number;
+  /**
+   * Time from which a start on a worker must respect a capacity that the worker has announced; it
+   * matters for workers that do not guard their room.
+   */
+  readonly capacityNoticeMs: number;
   /**
    * Time after losing an answer at which clients resubmit a job; all its runs have ended by then.
    */
@@ -127,6 +132,10 @@
 
 const ADDRESS = 'an IP number and a port, such as 127.0.0.1:7000';
 const MAX_LEASE_MS = 60_000;
+/** Lists of workers are up to a second old where another host reads them. */
+const MIN_CAPACITY_NOTICE_MS = 2000;
+const MAX_CAPACITY_NOTICE_MS = 600_000;
+const DEFAULT_CAPACITY_NOTICE_MS = 3000;
 /**
  * Submitters renew their interest every 150 ms, and leases must outlast a few of these renewals.
  */
@@ -177,6 +186,13 @@
       `a whole number from 100 to ${MAX_LEASE_MS}`,
       readInteger(100, MAX_LEASE_MS),
     ),
+    capacityNoticeMs: reader.optional(
+      'workers',
+      'capacity-notice-ms',
+      `a whole number from ${MIN_CAPACITY_NOTICE_MS} to ${MAX_CAPACITY_NOTICE_MS}`,
+      readInteger(MIN_CAPACITY_NOTICE_MS, MAX_CAPACITY_NOTICE_MS),
+      DEFAULT_CAPACITY_NOTICE_MS,
+    ),
     resubmissionMs: reader.optional(
       'callers',
       'resubmission-ms',
--- a/test/cells/capacity.test.ts
+++ b/test/cells/capacity.test.ts
@@ -12,7 +12,10 @@
   simulation.offer(batchOf({ ...LONG, estimateMs: 500 }));
   simulation.offer(batchOf(LONG));
   simulation.advance(100);
-  simulation.cell.setWorkers([workerEntry('w0', 27_000)], simulation.nowMs);
+  simulation.cell.setWorkers(
+    { entries: [workerEntry('w0', 27_000)], readAtMs: simulation.nowMs },
+    simulation.nowMs,
+  );
   return simulation;
 }
 
@@ -42,7 +45,10 @@
   it('is used again when its capacity grows', () => {
     const simulation = shrunkCell();
     simulation.offer(batchOf({ ...LONG, begun: true }));
-    simulation.cell.setWorkers([workerEntry('w0', 108_000)], simulation.nowMs);
+    simulation.cell.setWorkers(
+      { entries: [workerEntry('w0', 108_000)], readAtMs: simulation.nowMs },
+      simulation.nowMs,
+    );
     simulation.advance(10);
     expect(simulation.starts.length).toEqual(3);
   });
@@ -50,7 +56,7 @@
   it('gets nothing while its capacity is 0, and other workers serve', () => {
     const simulation = CellSimulation.withWorkers(2);
     const entries = [workerEntry('w0', 0), workerEntry('w1', 64_000)];
-    simulation.cell.setWorkers(entries, simulation.nowMs);
+    simulation.cell.setWorkers({ entries, readAtMs: simulation.nowMs }, simulation.nowMs);
     const record = simulation.offer(batchOf({ taskCount: 2 }));
     simulation.advance(200);
     expect(record.outcome).toEqual({ type: 'done' });
--- a/test/cells/cellFixtures.ts
+++ b/test/cells/cellFixtures.ts
@@ -22,6 +22,7 @@
   submitterTimeoutMs: 1300,
   abandonDetectionMs: 1000,
   missingGraceMs: 2500,
+  maxEntryAgeMs: 3000,
 };
 
 /** A start that the cell wants to be sent. */
@@ -38,7 +39,7 @@
 ): Pick<Start, 'task' | 'run' | 'workerId'> & { readonly cell: Cell } {
   const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
   const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
-  cell.setWorkers(entries, 0);
+  cell.setWorkers({ entries, readAtMs: 0 }, 0);
   entries.forEach(({ id }) =>
     cell.report(id, { sentAtMs: 0, processStartMs: 1, running: [], ended: [] }, 1),
   );
--- a/test/cells/cellSimulation.ts
+++ b/test/cells/cellSimulation.ts
@@ -122,6 +122,7 @@
       submitterTimeoutMs: 1300,
       abandonDetectionMs: 1000,
       missingGraceMs: 2500,
+      maxEntryAgeMs: 3000,
       overloadPolicy,
     };
     this.cell = new Cell('sofia-a', options, this.crashes);
@@ -166,10 +167,8 @@
 
   /** Passes the current entries of all workers to the cell. */
   readEntries(): void {
-    this.cell.setWorkers(
-      this.workers.map(({ entry }) => entry),
-      this.nowMs,
-    );
+    const entries = this.workers.map(({ entry }) => entry);
+    this.cell.setWorkers({ entries, readAtMs: this.nowMs }, this.nowMs);
     this.#act();
   }
 
--- a/test/cells/ownerChange.test.ts
+++ b/test/cells/ownerChange.test.ts
@@ -112,7 +112,7 @@
   it('does not start a task after the end of one run while a later run may be in progress', () => {
     const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
     const entries = ['w0', 'w1'].map((id) => workerEntry(id, 64_000));
-    cell.setWorkers(entries, 0);
+    cell.setWorkers({ entries, readAtMs: 0 }, 0);
     const batch = asSentToNextOwner(batchOf({ taskCount: 1, deadlineInMs: 5000, goalMs: 4000 }));
     const task = batch.tasks[0]?.name ?? '';
     const ends = [RunOutcome.stopped, RunOutcome.failed, RunOutcome.lapsed];
@@ -212,7 +212,7 @@
   // Guards against a start when only one of two runs from earlier owners has ended.
   it('starts a task only when all of its adopted runs have ended', () => {
     const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
-    cell.setWorkers([workerEntry('w0'), workerEntry('w1')], 0);
+    cell.setWorkers({ entries: [workerEntry('w0'), workerEntry('w1')], readAtMs: 0 }, 0);
     const name = 'again.0.0.0';
     const listOf = (run: number) => [{ task: name, run, percent: 5 }];
     const endOf = (run: number) => [{ sequence: 1, task: name, run, end: RunOutcome.lapsed }];
@@ -228,7 +228,7 @@
   // Guards against a start beside a run that its worker reports after the submission has arrived.
   it('claims a run that is found while its task is waiting', () => {
     const cell = new Cell('sofia-a', OPTIONS, new CrashHistory(() => 0, 120_000));
-    cell.setWorkers([workerEntry('w0')], 0);
+    cell.setWorkers({ entries: [workerEntry('w0')], readAtMs: 0 }, 0);
     cell.offer(batchOf({ jobId, begun: true, deadlineInMs: 3000, goalMs: 1000 }), 1);
     const running = [{ task: 'again.0.0.0', run: 3, percent: 5 }];
     cell.report('w0', { sentAtMs: 2, processStartMs: 1, running, ended: [] }, 3);
--- a/test/cells/replacedWorker.test.ts
+++ b/test/cells/replacedWorker.test.ts
@@ -50,7 +50,7 @@
     const simulation = replacedWorker();
     const labels = ['b', 'r1-1'];
     const entry = entryOf({ labels, processStartMs: SECOND_START_MS });
-    simulation.cell.setWorkers([entry], simulation.nowMs);
+    simulation.cell.setWorkers({ entries: [entry], readAtMs: simulation.nowMs }, simulation.nowMs);
     offerLabelled(simulation, 'a');
     expect(simulation.starts).toEqual([]);
     offerLabelled(simulation, 'b');
@@ -61,7 +61,7 @@
   it('gets no task while its entry is newer than the process that answers', () => {
     const simulation = new CellSimulation([new SimulatedWorker(entryOf({}))]);
     const entry = entryOf({ labels: ['b'], processStartMs: SECOND_START_MS });
-    simulation.cell.setWorkers([entry], simulation.nowMs);
+    simulation.cell.setWorkers({ entries: [entry], readAtMs: simulation.nowMs }, simulation.nowMs);
     offerLabelled(simulation, 'b');
     expect(simulation.starts).toEqual([]);
   });
@@ -75,7 +75,7 @@
     simulation.advance(100);
     expect(simulation.starts).toEqual([]);
     const entry = entryOf({ cpuMillis: SHAPE.cpuMillis, processStartMs: SECOND_START_MS });
-    simulation.cell.setWorkers([entry], simulation.nowMs);
+    simulation.cell.setWorkers({ entries: [entry], readAtMs: simulation.nowMs }, simulation.nowMs);
     expect(simulation.cell.summary(simulation.nowMs).capacityCpuMillis).toEqual(SHAPE.cpuMillis);
   });
 
@@ -84,7 +84,7 @@
     const simulation = replacedWorker();
     const entry = entryOf({ service: 'another', processStartMs: SECOND_START_MS });
     simulation.offer(batchOf({ slackFactor: 50, deadlineInMs: 20_000 }));
-    simulation.cell.setWorkers([entry], simulation.nowMs);
+    simulation.cell.setWorkers({ entries: [entry], readAtMs: simulation.nowMs }, simulation.nowMs);
     simulation.advance(100);
     expect(simulation.starts).toEqual([]);
   });
@@ -95,7 +95,10 @@
   it('gets no task before an entry that does has been read', () => {
     const simulation = new CellSimulation([new SimulatedWorker(entryOf({}))]);
     const unnamed: unknown = { ...entryOf({}), processStartMs: null };
-    simulation.cell.setWorkers([unnamed as WorkerEntry], simulation.nowMs);
+    simulation.cell.setWorkers(
+      { entries: [unnamed as WorkerEntry], readAtMs: simulation.nowMs },
+      simulation.nowMs,
+    );
     offerLabelled(simulation, 'a');
     expect(simulation.starts).toEqual([]);
     simulation.readEntries();
--- a/test/cells/simulatedWorker.ts
+++ b/test/cells/simulatedWorker.ts
@@ -3,7 +3,7 @@
 import type { WorkerEntry } from '../../src/cells/worker';
 
 /** Start of the first process of a worker. */
-const FIRST_PROCESS_START_MS = 1;
+export const FIRST_PROCESS_START_MS = 1;
 
 /** Builds the entry of a worker in the list. */
 export function workerEntry(id: string, cpuMillis = 64_000): WorkerEntry {
--- a/test/dispatcher/drainedDomains.test.ts
+++ b/test/dispatcher/drainedDomains.test.ts
@@ -47,7 +47,7 @@
       seeds: [],
       queues: new QueueTable(),
       records: { digest: '', all: () => [], cellsPerDomain: null } as never,
-      lists: { versionOf: () => 0, newerThan: () => null } as never,
+      lists: { versionOf: () => 0, newerThan: () => null, wanted: () => [] } as never,
       crashes: { changesSince: () => undefined, learn: () => {} } as never,
       drains: this.drains,
       clock,
--- a/test/dispatcher/equalClaims.test.ts
+++ b/test/dispatcher/equalClaims.test.ts
@@ -26,6 +26,7 @@
   submitterTimeoutMs: 1300,
   abandonDetectionMs: 1000,
   missingGraceMs: 2500,
+  maxEntryAgeMs: 3000,
   renewWaitMs: 120,
 };
 
@@ -60,6 +61,7 @@
       workerClient: { close: async () => {}, disconnect: () => {} } as never,
       options: OPTIONS,
       crashes: new CrashHistory(() => 0, 120_000),
+      guardsRoom: () => true,
       clock: { nowMs: () => 0, timeOfDayMs: () => 0 },
       journal: JOURNAL,
       onOutdatedEntry: () => {},
@@ -70,7 +72,7 @@
       journal: JOURNAL,
       onOwner: (record) => {
         this.owned.releaseSuperseded(record);
-        if (record.owner === self) this.owned.add(record, []);
+        if (record.owner === self) this.owned.add(record, { entries: [], readAtMs: 0 });
       },
       onLayout: () => {},
       onCrashes: () => {},
--- a/test/dispatcher/ownerSimulation.ts
+++ b/test/dispatcher/ownerSimulation.ts
@@ -148,9 +148,11 @@
         submitterTimeoutMs: 1300,
         abandonDetectionMs: 1000,
         missingGraceMs: 2500,
+        maxEntryAgeMs: 3000,
         renewWaitMs: 120,
       },
       crashes: this.crashes,
+      guardsRoom: () => true,
       clock: this.#clock,
       journal,
       onFenced: () => undefined,
@@ -166,7 +168,7 @@
       ...workerEntry(id),
       processStartMs: incarnation,
     }));
-    owner.setWorkers(entries);
+    owner.setWorkers({ entries, readAtMs: this.#nowMs });
   }
 
   #recordOverlaps(): void {
--- a/test/dispatcher/replacedOwner.test.ts
+++ b/test/dispatcher/replacedOwner.test.ts
@@ -35,6 +35,7 @@
   leaseMs: 1000,
   abandonDetectionMs: 1000,
   missingGraceMs: 2500,
+  maxEntryAgeMs: 3000,
   submitterTimeoutMs: 1300,
   renewWaitMs: 120,
   workerListPeriodMs: 500,
--- a/test/dispatcher/settings.test.ts
+++ b/test/dispatcher/settings.test.ts
@@ -38,6 +38,16 @@
     expect(read('resubmission-ms = 599').err).toEqual(true);
   });
 
+  // Guards against a bound below the age of a list that another host reads, which would leave workers
+  // unused although their entries are known.
+  it('accepts a time for changed capacities of two seconds and more', () => {
+    const read = (line: string) =>
+      readDispatcherSettings('host.ini', VALID_SETTINGS.replace('lease-ms', `${line}\nlease-ms`));
+    expect(read('').unwrap().capacityNoticeMs).toEqual(3000);
+    expect(read('capacity-notice-ms = 5000').unwrap().capacityNoticeMs).toEqual(5000);
+    expect(read('capacity-notice-ms = 1999').err).toEqual(true);
+  });
+
   // Guards against a task that is started again while callers may still ask for its failed job.
   it('takes the time for which callers may ask for the state of a job from the settings', () => {
     const read = (line: string) =>
--- a/test/dispatcher/statusExchange.test.ts
+++ b/test/dispatcher/statusExchange.test.ts
@@ -35,7 +35,7 @@
       seeds: [],
       queues: new QueueTable(),
       records: records as never,
-      lists: { versionOf: () => 0, newerThan: () => null } as never,
+      lists: { versionOf: () => 0, newerThan: () => null, wanted: () => [] } as never,
       crashes: { changesSince: () => undefined, learn: () => {} } as never,
       drains: new DrainedDomains({ domains: [], clock, journal, onChange: () => {} }),
       clock,
--- a/test/dispatcher/workerLists.test.ts
+++ b/test/dispatcher/workerLists.test.ts
@@ -30,6 +30,9 @@
       periodMs: PERIOD_MS,
       onList: () => {},
       onDirectoryResult: () => {},
+      clock: { nowMs: () => 0 },
+      journal: { logDecision: () => {} },
+      ownedDomains: () => [],
     });
   }
 
--- a/test/platform/deployment.ts
+++ b/test/platform/deployment.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { PortBlock } from '../../src/standins/portBlock';
 import { encodeLayout, LAYOUT_KEY } from '../../src/dispatcher/ownership/cellRecord';
+import { FaultProxy } from '../soak/faultProxy';
 import { TestHost } from './testHost';
 import { KvStandin } from './kvStandin';
 import { WorkerStandin } from './workerStandin';
@@ -55,6 +56,9 @@
 
   readonly hosts: TestHost[] = [];
 
+  /** The links of the hosts to the store, in the order of the hosts, where they are asked for. */
+  readonly storeLinks: FaultProxy[] = [];
+
   readonly #domains: readonly string[];
 
   /** Number of cells in each failure domain; null lets the hosts choose it. */
@@ -69,8 +73,16 @@
     this.#cellsPerDomain = cellsPerDomain;
   }
 
-  async open(hostsPerDomain: number, workersPerDomain: number): Promise<void> {
+  async open(
+    hostsPerDomain: number,
+    workersPerDomain: number,
+    hasStoreLinks = false,
+  ): Promise<void> {
     const storeAddress = await this.store.open();
+    const hostCount = hostsPerDomain * this.#domains.length;
+    const linkCount = hasStoreLinks ? hostCount : 0;
+    this.storeLinks.push(...Array.from({ length: linkCount }, () => new FaultProxy(storeAddress)));
+    const linkAddresses = await Promise.all(this.storeLinks.map((link) => link.open()));
     this.#portBlock = await PortBlock.reserve(RESERVED_PORTS);
     const ports = [...this.#portBlock.ports];
     this.store.put('op/config', configurationText(1));
@@ -88,10 +100,10 @@
       Array.from({ length: hostsPerDomain }, (_, index) => {
         const hostPorts = ports.splice(0, PORTS_PER_HOST);
         const id = `${domain}-${index}`;
-        this.#newHosts.push(
-          () => new TestHost(id, domain, this.#domains, storeAddress, [...hostPorts]),
-        );
-        return new TestHost(id, domain, this.#domains, storeAddress, [...hostPorts]);
+        const address = linkAddresses.shift() ?? storeAddress;
+        const create = () => new TestHost(id, domain, this.#domains, address, [...hostPorts]);
+        this.#newHosts.push(create);
+        return create();
       }),
     );
     this.hosts.push(...hosts);
@@ -123,6 +135,7 @@
     await Promise.all(this.hosts.map((host) => host.close()));
     this.workers.forEach((worker) => worker.close());
     this.store.close();
+    this.storeLinks.forEach((link) => link.close());
     await this.#portBlock?.release();
   }
 
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -91,6 +91,18 @@
     expect(decodeConfiguration('{}')).toEqual(null);
   });
 
+  // Guards against starts beyond the capacity of workers that refuse none.
+  it('name the services whose workers do not guard their room, also if the field is left out', () => {
+    const backends = [
+      { name: 'a', preconditions: true },
+      { name: 'b', preconditions: false },
+    ];
+    const text = JSON.stringify({ version: 1, routes: [], backends: [...backends, { name: 'c' }] });
+    const configuration = decodeConfiguration(text);
+    expect(configuration?.services).toEqual(['a', 'b', 'c']);
+    expect(configuration?.unguardedServices).toEqual(['b', 'c']);
+  });
+
   it('state which unsupported feature a queue requires', () => {
     const recommendation = { decideMs: 1, periodMs: 1, validityMs: 1 };
     const route = { name: 'r', host: 'a', prefix: '/p/', backend: 's', recommendation };
--- a/test/platform/testHost.ts
+++ b/test/platform/testHost.ts
@@ -65,6 +65,7 @@
         seeds: [],
         storeAddress,
         leaseMs: 1000,
+        capacityNoticeMs: 3000,
         drainMs: 6000,
         resubmissionMs: 1300,
         jobStateMs: 120_000,
