Divide the cluster view; metric of the age of the lists of workers

Calls of other hosts for owned cells go to OwnedCells directly in place of five methods that passed them on, and what is known of the owners' health stands in OwnerHealthTable.

--- a/src/dispatcher/cluster.ts
+++ b/src/dispatcher/cluster.ts
@@ -11,7 +11,6 @@
 } from '../cells/messages';
 import type { CellOptions } from '../cells/cellState';
 import type { CrashHistory } from '../cells/crashHistory';
-import type { SubmitterContact } from '../cells/submitterContact';
 import type { ListedWorkers } from '../cells/cellWorkers';
 import type { RandomSource } from '../core/clock';
 import { CellClaims } from './ownership/cellClaims';
@@ -22,12 +21,13 @@
 import { DrainedDomains } from './drainedDomains';
 import type { DispatchJournal } from './journal';
 import { LayoutSelector } from './ownership/layoutSelector';
-import { OwnedCells } from './ownership/ownedCells';
+import { NOT_OWNER, OwnedCells } from './ownership/ownedCells';
 import { OwnerHealth } from './ownership/claimPolicy';
+import { OwnerHealthTable } from './ownership/ownerHealthTable';
 import { PauseDetector } from './ownership/pauseDetector';
 import type { PeerClient } from './peers/peerClient';
 import type { HostClock } from './peers/peerClocks';
-import type { BatchCall, RunsReply } from './peers/peerMessages';
+import type { BatchCall } from './peers/peerMessages';
 import { StatusExchange } from './peers/statusExchange';
 import { OpenCells } from './openCells';
 import type { Platform } from './platform';
@@ -64,18 +64,10 @@
 const TICK_MS = 25;
 /** Cells whose owners were lost together with this host have new ones so long after its start. */
 const OWNERS_AFTER_START_MS = 300;
-/** An owner that is alive answers its first status call within this time. */
-const FIRST_ANSWER_MS = 150;
 /** Time for which a new process claims no cell unless it knows which domains are drained. */
 const DRAINS_WAIT_MS = 1000;
 
 const NO_CELLS: ReadonlySet<string> = new Set();
-const NOT_OWNER: BatchOutcome = {
-  type: 'refused',
-  reason: BatchReason.notOwner,
-  retryAfterMs: 0,
-};
-
 /** Cluster state as seen by one host. */
 export class Cluster {
   readonly loads = new CellLoads();
@@ -104,10 +96,7 @@
 
   readonly #foundRuns: FoundRuns;
 
-  readonly #ownerHealth = new Map<string, OwnerHealth>();
-
-  /** When this process learned of the present owner of each cell. */
-  readonly #ownerSinceMs = new Map<string, number>();
+  readonly #ownerHealth: OwnerHealthTable;
 
   readonly #openCells: OpenCells;
 
@@ -172,7 +161,7 @@
     this.#claims = new CellClaims({
       ...parts,
       registry: this.#registry,
-      healthOf: (cell) => this.#ownerHealth.get(cell) ?? OwnerHealth.unknown,
+      healthOf: (cell) => this.#ownerHealth.of(cell),
       poll: (address) => this.#statusExchange.poll(address),
       namesService,
     });
@@ -185,6 +174,14 @@
       onSummaries: (summaries) => this.#updateLoads(summaries),
       onPolled: () => this.#refreshHealth(clock.nowMs()),
     });
+    this.#ownerHealth = new OwnerHealthTable({
+      ...parts,
+      healthOf: (owner, cell, nowMs) => this.#statusExchange.health(owner, cell, nowMs),
+      onGone: ({ cell, owner }) => {
+        this.loads.remove(cell);
+        parts.peers.abandonCallsTo(owner.address);
+      },
+    });
   }
 
   /** Status polls between hosts. */
@@ -223,6 +220,11 @@
     this.#parts.journal.logDecision('leaving', { cells: this.owners.map(({ cell }) => cell) });
   }
 
+  /** The cells that this host owns, for calls of other hosts. */
+  get ownedCells(): OwnedCells {
+    return this.#ownedCells;
+  }
+
   get owners(): readonly CellOwner[] {
     return this.#ownedCells.all();
   }
@@ -260,6 +262,15 @@
     return owners.reduce((sum, { cellState }) => sum + cellState.runCount, 0);
   }
 
+  /** Time since the oldest list of workers of the owned cells was read, in ms; 0 without one. */
+  get workerListAgeMs(): number {
+    const nowMs = this.#parts.clock.nowMs();
+    const readAtMs = this.#ownedDomains().map((domain) =>
+      Math.max(this.#startedAtMs, this.#workerLists.readAtMs(domain)),
+    );
+    return Math.max(0, ...readAtMs.map((atMs) => nowMs - atMs));
+  }
+
   /** Time from the start of this process until it knew of a served cell; null before that. */
   get firstServiceMs(): number | null {
     return this.#firstServiceMs;
@@ -271,13 +282,12 @@
 
   isServing(cell: string): boolean {
     if (this.#ownedCells.get(cell)) return true;
-    return this.#ownerHealth.get(cell) === OwnerHealth.serving;
+    return this.#ownerHealth.of(cell) === OwnerHealth.serving;
   }
 
   /** See `EarlierRunsCluster`. */
   recentlyTakenOver(): readonly string[] {
-    const sinceMs = this.#parts.clock.nowMs() - this.#parts.options.submitterTimeoutMs;
-    return [...this.#ownerSinceMs].flatMap(([cell, atMs]) => (atMs > sinceMs ? [cell] : []));
+    return this.#ownerHealth.changedWithin(this.#parts.options.submitterTimeoutMs);
   }
 
   /** See `EarlierRunsCluster`. */
@@ -288,41 +298,23 @@
 
   /** See `EarlierRunsCluster`. */
   async mayRunJob(cell: string, jobId: string): Promise<boolean> {
-    if (this.#ownedCells.get(cell)) return this.runsInOwnCell(cell, jobId).mayRun;
+    if (this.#ownedCells.get(cell)) return this.#ownedCells.runsOf(cell, jobId).mayRun;
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return false;
-    if (!this.#mayAnswer(cell)) return false;
+    if (!this.#ownerHealth.mayAnswer(cell)) return false;
     const { address, incarnation } = record.owner;
     const { token } = record;
     return this.#foundRuns.mayRunJob({ address, incarnation, token, cell, jobId });
   }
 
-  /** False if the owner is gone, or has not answered a status call for too long. */
-  #mayAnswer(cell: string): boolean {
-    if (this.isServing(cell)) return true;
-    if (this.#ownerHealth.get(cell) === OwnerHealth.gone) return false;
-    const sinceMs = this.#ownerSinceMs.get(cell) ?? -Infinity;
-    return this.#parts.clock.nowMs() - sinceMs <= FIRST_ANSWER_MS;
-  }
-
-  /** Whether runs of the job may be in progress in a cell of this host; not in other cells. */
-  runsInOwnCell(cell: string, jobId: string): RunsReply {
-    return this.#ownedCells.get(cell)?.runsOf(jobId) ?? { mayRun: false };
-  }
-
   /** How many tasks of a batch a cell could end in time; null if its owner does not answer. */
   async roomIn(cell: string, batch: TaskBatch, namesWorker = false): Promise<CellRoom | null> {
-    if (this.#ownedCells.get(cell)) return this.roomInOwnCell(cell, batch, namesWorker);
+    if (this.#ownedCells.get(cell)) return this.#ownedCells.roomIn(cell, batch, namesWorker);
     const record = this.#registry.get(cell);
     if (!record || isSameProcess(record.owner, this.#parts.self)) return null;
     return this.#parts.peers.roomIn(record.owner.address, { cell, batch, namesWorker });
   }
 
-  /** The same for a cell of this host; null if this host does not own it. */
-  roomInOwnCell(cell: string, batch: TaskBatch, namesWorker = false): CellRoom | null {
-    return this.#ownedCells.get(cell)?.roomFor(batch, namesWorker) ?? null;
-  }
-
   /** Runs a batch in a cell, locally or at the cell's owner. `abort` withdraws the batch. */
   async run(cell: string, batch: TaskBatch, abort: AbortController): Promise<BatchOutcome> {
     const owner = this.#ownedCells.get(cell);
@@ -341,19 +333,6 @@
     return reply.outcome;
   }
 
-  /** Runs a batch that another host submitted to a cell of this host. */
-  async runForPeer({ cell, batch }: BatchCall, contact: SubmitterContact): Promise<BatchOutcome> {
-    return this.#ownedCells.get(cell)?.run(batch, contact) ?? NOT_OWNER;
-  }
-
-  withdraw(cell: string, batchId: string, reason: BatchReason): void {
-    this.#ownedCells.get(cell)?.withdraw(batchId, reason);
-  }
-
-  summary(cell: string): CellSummary | null {
-    return this.#ownedCells.get(cell)?.summary() ?? null;
-  }
-
   async #runLocally(
     owner: CellOwner,
     batch: TaskBatch,
@@ -432,7 +411,7 @@
 
   #ownerChanged(record: CellRecord): void {
     const nowMs = this.#parts.clock.nowMs();
-    this.#ownerSinceMs.set(record.cell, nowMs);
+    this.#ownerHealth.ownerChanged(record.cell);
     this.#ownedCells.releaseSuperseded(record);
     if (isSameProcess(record.owner, this.#parts.self)) {
       this.#ownedCells.add(record, this.#workersOf(record.cell));
@@ -503,22 +482,6 @@
   }
 
   #refreshHealth(nowMs: number): void {
-    this.#registry.all().forEach(({ cell, owner }) => {
-      if (owner.address === this.#parts.self.address) {
-        // The owner is an earlier process of this host, or this process has already released the
-        // cell.
-        this.#ownerHealth.set(cell, OwnerHealth.gone);
-        return;
-      }
-      const before = this.#ownerHealth.get(cell);
-      const health = this.#statusExchange.health(owner, cell, nowMs);
-      this.#ownerHealth.set(cell, health);
-      if (before === health) return;
-      this.#parts.journal.logDecision('owner-health', { cell, owner: owner.hostId, health });
-      if (health === OwnerHealth.gone) {
-        this.loads.remove(cell);
-        this.#parts.peers.abandonCallsTo(owner.address);
-      }
-    });
+    this.#ownerHealth.refresh(this.#registry.all(), nowMs);
   }
 }
--- a/src/dispatcher/dispatchHost.ts
+++ b/src/dispatcher/dispatchHost.ts
@@ -142,6 +142,7 @@
       clock,
       journal,
     });
+    const { ownedCells } = this.#cluster;
     const isServing = () => this.#cluster.hasServedCells;
     this.dispatcher = new Dispatcher(queues, runner, metrics, journal, isServing);
     this.#peerServer = new PeerServer(
@@ -153,12 +154,12 @@
             this.#cluster.summaries,
             this.#cluster.isLeaving,
           ),
-        run: (call, contact) => this.#cluster.runForPeer(call, contact),
-        withdraw: (cell, batchId, reason) => this.#cluster.withdraw(cell, batchId, reason),
-        summary: (cell) => this.#cluster.summary(cell),
-        roomIn: (cell, batch, namesWorker) => this.#cluster.roomInOwnCell(cell, batch, namesWorker),
+        run: (call, contact) => ownedCells.run(call, contact),
+        withdraw: (cell, batchId, reason) => ownedCells.withdraw(cell, batchId, reason),
+        summary: (cell) => ownedCells.summary(cell),
+        roomIn: (cell, batch, namesWorker) => ownedCells.roomIn(cell, batch, namesWorker),
         preview: (request) => previewer.preview(request),
-        runsOf: (cell, jobId) => this.#cluster.runsInOwnCell(cell, jobId),
+        runsOf: (cell, jobId) => ownedCells.runsOf(cell, jobId),
         configuration: () => queues.configuration,
       },
       clock,
@@ -174,6 +175,7 @@
       domains: settings.domains,
       drainedSinceMs: (domain) => this.#cluster.drains.drainedSinceMs(domain),
       runsIn: (domain) => this.#cluster.runsIn(domain),
+      workerListAgeMs: () => this.#cluster.workerListAgeMs,
       droppedLines: parts.droppedLines,
     });
   }
--- a/src/dispatcher/metrics.ts
+++ b/src/dispatcher/metrics.ts
@@ -95,6 +95,8 @@
     readonly drainedSinceMs: (domain: string) => number | null;
     /** Runs in progress in the cells of a domain that this host owns. */
     readonly runsIn: (domain: string) => number;
+    /** Time since the lists of workers of the cells owned were read, in ms. */
+    readonly workerListAgeMs: () => number;
     readonly droppedLines: () => number;
   }): void {
     this.#gauge(
@@ -135,6 +137,11 @@
         return sum + workers.filter(({ reachable }) => reachable).length;
       }, 0),
     );
+    this.#gauge(
+      'wasabiyoke_worker_list_age_seconds',
+      'Time since the directory was read for the oldest list of workers of the cells owned',
+      () => state.workerListAgeMs() / MS_PER_S,
+    );
     this.#gauge('wasabiyoke_runs', 'Runs in progress in the cells owned', () =>
       state.owners().reduce((sum, owner) => sum + owner.cellState.runCount, 0),
     );
--- a/src/dispatcher/ownership/ownedCells.ts
+++ b/src/dispatcher/ownership/ownedCells.ts
@@ -5,10 +5,19 @@
 import type { CellOptions } from '../../cells/cellState';
 import type { ListedWorkers } from '../../cells/cellWorkers';
 import type { CrashHistory } from '../../cells/crashHistory';
+import {
+  BatchReason,
+  type BatchOutcome,
+  type CellRoom,
+  type CellSummary,
+  type TaskBatch,
+} from '../../cells/messages';
+import type { SubmitterContact } from '../../cells/submitterContact';
 import { CellOwner } from './cellOwner';
 import type { CellRecord } from './cellRecord';
 import type { DispatchJournal } from '../journal';
 import type { HostClock } from '../peers/peerClocks';
+import type { BatchCall, RunsReply } from '../peers/peerMessages';
 import type { WorkerClient } from './workerClient';
 import type { SessionOptions } from './workerSession';
 
@@ -27,6 +36,13 @@
   readonly onOutdatedEntry: () => void;
 }
 
+/** The outcome of a batch for a cell that this host does not own. */
+export const NOT_OWNER: BatchOutcome = {
+  type: 'refused',
+  reason: BatchReason.notOwner,
+  retryAfterMs: 0,
+};
+
 /** Cells owned by one host. */
 export class OwnedCells {
   readonly #parts: OwnedCellsParts;
@@ -63,6 +79,29 @@
     if (known.entries.length > 0) owner.setWorkers(known);
   }
 
+  /** Runs a batch that another host submitted. */
+  async run({ cell, batch }: BatchCall, contact: SubmitterContact): Promise<BatchOutcome> {
+    return this.get(cell)?.run(batch, contact) ?? NOT_OWNER;
+  }
+
+  withdraw(cell: string, batchId: string, reason: BatchReason): void {
+    this.get(cell)?.withdraw(batchId, reason);
+  }
+
+  summary(cell: string): CellSummary | null {
+    return this.get(cell)?.summary() ?? null;
+  }
+
+  /** How many tasks of a batch a cell could end in time; null if this host does not own it. */
+  roomIn(cell: string, batch: TaskBatch, namesWorker: boolean): CellRoom | null {
+    return this.get(cell)?.roomFor(batch, namesWorker) ?? null;
+  }
+
+  /** Whether runs of the job may be in progress in a cell; not in cells of other hosts. */
+  runsOf(cell: string, jobId: string): RunsReply {
+    return this.get(cell)?.runsOf(jobId) ?? { mayRun: false };
+  }
+
   /** Tells all owners whether their cells are drained. */
   updateDrains(): void {
     this.#owners.forEach((owner, cell) => owner.setDrained(this.#parts.isDrained(cell)));
