--- a/test/platform/workers.test.ts
+++ b/test/platform/workers.test.ts
@@ -1,4 +1,6 @@
 /** Calls to a worker that crashes and starts again at once, under its id and at its address. */
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
@@ -65,3 +67,44 @@
     expect(unsent.length).toBeLessThanOrEqual(CONNECTIONS);
   });
 });
+
+describe('a start on a worker that does not tell its process', () => {
+  const request = {
+    task: 'a.0.0.0',
+    run: 1,
+    payload: '60',
+    processStartMs: 1,
+    leaseEndClockMs: 1000,
+    fencingToken: TOKEN,
+  };
+
+  /** The answer to a start if the worker answers everything in this way, and what it received. */
+  async function answerTo(status: number, body: object): Promise<readonly [string, string[]]> {
+    const paths: string[] = [];
+    const server = createServer((call, response) => {
+      paths.push(call.url ?? '');
+      response.writeHead(status).end(JSON.stringify(body));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const client = new PlatformWorkerClient({ logDecision: () => {} });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const answer = await client.start({ id: 'w0', address }, request);
+    await client.close();
+    server.close();
+    return [answer, paths];
+  }
+
+  // Guards against a job that fails, or a task that waits for leases, because of the answer to the
+  // query that goes before the start.
+  it('is not sent, and counts as that unless the answer holds for it as well', async () => {
+    const paths = ['/wasabiyoke/hold'];
+    expect(await answerTo(200, {})).toEqual([StartAnswer.unsent, paths]);
+    expect(await answerTo(400, {})).toEqual([StartAnswer.unsent, paths]);
+    expect(await answerTo(500, {})).toEqual([StartAnswer.unsent, paths]);
+    expect(await answerTo(409, { reason: 'fence' })).toEqual([StartAnswer.fenced, paths]);
+    expect(await answerTo(421, {})).toEqual([StartAnswer.restarted, paths]);
+    expect(await answerTo(503, {})).toEqual([StartAnswer.unhealthy, paths]);
+  });
+});
