Compute the checksum of a list of workers only when hosts tell it to each other

Lists are compared by their text again, and a checksum is computed once for a list that is asked for.

--- a/src/dispatcher/ownership/workerLists.ts
+++ b/src/dispatcher/ownership/workerLists.ts
@@ -55,7 +55,8 @@
 interface KnownList {
   readonly version: number;
   readonly entries: readonly WorkerEntry[];
-  readonly digest: string;
+  /** The entries as JSON text. */
+  readonly text: string;
   /** When the directory was read, on this host's clock; -Infinity if unknown. */
   readonly readAtMs: number;
   /** The host that told of the list; null if this one has read it. */
@@ -72,10 +73,6 @@
   return domains;
 }
 
-function digestOf(entries: readonly WorkerEntry[]): string {
-  return checksumOf(JSON.stringify(entries));
-}
-
 /** Shortest time between the beginnings of two reads of the directory. */
 const MIN_READ_PERIOD_MS = 100;
 /** A list that is older than this many periods has not been read in time. */
@@ -87,6 +84,9 @@
 
   readonly #lists = new Map<string, KnownList>();
 
+  /** Checksums of the lists that were told, or asked for. */
+  readonly #digests = new WeakMap<readonly WorkerEntry[], string>();
+
   /** When the last read began or was due. */
   #dueAtMs = -Infinity;
 
@@ -137,12 +137,12 @@
     const known = this.#lists.get(domain);
     if (known && version <= known.version) return;
     const readAtMs = askedAtMs - ageMs;
-    const digest = digestOf(entries);
+    const text = JSON.stringify(entries);
     if (!known || readAtMs >= known.readAtMs) {
-      this.#lists.set(domain, { version, entries, digest, readAtMs, source });
+      this.#lists.set(domain, { version, entries, text, readAtMs, source });
     } else {
       // A higher version than that of the older list lets the other hosts learn the newer one.
-      const isSame = digest === known.digest;
+      const isSame = text === known.text;
       this.#lists.set(domain, { ...known, version: isSame ? version : version + 1 });
     }
   }
@@ -155,7 +155,7 @@
     return this.#parts.ownedDomains().flatMap((domain) => {
       const known = this.#lists.get(domain);
       if (known && nowMs - known.readAtMs <= overdueMs) return [];
-      return [{ domain, digest: known?.digest ?? '', ageMs: this.#ageMs(known) ?? undefined }];
+      return [{ domain, digest: this.#digestOf(known), ageMs: this.#ageMs(known) ?? undefined }];
     });
   }
 
@@ -169,7 +169,8 @@
       const known = this.#lists.get(domain);
       const ageMs = this.#ageMs(known);
       if (!known || ageMs === null || ageMs >= sentAgeMs) return [];
-      const { digest, entries } = known;
+      const digest = this.#digestOf(known);
+      const { entries } = known;
       return [{ domain, digest, ageMs, entries: digest === sentDigest ? undefined : entries }];
     });
   }
@@ -217,34 +218,43 @@
 
   #update(domain: string, entries: readonly WorkerEntry[], readAtMs: number): void {
     const known = this.#lists.get(domain);
-    const digest = digestOf(entries);
+    const text = JSON.stringify(entries);
     // Versions are compared across hosts. Based on the time of day, the list that a new owner reads
     // gets a higher version than that of the previous owner.
-    const isSame = known?.digest === digest;
+    const isSame = known?.text === text;
     const version = isSame ? known.version : Math.max(Date.now(), (known?.version ?? 0) + 1);
-    this.#lists.set(domain, { version, entries, digest, readAtMs, source: null });
+    this.#lists.set(domain, { version, entries, text, readAtMs, source: null });
   }
 
   /** Returns false if this host knows of a later read. */
   #learn({ domain, digest, entries, ageMs }: ToldList, source: string, readAtMs: number): boolean {
     const known = this.#lists.get(domain);
     if (known && known.readAtMs >= readAtMs) return false;
-    if (known?.digest !== digest && !entries) return false;
-    if (known && known.digest === digest) {
+    const isChanged = this.#digestOf(known) !== digest;
+    if (isChanged && !entries) return false;
+    if (known && !isChanged) {
       this.#lists.set(domain, { ...known, readAtMs, source });
     } else if (entries) {
       const version = Math.max(Date.now(), (known?.version ?? 0) + 1);
-      this.#lists.set(domain, { version, entries, digest, readAtMs, source });
+      const text = JSON.stringify(entries);
+      this.#lists.set(domain, { version, entries, text, readAtMs, source });
     }
     if (known?.source !== source || entries) {
       const workers = this.of(domain).length;
-      const isChanged = known?.digest !== digest;
       const fields = { domain, source, ageMs: Math.round(ageMs), workers, isChanged };
       this.#parts.journal.logDecision('worker-list-told', fields);
     }
     return true;
   }
 
+  /** Checksum of the entries; computed only for lists that hosts tell each other. */
+  #digestOf(list: KnownList | undefined): string {
+    if (!list) return '';
+    const digest = this.#digests.get(list.entries) ?? checksumOf(list.text);
+    this.#digests.set(list.entries, digest);
+    return digest;
+  }
+
   /** Time since the directory was read for the list; null if unknown. */
   #ageMs(list: KnownList | undefined): number | null {
     const readAtMs = list?.readAtMs ?? -Infinity;
