--- a/src/cells/actions.ts
+++ b/src/cells/actions.ts
@@ -14,7 +14,7 @@
   unhealthy: 'unhealthy',
   /** Another incarnation of the worker answered. */
   restarted: 'restarted',
-  /** The start was not sent, as the worker could not be reached. */
+  /** The start was not sent, as no connection to the worker was ready in time. */
   unsent: 'unsent',
   invalid: 'invalid',
   /** No answer: the worker may have carried the start out, or may still do so. */
--- a/src/cells/runTracker.ts
+++ b/src/cells/runTracker.ts
@@ -61,7 +61,7 @@
   [StartAnswer.noRoom]: 20,
   [StartAnswer.late]: 50,
   [StartAnswer.unhealthy]: 300,
-  [StartAnswer.unsent]: 300,
+  [StartAnswer.unsent]: 50,
   [StartAnswer.restarted]: 50,
 };
 
--- a/test/dispatcher/intendedProcess.test.ts
+++ b/test/dispatcher/intendedProcess.test.ts
@@ -115,4 +115,21 @@
     const error = await pool.call(REQUEST, limits).catch((thrown: unknown) => thrown);
     expect(error instanceof UnsentCallError && error.message).toEqual('no answer within 30 ms');
   });
+
+  // Guards against calls that fail and are repeated over new connections, which need a query again,
+  // because a busy process reads each answer late.
+  it('have as much time after the query as without one', async () => {
+    const delayMs = 200;
+    const server = await serverOf((socket) =>
+      setTimeout(() => {
+        socket.write('HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{"process":1}');
+      }, delayMs),
+    );
+    const options = { connections: 1, connectTimeoutMs: 500, processIn };
+    const pool = new KeepAlivePool(server.address, options);
+    opened.push({ close: () => pool.destroy() });
+    const limits = { ...meantFor(1), timeoutMs: 1.75 * delayMs };
+    expect((await pool.call(REQUEST, limits)).status).toEqual(200);
+    expect(server.requests.length).toEqual(2);
+  });
 });
