--- a/review/lib-3/worker.ts
+++ b/review/lib-3/worker.ts
@@ -15,6 +15,8 @@
   readonly labels: readonly string[];
   readonly cpuMillis: number;
   readonly memoryMb: number;
+  /** CPU of each task; a start does not tell it. */
+  readonly taskCpuMillis?: number;
 }
 
 /** A run in progress. */
@@ -43,6 +45,7 @@
 const MAX_WAIT_MS = 2000;
 const LOOPBACK = '127.0.0.1';
 const FIRST_CLOCK_MS = 1000;
+const DEFAULT_TASK_CPU_MILLIS = 1000;
 
 /** A worker process. */
 export class Worker {
@@ -182,7 +185,8 @@
   #refusalOf(task: string, run: number, deadlineMs: number): string | null {
     if (run <= (this.#highestRun.get(task) ?? 0)) return 'old';
     if (deadlineMs <= this.#clockMs()) return 'late';
-    return this.runs.size >= Math.floor(this.init.cpuMillis / 1000) ? 'room' : null;
+    const { cpuMillis, taskCpuMillis = DEFAULT_TASK_CPU_MILLIS } = this.init;
+    return this.runs.size >= Math.floor(cpuMillis / taskCpuMillis) ? 'room' : null;
   }
 
   #stop({ task = '', run = 0 }: OrderBody, response: ServerResponse): void {
