--- a/review/lib-3/case.ts
+++ b/review/lib-3/case.ts
@@ -36,6 +36,7 @@
   let timer: NodeJS.Timeout | null = null;
   const limit = new Promise<never>((_, reject) => {
     timer = setTimeout(() => reject(new Error('time limit')), TIME_LIMIT_MS);
+    process.once('SIGTERM', () => reject(new Error('SIGTERM')));
   });
   let outcome: Outcome = Outcome.failed;
   try {
